--- a/src/bin/nickelshed/config.rs
+++ b/src/bin/nickelshed/config.rs
@@ -18,6 +18,7 @@
 struct File {
     listen: Option<String>,
     discovery: Option<String>,
+    control: Option<String>,
     seed: Option<Value>,
     limits: Limits,
     #[serde(default)]
@@ -28,6 +29,8 @@
 pub struct Config {
     pub listen: SocketAddr,
     pub discovery: SocketAddr,
+    /// The operators' address, if they gave one.
+    pub control: Option<SocketAddr>,
     pub state: PathBuf,
     pub seed: u64,
     pub limits: Limits,
@@ -59,6 +62,11 @@
     address("EDGE_DISCOVERY", file, var("EDGE_DISCOVERY"))
 }
 
+fn control(file: Option<String>) -> Result<Option<SocketAddr>, String> {
+    let named = var("EDGE_CONTROL").or(file);
+    named.map(|text| address("EDGE_CONTROL", Some(text), None)).transpose()
+}
+
 /// Discovery's address as the file has it now; its other keys take effect at the next start.
 pub fn reread() -> Result<SocketAddr, String> {
     discovery(file()?.1.discovery)
@@ -70,6 +78,7 @@
     Ok(Config {
         listen: address("EDGE_LISTEN", var("EDGE_LISTEN"), file.listen)?,
         discovery: discovery(file.discovery)?,
+        control: control(file.control)?,
         state: var("EDGE_STATE").ok_or("EDGE_STATE is not set")?.into(),
         seed: file.seed.as_ref().map_or(0, seed),
         limits: file.limits,
--- /dev/null
+++ b/src/bin/nickelshed/control.rs
@@ -0,0 +1,99 @@
+//! The second address, for the operators: one call to a connection, answered under any load.
+use crate::drain::Drain;
+use crate::wire::{MAX_HEAD, MAX_HEADERS};
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::header::{HeaderValue, ALLOW};
+use hyper::server::conn::http1::Builder;
+use hyper::service::service_fn;
+use hyper::{Method, Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use std::cell::RefCell;
+use std::collections::VecDeque;
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::AbortHandle;
+use tokio::time::{sleep, timeout};
+
+/// Callers at a time; their descriptors are reserved. At the bound the one that came first makes room: a call
+/// takes milliseconds, so it is one that holds its connection without a whole call.
+pub const CALLERS: usize = 16;
+/// How long a caller may take for its call and for reading the answer.
+const PATIENCE: Duration = Duration::from_secs(2);
+
+pub struct Control {
+    pub drain: Rc<Drain>,
+}
+
+impl Control {
+    /// Never ends. No caller waits for another: each is served by a task of its own.
+    pub async fn serve(self: Rc<Self>, listener: TcpListener) {
+        let callers: RefCell<VecDeque<AbortHandle>> = RefCell::default();
+        loop {
+            let stream = match listener.accept().await {
+                Ok((stream, _)) => stream,
+                Err(error) => {
+                    tracing::warn!(%error, "cannot accept on the control address");
+                    sleep(Duration::from_millis(20)).await;
+                    continue;
+                }
+            };
+            let mut callers = callers.borrow_mut();
+            callers.retain(|c| !c.is_finished());
+            if callers.len() >= CALLERS {
+                callers.pop_front().into_iter().for_each(|c| c.abort());
+            }
+            let control = self.clone();
+            callers.push_back(tokio::task::spawn_local(control.caller(stream)).abort_handle());
+        }
+    }
+
+    async fn caller(self: Rc<Self>, stream: TcpStream) {
+        let _ = stream.set_nodelay(true);
+        let service = service_fn(|request| {
+            let response = self.answer(&request);
+            async { Ok::<_, Infallible>(response) }
+        });
+        let mut http = Builder::new();
+        http.keep_alive(false).max_buf_size(MAX_HEAD).max_headers(MAX_HEADERS);
+        let _ = timeout(PATIENCE, http.serve_connection(TokioIo::new(stream), service)).await;
+    }
+
+    fn answer(&self, request: &Request<Incoming>) -> Response<Full<Bytes>> {
+        let method = request.method();
+        match request.uri().path() {
+            "/v1/readyz" if is_read(method) => yes_or_no(self.drain.is_active()),
+            "/v1/readyz" => wrong_method("GET, HEAD"),
+            "/v1/sender/drain" if method == Method::PUT => yes_or_no(self.drain.drain()),
+            "/v1/sender/activate" if method == Method::PUT => yes_or_no(self.drain.activate()),
+            "/v1/sender/drain" | "/v1/sender/activate" => wrong_method("PUT"),
+            _ => text(StatusCode::NOT_FOUND, "no such call\n"),
+        }
+    }
+}
+
+fn is_read(method: &Method) -> bool {
+    matches!(*method, Method::GET | Method::HEAD)
+}
+
+fn yes_or_no(yes: bool) -> Response<Full<Bytes>> {
+    match yes {
+        true => text(StatusCode::OK, "yes\n"),
+        false => text(StatusCode::SERVICE_UNAVAILABLE, "no\n"),
+    }
+}
+
+fn text(status: StatusCode, text: &'static str) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(Bytes::from_static(text.as_bytes())));
+    *response.status_mut() = status;
+    response
+}
+
+fn wrong_method(allowed: &'static str) -> Response<Full<Bytes>> {
+    let mut response = text(StatusCode::METHOD_NOT_ALLOWED, "");
+    response.headers_mut().insert(ALLOW, HeaderValue::from_static(allowed));
+    response
+}
--- a/src/bin/nickelshed/main.rs
+++ b/src/bin/nickelshed/main.rs
@@ -2,8 +2,10 @@
 mod calls;
 mod config;
 mod connections;
+mod control;
 mod core;
 mod discovery;
+mod drain;
 mod journal;
 mod memory;
 mod notices;
@@ -78,12 +80,18 @@
     let settings = &config.settings;
     // Some are for the listener, the watch, notices and files. Of the rest calls always find theirs, a sixteenth
     // is for clients that are only told to come again, and all others are for clients: some connect by hundreds.
-    let sockets = config.limits.sockets.saturating_sub(OWN_SOCKETS);
+    let reserved = OWN_SOCKETS + config.control.map_or(0, |_| control::CALLERS + 1);
+    let sockets = config.limits.sockets.saturating_sub(reserved);
     let calls = (settings.slots * 2 + 32).max(sockets / 4).min(sockets * 3 / 8);
     let turned_away = (sockets / 16).max(1);
     let pool = Rc::new(connections::Pool::new(settings.dial_timeout, settings.idle_close, calls));
     spawn_local(pool.clone().keep());
     let client = Rc::new(calls::Client { core: core_in.clone(), pool });
+    let drain = Rc::new(drain::Drain::new());
+    if let Some(at) = config.control {
+        let listener = TcpListener::bind(at).await.map_err(|e| format!("cannot listen on {at}: {e}"))?;
+        spawn_local(Rc::new(control::Control { drain: drain.clone() }).serve(listener));
+    }
     let (place, discovery) = watch::channel(config.discovery);
     spawn_local(reload(hangup, place));
     spawn_local(discovery::follow(discovery.clone(), core_in.clone()));
@@ -105,12 +113,14 @@
         around,
         classes,
         budget,
+        drain: drain.clone(),
         most: sockets.saturating_sub(calls + turned_away),
         turned_away,
         open: Default::default(),
         guests: Default::default(),
     });
     let accepting = spawn_local(server.clone().accept(listener, closing));
+    drain.listening();
 
     tokio::select! {
         _ = terminate.recv() => {}
@@ -119,6 +129,7 @@
         ended = core => return Err(format!("the core ended: {ended:?}")),
     }
     let told = Instant::now();
+    drain.end();
     sleep(ACCEPT_ON).await;
     let _ = close.send(true);
     let _ = accepting.await;
--- a/src/bin/nickelshed/server.rs
+++ b/src/bin/nickelshed/server.rs
@@ -1,5 +1,6 @@
 //! Clients in: takes requests, checks their form, and hands them to the core.
 use crate::core::{Input, Reply};
+use crate::drain::{Drain, State};
 use crate::journal::{Taken, MAX_BODY};
 use crate::memory::Budget;
 use crate::wire::{Io, Socket, MAX_HEAD, MAX_HEADERS};
@@ -30,6 +31,8 @@
 const IDLE: Duration = Duration::from_secs(30);
 const IDLE_AT_BOUND: Duration = Duration::from_secs(2);
 const SILENT_AT_BOUND: Duration = Duration::from_millis(500);
+/// How long a connection without a first request is kept while clients are sent away.
+const SILENT_IN_DRAIN: Duration = Duration::from_millis(500);
 /// What is still read from a connection that closes, so that its last answer arrives.
 const DRAIN: Duration = Duration::from_millis(300);
 const DRAIN_BYTES: usize = 1 << 20;
@@ -48,6 +51,7 @@
     pub around: Around,
     pub classes: Vec<Class>,
     pub budget: Budget,
+    pub drain: Rc<Drain>,
     /// Most connections that are served.
     pub most: usize,
     /// Connections over that bound that are told to come again; what comes beyond them is closed.
@@ -74,9 +78,11 @@
     }
 
     /// When the request that is coming must be here, or the idle connection has stood long enough.
-    fn deadline(&self) -> Instant {
+    fn deadline(&self, sent_away: bool) -> Instant {
         match self.socket.heard() {
             Some(heard) if self.has_asked.get() => heard + PATIENCE,
+            None if sent_away && self.has_asked.get() => self.since.get(),
+            None if sent_away => self.since.get() + SILENT_IN_DRAIN,
             None if self.has_asked.get() => self.since.get() + IDLE,
             _ => self.since.get() + PATIENCE,
         }
@@ -84,13 +90,12 @@
 }
 
 impl Server {
-    /// Accepts until `closing` says so; the connections then end between requests.
-    pub async fn accept(self: Rc<Self>, listener: TcpListener, closing: watch::Receiver<bool>) {
-        let mut until = closing.clone();
+    /// Accepts until `closing` says so.
+    pub async fn accept(self: Rc<Self>, listener: TcpListener, mut closing: watch::Receiver<bool>) {
         let mut failing = false;
         for number in 0.. {
             let stream = tokio::select! {
-                _ = until.wait_for(|c| *c) => return,
+                _ = closing.wait_for(|c| *c) => return,
                 accepted = listener.accept() => match accepted {
                     Ok((stream, _)) => stream,
                     Err(error) => {
@@ -110,14 +115,14 @@
                 continue;
             }
             self.open.set(self.open.get() + 1);
-            let (server, closing) = (self.clone(), closing.clone());
+            let server = self.clone();
             let socket = Socket::new(stream);
             // Entered at once: many may be accepted before the first of their tasks runs.
             let guest = (!full).then(|| self.enter(number, &socket));
             tokio::task::spawn_local(async move {
                 match guest {
                     Some(guest) => {
-                        server.serve(guest, closing).await;
+                        server.serve(guest).await;
                         server.guests.borrow_mut().remove(&number);
                     }
                     None => turn_away(socket).await,
@@ -156,16 +161,21 @@
         true
     }
 
-    async fn serve(&self, guest: Rc<Guest>, mut ended: watch::Receiver<bool>) {
+    fn sends_away(&self) -> bool {
+        matches!(self.drain.state(), State::Draining | State::Ending)
+    }
+
+    async fn serve(&self, guest: Rc<Guest>) {
+        let mut drain = self.drain.follow();
         let socket = guest.socket.clone();
         let service = service_fn(|request| {
             let guest = guest.clone();
             async move {
                 guest.busy.set(true);
-                let mut response = self.answer(request, guest.deadline()).await;
+                let mut response = self.answer(request, guest.deadline(false)).await;
                 // Clients that come with a new connection for each message would fill all places with idle ones
                 // that are too young to be closed.
-                if self.guests.borrow().len() > self.most * 3 / 4 {
+                if self.sends_away() || self.guests.borrow().len() > self.most * 3 / 4 {
                     response = closing(response);
                 }
                 guest.busy.set(false);
@@ -178,20 +188,18 @@
         let connection = http().serve_connection(TokioIo::new(Io(socket.clone())), service);
         {
             let mut connection = pin!(connection);
-            let mut ending = false;
             loop {
+                let deadline = guest.deadline(self.sends_away());
                 tokio::select! {
                     _ = connection.as_mut() => break,
-                    _ = ended.wait_for(|c| *c), if !ending => {
-                        ending = true;
-                        connection.as_mut().graceful_shutdown();
-                    }
+                    Ok(()) = drain.changed() => {}
                     // A request may have come since it was told to leave: that one is answered.
                     () = guest.leave.notified() => if guest.is_idle() && !socket.has_news() { break },
                     () = socket.news.notified() => {}
                     // While it is busy the request's own bound holds.
-                    () = sleep_until(guest.deadline()), if !guest.busy.get() => {
-                        if Instant::now() >= guest.deadline() && !(guest.is_idle() && socket.has_news()) {
+                    () = sleep_until(deadline), if !guest.busy.get() => {
+                        let over = Instant::now() >= guest.deadline(self.sends_away());
+                        if over && !(guest.is_idle() && socket.has_news()) {
                             break;
                         }
                     }
@@ -206,7 +214,8 @@
         let (head, body) = request.into_parts();
         let path = head.uri.path();
         if path == "/healthz" && matches!(head.method, Method::GET | Method::HEAD) && body.is_end_stream() {
-            return plain(StatusCode::OK, "");
+            let up = self.drain.is_active();
+            return plain(if up { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, "");
         }
         // The library keeps one of two lengths and hides the other, so a request with both can't be told from
         // one that is in chunks throughout: a length is asked for, as RFC 9112 (6.3) allows.
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -1,4 +1,5 @@
 //! The real sender as a process, and small peers for it over loopback: endpoints, discovery, clients.
+#![allow(dead_code)]
 use serde_json::{json, Value};
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader, Read, Write};
@@ -260,6 +261,10 @@
     instance(&format!("closed-{dest}"), nowhere, dest, "plain", "Terminating")
 }
 
+pub fn free_address() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+}
+
 static FOLDERS: AtomicUsize = AtomicUsize::new(0);
 
 /// The sender with its folder; restarts keep folder, name and address.
@@ -282,7 +287,7 @@
             Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("node-{}-{number}", std::process::id()));
         let _ = std::fs::remove_dir_all(&folder);
         std::fs::create_dir_all(folder.join("state")).unwrap();
-        let address = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+        let address = free_address();
         let class = |name: &str, effect: &str| {
             json!({"Name": name, "PromiseNs": 3_000_000_000u64, "DeadlineNs": 16_000_000_000u64, "Effect": effect,
                 "DedupScope": "all", "WindowNs": 15_000_000_000u64, "Worth": 1, "LateWorth": 0.3})
@@ -330,6 +335,11 @@
         assert!(Command::new("kill").args([signal, &id]).status().unwrap().success());
     }
 
+    /// Gives it a control address of its own.
+    pub fn controlled(config: &mut Value) {
+        config["control"] = free_address().to_string().into();
+    }
+
     pub fn restart(&mut self) {
         assert!(self.child.is_none(), "still running");
         let config = self.config_path();
@@ -394,6 +404,22 @@
         (answer.first.split(' ').nth(1).unwrap().parse().unwrap(), answer.headers)
     }
 
+    /// A call to the control address: the answer's status and body.
+    pub fn control(&self, method: &str, path: &str) -> (u16, String) {
+        let address: SocketAddr = self.config["control"].as_str().unwrap().parse().unwrap();
+        let mut stream = TcpStream::connect(address).unwrap();
+        stream.set_read_timeout(Some(BOUND)).unwrap();
+        write!(stream, "{method} {path} HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n").unwrap();
+        let answer = read_message(&mut BufReader::new(stream), 0).expect("an answer");
+        let status = answer.first.split(' ').nth(1).unwrap().parse().unwrap();
+        (status, String::from_utf8(answer.body).unwrap())
+    }
+
+    pub fn health(&self) -> u16 {
+        let answer = self.ask(b"GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n").expect("an answer");
+        answer.first.split(' ').nth(1).unwrap().parse().unwrap()
+    }
+
     pub fn kill(&mut self) {
         let mut child = self.child.take().unwrap();
         child.kill().unwrap();
