Check the whole file at SIGHUP, swap all of it or none, and keep open messages' rules

Tests: settings_may_change..., a_bad_file..., new_settings_add_a_class... Without it the first is answered 404 for the new class, the second follows the bad file's discovery.

--- a/src/api.rs
+++ b/src/api.rs
@@ -27,7 +27,7 @@
     Endpoint,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Class {
     /// Delivered within this time, a message earns its full worth.
     pub aim: Ns,
@@ -43,6 +43,8 @@
     /// Share of the worth left at the deadline.
     pub late_worth: f64,
     pub in_order: bool,
+    /// Attempts of a message at most.
+    pub max_attempts: u32,
 }
 
 #[derive(Clone, Copy, Debug, Default)]
@@ -74,7 +76,6 @@
     pub slots: usize,
     /// Messages it may hold, sent or not.
     pub max_open: usize,
-    pub max_attempts: u32,
     /// Clients heed no longer time than this to come again after.
     pub max_retry_after: Ns,
     pub may_duplicate: bool,
@@ -204,6 +205,9 @@
         past: Vec<PastAttempt>,
     },
     AttemptEnd(AttemptEnd),
+    /// New settings in place of the old. A class that open messages have keeps its number and its rules: it is in
+    /// the table for as long as they are, though no new message comes with it.
+    Settings(Settings),
     /// The client took the message back; nothing more is owed.
     Expired {
         id: MsgId,
--- a/src/bin/nickelshed/calls.rs
+++ b/src/bin/nickelshed/calls.rs
@@ -229,7 +229,7 @@
             return self.probed(endpoint, Outcome::NotSent, None).await;
         }
         let asked = request("GET", "/healthz", link.at, &[], Bytes::new());
-        let (outcome, report) = match timeout(self.pool.dial, link.exchange(asked, MAX_BODY)).await {
+        let (outcome, report) = match timeout(self.pool.dial.get(), link.exchange(asked, MAX_BODY)).await {
             Ok(Ok((status, headers, _))) => {
                 let (outcome, ..) = outcome(status, &headers);
                 self.pool.give_back(endpoint, link);
--- a/src/bin/nickelshed/config.rs
+++ b/src/bin/nickelshed/config.rs
@@ -1,4 +1,4 @@
-//! The environment and config.json: read at the start, and the file once more on SIGHUP.
+//! The environment and config.json: read at the start, and the file whole once more on SIGHUP.
 use crate::discovery::List;
 use leadfold::api::Settings;
 use leadfold::settings::{self, Around};
@@ -37,13 +37,15 @@
     pub known: List,
     pub settings: Settings,
     pub around: Around,
+    /// The file as it was read.
+    pub file: Value,
 }
 
 fn var(name: &str) -> Option<String> {
     std::env::var(name).ok().filter(|v| !v.is_empty())
 }
 
-fn file() -> Result<(String, File), String> {
+fn file() -> Result<(String, Value), String> {
     let path = var("EDGE_CONFIG").ok_or("EDGE_CONFIG is not set")?;
     let text = std::fs::read_to_string(&path).map_err(|e| format!("cannot read {path}: {e}"))?;
     let file = serde_json::from_str(&text).map_err(|e| format!("{path}: {e}"))?;
@@ -67,14 +69,50 @@
     named.map(|text| address("EDGE_CONTROL", Some(text), None)).transpose()
 }
 
-/// Discovery's address as the file has it now; its other keys take effect at the next start.
-pub fn reread() -> Result<SocketAddr, String> {
-    discovery(file()?.1.discovery)
+/// The file as it is now, if it can take the place of the one in force: a key that is in that one must be in this
+/// one too, or half a file would pass for a whole one with defaults.
+pub fn reread(in_force: &Value) -> Result<Config, String> {
+    let (path, file) = file()?;
+    match missing(in_force, &file) {
+        Some(key) => Err(format!("{path}: {key} is missing")),
+        None => parse(path, file),
+    }
+}
+
+/// The first key of `old` that `new` lacks. Lists are data, but their entries are alike: what all the old ones
+/// have the new ones need too. The list of endpoints is not looked into, as its entries are checked one by one.
+fn missing(old: &Value, new: &Value) -> Option<String> {
+    match (old, new) {
+        (Value::Object(old), Value::Object(new)) => old.iter().find_map(|(key, value)| {
+            let Some(other) = new.get(key) else { return Some(key.clone()) };
+            let inner = if key == "known" { None } else { missing(value, other) };
+            inner.map(|inner| format!("{key}.{inner}"))
+        }),
+        (Value::Array(old), Value::Array(new)) => {
+            let shared = old.iter().filter_map(Value::as_object).cloned().reduce(|mut all, one| {
+                all.retain(|key, _| one.contains_key(key));
+                all
+            });
+            let shared = Value::Object(shared?);
+            new.iter().enumerate().find_map(|(i, e)| missing(&shared, e).map(|k| format!("[{i}].{k}")))
+        }
+        (Value::Object(_), _) => Some("an object".into()),
+        _ => None,
+    }
 }
 
 pub fn read() -> Result<Config, String> {
     let (path, file) = file()?;
+    parse(path, file)
+}
+
+fn parse(path: String, value: Value) -> Result<Config, String> {
+    let file = File::deserialize(&value).map_err(|e| format!("{path}: {e}"))?;
     let (settings, around) = settings::read(&file.settings).map_err(|e| format!("{path}: settings: {e}"))?;
+    let classes = &around.classes;
+    if classes.iter().enumerate().any(|(i, name)| name.is_empty() || classes[..i].contains(name)) {
+        return Err(format!("{path}: settings: a class has no name of its own"));
+    }
     Ok(Config {
         listen: address("EDGE_LISTEN", var("EDGE_LISTEN"), file.listen)?,
         discovery: discovery(file.discovery)?,
@@ -85,6 +123,7 @@
         known: file.known,
         settings,
         around,
+        file: value,
     })
 }
 
--- a/src/bin/nickelshed/connections.rs
+++ b/src/bin/nickelshed/connections.rs
@@ -198,8 +198,8 @@
 
 pub struct Pool {
     pub turnover: Cell<Turnover>,
-    pub dial: Duration,
-    idle: Duration,
+    pub dial: Cell<Duration>,
+    idle: Cell<Duration>,
     /// Most connections to endpoints at a time.
     most: usize,
     open: Rc<Cell<usize>>,
@@ -210,18 +210,24 @@
 
 impl Pool {
     pub fn new(dial: Ns, idle: Ns, most: usize) -> Pool {
-        // Closed well before the endpoint would: what is written to a connection that it has closed is a reset.
-        let idle = Duration::from_nanos((idle.max(0) as f64 * 0.9) as u64);
-        Pool {
+        let pool = Pool {
             turnover: Cell::default(),
-            dial: Duration::from_nanos(dial.max(MS) as u64),
-            idle,
+            dial: Cell::default(),
+            idle: Cell::default(),
             most,
             open: Rc::default(),
             links: RefCell::default(),
             places: RefCell::default(),
             waits: RefCell::default(),
-        }
+        };
+        pool.set_times(dial, idle);
+        pool
+    }
+
+    pub fn set_times(&self, dial: Ns, idle: Ns) {
+        self.dial.set(Duration::from_nanos(dial.max(MS) as u64));
+        // Closed well before the endpoint would: what is written to a connection that it has closed is a reset.
+        self.idle.set(Duration::from_nanos((idle.max(0) as f64 * 0.9) as u64));
     }
 
     pub fn count(&self, what: impl FnOnce(&mut Turnover)) {
@@ -289,7 +295,7 @@
             every.tick().await;
             let now = Instant::now();
             self.links.borrow_mut().retain(|_, links| {
-                links.retain(|l| self.is_fit(l, self.idle));
+                links.retain(|l| self.is_fit(l, self.idle.get()));
                 !links.is_empty()
             });
             self.waits.borrow_mut().retain(|_, until| *until > now);
@@ -323,7 +329,7 @@
         let now = Instant::now();
         let brief =
             self.places.borrow().get(&endpoint).and_then(|p| p.brief).filter(|(_, until)| now < *until);
-        let most = brief.map_or(self.idle, |(idle, _)| idle.min(self.idle));
+        let most = brief.map_or(self.idle.get(), |(idle, _)| idle.min(self.idle.get()));
         let mut pool = self.links.borrow_mut();
         let links = pool.get_mut(&endpoint)?;
         std::iter::from_fn(|| links.pop()).find(|l| self.is_fit(l, most))
@@ -352,7 +358,7 @@
         };
         // Counted from before it is made, so that many at once stay under the limit too.
         let counted = Counted::new(&self.open);
-        match Connection::open(address, self.dial).await {
+        match Connection::open(address, self.dial.get()).await {
             Ok(mut link) => {
                 link._counted = Some(counted);
                 self.count(|t| t.opened += 1);
--- a/src/bin/nickelshed/core.rs
+++ b/src/bin/nickelshed/core.rs
@@ -1,5 +1,6 @@
 //! The one owner of the module: events in, one round of decisions, actions out. It decides nothing itself.
 use crate::calls::{self, Cancel, Client, Member};
+use crate::classes::Classes;
 use crate::config::Config;
 use crate::connections::Turnover;
 use crate::discovery::List;
@@ -43,6 +44,8 @@
     },
     /// The platform has answered for these notices.
     Noticed(Vec<u64>),
+    /// The file of the configuration was read again.
+    Settings(Box<(Settings, Around)>),
     /// No client can come any more: end once nothing is left to do, and start nothing new after this time.
     Wind(Instant),
 }
@@ -50,6 +53,7 @@
 /// A message that the module has not ended.
 struct Held {
     taken: Rc<Taken>,
+    class: usize,
     end: Ns,
     attempts: u32,
 }
@@ -88,6 +92,7 @@
     sender: Sender,
     settings: Settings,
     around: Around,
+    classes: Classes,
     journal: Journal,
     client: Rc<Client>,
     inbox: mpsc::Receiver<Input>,
@@ -141,6 +146,7 @@
     ) -> Core {
         Core {
             sender: Sender::new(config.settings.clone(), config.seed),
+            classes: Classes::new(&config.settings, &config.around),
             settings: config.settings,
             around: config.around,
             next_id: journal.live().keys().next_back().map_or(0, |id| id + 1),
@@ -200,8 +206,8 @@
                 .collect();
             // Numbers may have a gap where one could not be written down; the module counts on from these.
             let attempts = past.len() as u32;
-            let Some(class) = position(&self.around.classes, &taken.class) else {
-                // The settings no longer have its class, so the module can't be asked.
+            let Some(class) = self.classes.of(&taken.class, taken.rules.as_deref()) else {
+                // Neither the settings nor the journal have its rules, so the module can't be asked.
                 let ran = past.iter().any(|p| p.may_have_run);
                 let ending = if ran { Ending::GivenUp } else { Ending::HandedBack(None) };
                 lost.push((id, taken, ending, true));
@@ -210,6 +216,7 @@
             let left = (taken.end - wall).saturating_mul(MS);
             resumed.push((taken, class, left, attempts, past));
         }
+        events.insert(0, Event::Settings(self.module_settings()));
         for (taken, class, left, attempts, past) in resumed {
             let message = self.hold(taken, class, left, now + left, attempts);
             events.push(Event::Resumed { message, past });
@@ -353,6 +360,7 @@
                         records.push(Record::Ended(id));
                     }
                 }
+                Input::Settings(new) => round.events.push(self.reset(*new)),
                 Input::Wind(until) => self.wind = Some(until),
             }
         }
@@ -484,13 +492,14 @@
         let full = self.held.len() >= self.settings.max_open;
         self.told.no_room += usize::from(full);
         let room = room.filter(|_| !full && self.wind.is_none());
-        let (Some(claim), Some(class)) = (room, position(&self.around.classes, &taken.class)) else {
+        let (Some(claim), Some(class)) = (room, self.classes.current(&taken.class)) else {
             let after = Duration::from_nanos(self.sender.backoff(taken.dest).max(0) as u64);
             let _ = reply.send(Reply::Refused(Some(after)));
             return;
         };
         round.claimed += claim;
         self.next_id += 1;
+        taken.rules = Some(self.classes.stored(class).into());
         let taken = Rc::new(taken);
         let left = end.saturating_duration_since(round.at).as_nanos() as Ns;
         let message = self.hold(taken.clone(), class, left, self.clock(end), 0);
@@ -503,10 +512,23 @@
         let (id, dest) = (taken.id, taken.dest);
         let tenant = position(&self.around.tenants, &taken.tenant).unwrap_or(0);
         self.traces.insert(taken.trace.clone(), id);
-        self.held.insert(id, Held { taken, end, attempts });
+        self.classes.opened(class);
+        self.held.insert(id, Held { taken, class, end, attempts });
         Message { id, class, dest, left, cost: 0, key: None, tenant }
     }
 
+    /// New settings in place of the old: messages that are held keep theirs.
+    fn reset(&mut self, (settings, around): (Settings, Around)) -> Event {
+        self.classes.replace(&settings, &around);
+        (self.settings, self.around) = (settings, around);
+        Event::Settings(self.module_settings())
+    }
+
+    /// The settings in force with all classes that messages have.
+    fn module_settings(&self) -> Settings {
+        Settings { classes: self.classes.table(), ..self.settings.clone() }
+    }
+
     fn notify(&mut self, taken: &Taken, ending: Ending) {
         self.noticing.insert(taken.id);
         let _ = self.notices.send(Notice { id: taken.id, trace: taken.trace.clone(), ending });
@@ -554,6 +576,7 @@
     fn forget(&mut self, id: u64) -> Option<Held> {
         let held = self.held.remove(&id)?;
         self.traces.remove(&held.taken.trace);
+        self.classes.ended(held.class);
         Some(held)
     }
 
--- a/src/bin/nickelshed/journal.rs
+++ b/src/bin/nickelshed/journal.rs
@@ -2,6 +2,7 @@
 //!
 //! One file of records, each framed by its length and a checksum. It is rewritten with what still lives once
 //! it would pass half of the disk's limit, so that both files together stay under it.
+use crate::classes::Stored;
 use crate::memory::{Budget, Share};
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
@@ -31,6 +32,9 @@
     /// Deadline, Unix time in milliseconds.
     #[serde(rename = "t")]
     pub end: i64,
+    /// What its class asked for when it was taken on; files of before this was kept have none.
+    #[serde(rename = "r", default)]
+    pub rules: Option<Box<Stored>>,
     #[serde(skip)]
     pub body: Bytes,
     /// Its part of the memory.
@@ -159,7 +163,7 @@
     let texts = taken.class.len() + taken.tenant.len() + taken.trace.len();
     let texts = texts + taken.key.as_ref().map_or(0, String::len);
     // Twice, as JSON may escape a character.
-    (2 * texts + taken.body.len()) as u64 + 160 + PER_END + PER_ATTEMPT
+    (2 * texts + taken.body.len()) as u64 + 240 + PER_END + PER_ATTEMPT
 }
 
 /// What a record adds to the claims: room for an attempt is there before it begins, and then for one more.
--- a/src/bin/nickelshed/main.rs
+++ b/src/bin/nickelshed/main.rs
@@ -1,5 +1,6 @@
 //! nickelshed: one real sender. Start, signals and wiring.
 mod calls;
+mod classes;
 mod config;
 mod connections;
 mod control;
@@ -9,16 +10,15 @@
 mod journal;
 mod memory;
 mod notices;
+mod reload;
 mod server;
 mod wire;
 
-use leadfold::api::Class;
-use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpListener;
-use tokio::signal::unix::{signal, Signal, SignalKind};
+use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::{mpsc, watch};
 use tokio::task::{spawn_local, LocalSet};
 use tokio::time::{sleep, timeout, Instant};
@@ -53,19 +53,6 @@
     }
 }
 
-/// SIGHUP: the file of the configuration was replaced. A bad one is no reason to end, or to lose what works.
-async fn reload(mut hangup: Signal, discovery: watch::Sender<SocketAddr>) {
-    while hangup.recv().await.is_some() {
-        match config::reread() {
-            Ok(address) => {
-                tracing::info!(%address, "the configuration was read again");
-                discovery.send_if_modified(|old| std::mem::replace(old, address) != address);
-            }
-            Err(error) => tracing::error!(%error, "the old configuration is kept"),
-        }
-    }
-}
-
 async fn run() -> Result<(), String> {
     let mut config = config::read()?;
     let mut terminate = signal(SignalKind::terminate()).map_err(|e| format!("signals: {e}"))?;
@@ -86,21 +73,18 @@
     let turned_away = (sockets / 16).max(1);
     let pool = Rc::new(connections::Pool::new(settings.dial_timeout, settings.idle_close, calls));
     spawn_local(pool.clone().keep());
-    let client = Rc::new(calls::Client { core: core_in.clone(), pool });
+    let client = Rc::new(calls::Client { core: core_in.clone(), pool: pool.clone() });
     let drain = Rc::new(drain::Drain::new());
     if let Some(at) = config.control {
         let listener = TcpListener::bind(at).await.map_err(|e| format!("cannot listen on {at}: {e}"))?;
         spawn_local(Rc::new(control::Control { drain: drain.clone() }).serve(listener));
     }
     let (place, discovery) = watch::channel(config.discovery);
-    spawn_local(reload(hangup, place));
     spawn_local(discovery::follow(discovery.clone(), core_in.clone()));
     spawn_local(notices::run(discovery, notices, core_in.clone()));
     let (listen, known) = (config.listen, std::mem::take(&mut config.known));
-    let around = config.around.clone();
-    let deadline = |c: &Class| Duration::from_nanos(c.deadline.max(0) as u64);
-    let class = |c: &Class| server::Class { effect: c.effect, deadline: deadline(c) };
-    let classes = settings.classes.iter().map(class).collect();
+    let terms = server::Terms::new(&config.settings, config.around.clone());
+    let in_force = std::mem::take(&mut config.file);
     let mut core = core::Core::new(config, journal, client, inbox, notices_in);
     core.resume(known).await;
     let core = spawn_local(core.run());
@@ -110,8 +94,7 @@
     let (close, closing) = watch::channel(false);
     let server = Rc::new(server::Server {
         core: core_in.clone(),
-        around,
-        classes,
+        terms: terms.into(),
         budget,
         drain: drain.clone(),
         most: sockets.saturating_sub(calls + turned_away),
@@ -119,6 +102,9 @@
         open: Default::default(),
         guests: Default::default(),
     });
+    let reload =
+        reload::Reload { in_force, discovery: place, core: core_in.clone(), pool, server: server.clone() };
+    spawn_local(reload.run(hangup));
     let accepting = spawn_local(server.clone().accept(listener, closing));
     drain.listening();
 
--- /dev/null
+++ b/src/bin/nickelshed/reload.rs
@@ -0,0 +1,48 @@
+//! SIGHUP: the file of the configuration was replaced. All of it takes effect, or none.
+use crate::config;
+use crate::connections::Pool;
+use crate::core::Input;
+use crate::server::{Server, Terms};
+use serde_json::Value;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use tokio::signal::unix::Signal;
+use tokio::sync::{mpsc, watch};
+
+pub struct Reload {
+    /// The file that was taken last.
+    pub in_force: Value,
+    pub discovery: watch::Sender<SocketAddr>,
+    pub core: mpsc::Sender<Input>,
+    pub pool: Rc<Pool>,
+    pub server: Rc<Server>,
+}
+
+impl Reload {
+    /// A bad file is no reason to end, or to lose what works.
+    pub async fn run(mut self, mut hangup: Signal) {
+        while hangup.recv().await.is_some() {
+            match config::reread(&self.in_force) {
+                Ok(config) => self.swap(config).await,
+                Err(reason) => {
+                    tracing::error!(%reason, "the new file is turned down whole, the old configuration is kept")
+                }
+            }
+        }
+    }
+
+    async fn swap(&mut self, config: config::Config) {
+        let (address, classes) = (config.discovery, config.around.classes.join(" "));
+        let (settings, around) = (config.settings, config.around);
+        self.pool.set_times(settings.dial_timeout, settings.idle_close);
+        let terms = Terms::new(&settings, around.clone());
+        // The core first: no message may reach it with a class that it has not heard of.
+        if self.core.send(Input::Settings(Box::new((settings, around)))).await.is_err() {
+            return;
+        }
+        self.server.terms.replace(terms);
+        self.discovery.send_if_modified(|old| std::mem::replace(old, address) != address);
+        self.in_force = config.file;
+        tracing::info!(%address, classes, "the configuration was read again");
+    }
+}
--- a/src/bin/nickelshed/server.rs
+++ b/src/bin/nickelshed/server.rs
@@ -12,7 +12,7 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
-use leadfold::api::Effect;
+use leadfold::api::{self, Effect, Settings};
 use leadfold::settings::Around;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -46,10 +46,23 @@
     pub deadline: Duration,
 }
 
+/// What the settings in force say of messages.
+pub struct Terms {
+    around: Around,
+    classes: Vec<Class>,
+}
+
+impl Terms {
+    pub fn new(settings: &Settings, around: Around) -> Rc<Terms> {
+        let deadline = |c: &api::Class| Duration::from_nanos(c.deadline.max(0) as u64);
+        let class = |c: &api::Class| Class { effect: c.effect, deadline: deadline(c) };
+        Rc::new(Terms { around, classes: settings.classes.iter().map(class).collect() })
+    }
+}
+
 pub struct Server {
     pub core: mpsc::Sender<Input>,
-    pub around: Around,
-    pub classes: Vec<Class>,
+    pub terms: RefCell<Rc<Terms>>,
     pub budget: Budget,
     pub drain: Rc<Drain>,
     /// Most connections that are served.
@@ -226,7 +239,8 @@
             return wrong_method("GET, HEAD");
         }
         let named = path.trim_start_matches('/').split('/').next().unwrap_or_default();
-        let Some(class) = self.around.classes.iter().position(|c| c == named && !c.is_empty()) else {
+        let terms = self.terms.borrow().clone();
+        let Some(class) = terms.around.classes.iter().position(|c| c == named && !c.is_empty()) else {
             return bad(StatusCode::NOT_FOUND, "no such class of message");
         };
         if head.method != Method::POST {
@@ -236,7 +250,7 @@
         if length > MAX_BODY as u64 {
             return bad(StatusCode::PAYLOAD_TOO_LARGE, "the body is over 64 KiB");
         }
-        let (mut taken, left) = match self.read_head(&head.headers, class) {
+        let (mut taken, left) = match terms.read_head(&head.headers, class) {
             Ok(read) => read,
             Err(why) => return bad(StatusCode::BAD_REQUEST, why),
         };
@@ -267,7 +281,9 @@
             Err(_) => refused(None),
         }
     }
+}
 
+impl Terms {
     /// What a message's headers say, with its body still to come.
     fn read_head(&self, headers: &HeaderMap, class: usize) -> Result<(Taken, Duration), &'static str> {
         let text = |name: &str| {
@@ -304,7 +320,18 @@
             return Err("Idempotency-Key is missing");
         }
         let (class, tenant, trace) = (name.clone(), tenant.to_string(), trace.to_string());
-        let taken = Taken { id: 0, class, tenant, dest, trace, key, end: 0, body: Bytes::new(), share: None };
+        let taken = Taken {
+            id: 0,
+            class,
+            tenant,
+            dest,
+            trace,
+            key,
+            end: 0,
+            rules: None,
+            body: Bytes::new(),
+            share: None,
+        };
         Ok((taken, left))
     }
 }
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -146,6 +146,7 @@
                 Event::Message(m) => self.take(*m),
                 Event::Resumed { message, past } => self.resume(*message, past, out),
                 Event::AttemptEnd(e) => self.attempt_end(e, out),
+                Event::Settings(new) => self.settings(new),
                 Event::Expired { id } => self.close(*id),
                 Event::Probed { .. } => {}
                 // The caller may round a time down: one that is due within the tick has come.
@@ -330,6 +331,25 @@
         }
     }
 
+    /// Takes new settings. What was measured of a class stands while its rules do; caps keep to the new slots.
+    fn settings(&mut self, new: &Settings) {
+        let old = std::mem::replace(&mut self.cfg, new.clone());
+        let (before, after) = (top(&old), top(new));
+        let same = |c: usize| old.classes.get(c).is_some_and(|o| *o == new.classes[c]);
+        for dest in self.dests.values_mut() {
+            let (cells, arrivals) = (std::mem::take(&mut dest.cells), std::mem::take(&mut dest.arrivals));
+            for c in 0..new.classes.len() {
+                let kept = |level| (same(c) && level <= before).then(|| cells[c * (before + 1) + level]);
+                dest.cells.extend((0..=after).map(|level| kept(level).unwrap_or_default()));
+                dest.arrivals.push(if same(c) { arrivals[c] } else { Stat::default() });
+            }
+            dest.cap = if dest.cap == before { after } else { dest.cap.min(after) };
+        }
+        for id in self.active.clone() {
+            self.due(id, LONG_AGO);
+        }
+    }
+
     /// An equal share of a limit.
     fn fair(&self) -> f64 {
         1.0 / self.cfg.n_instances.max(1) as f64
@@ -417,7 +437,7 @@
             let unseen = matches!(e.outcome, Outcome::NotSent | Outcome::CalledOff | Outcome::NoConnection);
             if !unseen && !e.kept {
                 let cells = dest.cells.len() / self.cfg.classes.len();
-                dest.cells[message.class * cells + level].book(now, took as f64);
+                dest.cells[message.class * cells + level.min(cells - 1)].book(now, took as f64);
             }
             if e.outcome == Outcome::Served {
                 dest.served.book(now, 1.0);
@@ -666,7 +686,7 @@
     fn allows(&self, held: &Held, to: Option<EndpointId>) -> bool {
         let class = &self.cfg.classes[held.message.class];
         if to.is_some() {
-            let spent = held.attempts.len() >= self.cfg.max_attempts as usize;
+            let spent = held.attempts.len() >= class.max_attempts as usize;
             if held.over || spent || (held.out() && !self.cfg.may_duplicate) {
                 return false;
             }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -92,6 +92,7 @@
     let prices = root.get("Prices");
     let family = root.get("FamilyInfo");
     let mut classes = Vec::new();
+    let max_attempts = limits.get("MaxAttempts").number(1.0)? as u32;
     for c in root.get("Services").list()? {
         let effect = match c.get("Effect").word()? {
             "safe" => Effect::Safe,
@@ -116,6 +117,7 @@
             worth: c.get("Worth").number_or(0.0, 1.0)?,
             late_worth: c.get("LateWorth").number_or(0.0, 0.0)?,
             in_order: c.get("SerialByKey").flag()?,
+            max_attempts,
         });
     }
     if classes.is_empty() {
@@ -152,7 +154,6 @@
         tick: root.get("TickNs").number(0.0)? as Ns,
         slots: family.get("CallsOut").number(0.0)? as usize,
         max_open: limits.get("MaxOpen").number(0.0)? as usize,
-        max_attempts: limits.get("MaxAttempts").number(1.0)? as u32,
         max_retry_after: limits.get("MaxRetryAfterNs").number_or(0.0, 0.0)? as Ns,
         may_duplicate: limits.get("MayDuplicate").flag()?,
         may_probe: limits.get("Probes").flag()?,
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -16,6 +16,7 @@
         worth: 1.0,
         late_worth: 0.3,
         in_order: false,
+        max_attempts: 8,
     }
 }
 
@@ -31,7 +32,6 @@
         tick: 5 * MS,
         slots: 12,
         max_open: 100,
-        max_attempts: 8,
         may_cancel: true,
         streams_per_conn: 1,
         idle_close: 10 * SECOND,
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -760,3 +760,24 @@
     let then = serve(&mut s, &mut next, 30, 3 * SECOND);
     assert!((25..=35).contains(&then), "an equal share, 10 a second: {then} in 3 s");
 }
+
+#[test]
+fn new_settings_add_a_class_and_bound_the_attempts_of_new_messages_only() {
+    let mut stand = Stand::new(settings(), &[entry(1, 7, 0)]);
+    assert_eq!(sends(&stand.take(message(1, 7, 1))), [(1, 1)]);
+    let mut new = settings();
+    new.classes.push(Class { max_attempts: 1, ..class(Effect::Safe) });
+    new.slots = 4;
+    stand.give(vec![Event::Settings(new)]);
+    assert_eq!(sends(&stand.take(message(2, 7, 3))), [(2, 1)]);
+    let again = stand.end(end(1, 0, 1, Outcome::ServerError));
+    assert_eq!(sends(&again), [(1, 1)], "the older one has its eight attempts");
+    let ended = stand.end(end(2, 0, 1, Outcome::ServerError));
+    assert!(matches!(finals(&ended)[..], [Action::Refuse { id: 2, .. }]), "it has had its one attempt");
+    // Three quarters of the new slots.
+    for id in 10..20 {
+        stand.take(message(id, 8, 1));
+    }
+    let out = sends(&stand.give(vec![Event::List { whole: false, entries: vec![entry(2, 8, 0)] }]));
+    assert_eq!(out.len(), 3, "{out:?}");
+}
--- a/tests/operations.rs
+++ b/tests/operations.rs
@@ -1,7 +1,7 @@
 //! The real sender as its operators run it: every verdict waits for an event, none for a clock.
 mod peers;
 use peers::*;
-use serde_json::json;
+use serde_json::{json, Value};
 use std::io::{BufReader, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 
@@ -87,3 +87,91 @@
     assert!(ends(&mut stream));
     endpoint.wait_for("slow", 1);
 }
+
+/// The configuration with another list of classes.
+fn with_classes(node: &Node, classes: &[Value]) -> Value {
+    let mut config = node.config.clone();
+    config["settings"]["Services"] = classes.into();
+    config
+}
+
+fn renamed(class: &Value, name: &str, effect: &str) -> Value {
+    let mut class = class.clone();
+    (class["Name"], class["Effect"]) = (name.into(), effect.into());
+    class
+}
+
+#[test]
+fn settings_may_change_and_open_messages_keep_the_rules_they_were_taken_under() {
+    let endpoint = Peer::new(|_| Reply::Close);
+    let (discovery, mut node) = controlled(&endpoint);
+    let classes = node.config["settings"]["Services"].as_array().unwrap().clone();
+    // Held while its only endpoint is closed; both classes are gone or changed when it may go.
+    discovery.set(json!([closed(7)]));
+    node.until("the drain is heard", || discovery.peer.seen().iter().any(|r| r.first.contains("index=2")));
+    assert_eq!(node.hand_in("alert", "old", 7, 16_000, b"x"), 202);
+    assert_eq!(node.hand_in("order", "old-unsafe", 7, 16_000, b"x"), 202);
+    let new = [renamed(&classes[0], "fresh", "keyed"), renamed(&classes[0], "order", "keyed")];
+    node.config = with_classes(&node, &new);
+    node.config["settings"]["Limits"]["MaxAttempts"] = 2.into();
+    node.reload(&node.config.to_string());
+    node.until("the new class is taken", || node.hand_in("fresh", "new", 7, 16_000, b"x") == 202);
+    assert_eq!(node.hand_in("alert", "late", 7, 16_000, b"x"), 404, "its class is gone");
+    // They hold over a restart too.
+    node.kill();
+    discovery.set(json!([ready("e-1", endpoint.address, 7)]));
+    node.restart();
+    assert_eq!(discovery.wait_notice("old-unsafe")["outcome"], "given_up");
+    endpoint.wait_for("old", 3);
+    assert_eq!(discovery.wait_notice("new")["outcome"], "handed_back");
+    assert_eq!(endpoint.wait_for("new", 1).len(), 2, "its attempts are the new settings'");
+    assert_eq!(endpoint.wait_for("old-unsafe", 1).len(), 1, "still unsafe, though that name is keyed now");
+}
+
+#[test]
+fn a_bad_file_is_turned_down_whole() {
+    let endpoint = Peer::new(|_| ok());
+    let (discovery, node) = controlled(&endpoint);
+    let classes = node.config["settings"]["Services"].as_array().unwrap().clone();
+    let elsewhere = Peer::new(|_| Reply::Close);
+    let mut good = with_classes(&node, &[renamed(&classes[0], "never", "safe")]);
+    good["discovery"] = elsewhere.address.to_string().into();
+    let changed = |change: &dyn Fn(&mut Value)| {
+        let mut config = good.clone();
+        change(&mut config);
+        config.to_string()
+    };
+    let whole = good.to_string();
+    let lacks = |path: &'static str, key: &'static str| {
+        changed(&|c| drop(c.pointer_mut(path).unwrap().as_object_mut().unwrap().remove(key)))
+    };
+    let bad = [
+        String::new(),
+        whole[..whole.len() / 2].to_string(),
+        whole[..whole.len() - 1].to_string(),
+        "[]".to_string(),
+        lacks("", "limits"),
+        lacks("", "known"),
+        lacks("/limits", "disk_mb"),
+        lacks("/settings", "Safety"),
+        lacks("/settings/Limits", "IdleCloseNs"),
+        lacks("/settings/Services/0", "Worth"),
+        lacks("/settings/Services/0", "DeadlineNs"),
+        changed(&|c| c["settings"]["Services"][0]["DeadlineNs"] = json!("soon")),
+        changed(&|c| c["settings"]["Services"][0]["DeadlineNs"] = json!(0)),
+        changed(&|c| c["settings"]["Limits"]["MaxAttempts"] = json!(-1)),
+        changed(&|c| c["settings"]["Limits"]["MaxAttempts"] = json!("8")),
+        changed(&|c| c["settings"]["Services"] = json!([])),
+        changed(&|c| c["settings"]["Services"][0]["Name"] = json!("")),
+    ];
+    for (number, text) in bad.iter().enumerate() {
+        node.reload(text);
+        let told = || node.log().matches("is turned down whole").count() > number;
+        node.until(&format!("{text} is turned down"), told);
+    }
+    assert_eq!(node.hand_in("alert", "m", 7, 16_000, b"x"), 202);
+    assert_eq!(node.hand_in("never", "n", 7, 16_000, b"x"), 404);
+    endpoint.wait_for("m", 1);
+    assert_eq!(elsewhere.connections(), 0);
+    drop(discovery);
+}
