--- a/src/bin/nickelshed/calls.rs
+++ b/src/bin/nickelshed/calls.rs
@@ -1,12 +1,13 @@
 //! Calls to endpoints: what is checked as one is written, and how each of its messages ended.
 use crate::connections::{request, Connection, Fault, Pool};
 use crate::core::Input;
+use crate::figures::Figures;
 use crate::journal::{Taken, MAX_BODY};
 use crate::wire::{Socket, MAX_HEADERS};
 use base64::Engine;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::header::{HeaderMap, CONNECTION, RETRY_AFTER};
 use hyper::Request;
 use leadfold::api::{AttemptEnd, EndpointId, Ns, Outcome, Report};
@@ -69,6 +70,7 @@
 
 pub struct Client {
     pub core: mpsc::Sender<Input>,
+    pub figures: Rc<Figures>,
     pub pool: Rc<Pool>,
 }
 
@@ -117,6 +119,8 @@
             }
             let request = build(&members, link.at, close_at - now);
             let several = members.len() > 1;
+            let (bytes, count) = (least_length(&request), &self.figures.written);
+            link.socket.count_when_written(bytes, count, members.len() as u64);
             let idle = link.idle();
             // A first line with 200 is true, whatever follows it; for several the whole answer counts.
             let served = |link: &Connection| !several && says_200(&link.socket.head());
@@ -291,6 +295,12 @@
     request("POST", "/v1/messages", to, &headers, taken.body.clone())
 }
 
+/// Bytes of a request on the wire, but for the few that the library adds itself.
+fn least_length(request: &Request<Full<Bytes>>) -> u64 {
+    let lines = request.headers().iter().map(|(name, value)| name.as_str().len() + value.len() + 4);
+    lines.sum::<usize>() as u64 + request.body().size_hint().lower()
+}
+
 pub fn end(m: &Member, endpoint: EndpointId, outcome: Outcome, started: Instant) -> AttemptEnd {
     let done = outcome == Outcome::Served;
     let took = started.elapsed().as_nanos() as Ns;
--- a/src/bin/nickelshed/control.rs
+++ b/src/bin/nickelshed/control.rs
@@ -1,10 +1,12 @@
 //! The second address, for the operators: one call to a connection, answered under any load.
+use crate::core::Input;
 use crate::drain::Drain;
+use crate::figures::Figures;
 use crate::wire::{MAX_HEAD, MAX_HEADERS};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
-use hyper::header::{HeaderValue, ALLOW};
+use hyper::header::{HeaderValue, ALLOW, CONTENT_TYPE};
 use hyper::server::conn::http1::Builder;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
@@ -15,6 +17,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, oneshot};
 use tokio::task::AbortHandle;
 use tokio::time::{sleep, timeout};
 
@@ -24,8 +27,13 @@
 /// How long a caller may take for its call and for reading the answer.
 const PATIENCE: Duration = Duration::from_secs(2);
 
+/// The media type of the Prometheus text format.
+const TEXT_FORMAT: &str = "text/plain; version=0.0.4; charset=utf-8";
+
 pub struct Control {
     pub drain: Rc<Drain>,
+    pub figures: Rc<Figures>,
+    pub core: mpsc::Sender<Input>,
 }
 
 impl Control {
@@ -54,25 +62,38 @@
     async fn caller(self: Rc<Self>, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
         let service = service_fn(|request| {
-            let response = self.answer(&request);
-            async { Ok::<_, Infallible>(response) }
+            let control = self.clone();
+            async move { Ok::<_, Infallible>(control.answer(&request).await) }
         });
         let mut http = Builder::new();
         http.keep_alive(false).max_buf_size(MAX_HEAD).max_headers(MAX_HEADERS);
         let _ = timeout(PATIENCE, http.serve_connection(TokioIo::new(stream), service)).await;
     }
 
-    fn answer(&self, request: &Request<Incoming>) -> Response<Full<Bytes>> {
+    async fn answer(&self, request: &Request<Incoming>) -> Response<Full<Bytes>> {
         let method = request.method();
         match request.uri().path() {
             "/v1/readyz" if is_read(method) => yes_or_no(self.drain.is_active()),
-            "/v1/readyz" => wrong_method("GET, HEAD"),
+            "/v1/metrics" if is_read(method) => self.figures().await,
+            "/v1/readyz" | "/v1/metrics" => wrong_method("GET, HEAD"),
             "/v1/sender/drain" if method == Method::PUT => yes_or_no(self.drain.drain()),
             "/v1/sender/activate" if method == Method::PUT => yes_or_no(self.drain.activate()),
             "/v1/sender/drain" | "/v1/sender/activate" => wrong_method("PUT"),
             _ => text(StatusCode::NOT_FOUND, "no such call\n"),
         }
     }
+
+    async fn figures(&self) -> Response<Full<Bytes>> {
+        let (reply, gauges) = oneshot::channel();
+        // Where the core has ended the question is dropped, and its answer with it.
+        let _ = self.core.send(Input::Gauges(reply)).await;
+        let Ok(gauges) = gauges.await else {
+            return text(StatusCode::SERVICE_UNAVAILABLE, "the core has ended\n");
+        };
+        let mut response = Response::new(Full::new(self.figures.text(&gauges).into()));
+        response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static(TEXT_FORMAT));
+        response
+    }
 }
 
 fn is_read(method: &Method) -> bool {
--- a/src/bin/nickelshed/core.rs
+++ b/src/bin/nickelshed/core.rs
@@ -4,6 +4,7 @@
 use crate::config::Config;
 use crate::connections::Turnover;
 use crate::discovery::List;
+use crate::figures::{End, Figures, Gauges};
 use crate::journal::{wall_ms, Begun, Ending, Journal, Record, Taken};
 use crate::notices::Notice;
 use leadfold::api::*;
@@ -44,6 +45,8 @@
     },
     /// The platform has answered for these notices.
     Noticed(Vec<u64>),
+    /// What stands now, for the figures.
+    Gauges(oneshot::Sender<Gauges>),
     /// The file of the configuration was read again.
     Settings(Box<(Settings, Around)>),
     /// No client can come any more: end once nothing is left to do, and start nothing new after this time.
@@ -62,6 +65,8 @@
 struct Known {
     name: String,
     kind: usize,
+    /// In the list, in whatever state.
+    listed: bool,
     /// Since when it takes nothing new.
     closed: Option<Instant>,
 }
@@ -106,7 +111,9 @@
     dests: HashSet<DestId>,
     held: BTreeMap<u64, Held>,
     traces: HashMap<String, u64>,
-    noticing: HashSet<u64>,
+    /// Messages that have ended but for their notice, by class and end.
+    noticing: HashMap<u64, (String, End)>,
+    figures: Rc<Figures>,
     calls: HashMap<(u64, u32), (EndpointId, Rc<Cancel>)>,
     /// Events of the core's own making, for the next round.
     next: Vec<Event>,
@@ -151,6 +158,7 @@
             around: config.around,
             next_id: journal.live().keys().next_back().map_or(0, |id| id + 1),
             journal,
+            figures: client.figures.clone(),
             client,
             inbox,
             notices,
@@ -161,7 +169,7 @@
             next_endpoint: 0,
             held: BTreeMap::new(),
             traces: HashMap::new(),
-            noticing: HashSet::new(),
+            noticing: HashMap::new(),
             calls: HashMap::new(),
             next: Vec::new(),
             timer: None,
@@ -283,7 +291,10 @@
         let now = Instant::now();
         if whole {
             self.client.pool.withdraw_all();
-            self.endpoints.values_mut().for_each(|known| _ = known.closed.get_or_insert(now));
+            for known in self.endpoints.values_mut() {
+                known.listed = false;
+                known.closed.get_or_insert(now);
+            }
         }
         let mut entries = Vec::new();
         for instance in list.instances() {
@@ -301,9 +312,9 @@
             let zone = position(&self.around.zones, &instance.zone).unwrap_or(usize::MAX);
             let separate = self.settings.kinds.get(kind).is_some_and(|k| k.separate_routes);
             let ready = condition == Condition::Ready;
-            let new = || Known { name: instance.name.clone(), kind, closed: None };
+            let new = || Known { name: instance.name.clone(), kind, listed: true, closed: None };
             let known = self.endpoints.entry(endpoint).or_insert_with(new);
-            known.kind = kind;
+            (known.kind, known.listed) = (kind, condition != Condition::Gone);
             known.closed = if ready { None } else { known.closed.or(Some(now)) };
             self.client.pool.place(endpoint, instance.address, instance.dest, separate, ready);
             let (dest, hint) = (instance.dest, instance.weight);
@@ -356,10 +367,13 @@
                 }
                 Input::Noticed(ids) => {
                     for id in ids {
-                        self.noticing.remove(&id);
+                        if let Some((class, end)) = self.noticing.remove(&id) {
+                            self.figures.ended(&class, end);
+                        }
                         records.push(Record::Ended(id));
                     }
                 }
+                Input::Gauges(reply) => _ = reply.send(self.gauges(now)),
                 Input::Settings(new) => round.events.push(self.reset(*new)),
                 Input::Wind(until) => self.wind = Some(until),
             }
@@ -520,17 +534,32 @@
     /// New settings in place of the old: messages that are held keep theirs.
     fn reset(&mut self, (settings, around): (Settings, Around)) -> Event {
         self.classes.replace(&settings, &around);
+        self.figures.show(&around.classes);
         (self.settings, self.around) = (settings, around);
         Event::Settings(self.module_settings())
     }
 
+    fn gauges(&self, now: Ns) -> Gauges {
+        let avoided: HashSet<EndpointId> = self.sender.avoided(now).collect();
+        let listed = || self.endpoints.iter().filter(|(_, known)| known.listed);
+        Gauges {
+            pending: self.held.len() + self.noticing.len(),
+            members: listed().count(),
+            unavailable: listed().filter(|(id, k)| k.closed.is_some() || avoided.contains(id)).count(),
+        }
+    }
+
     /// The settings in force with all classes that messages have.
     fn module_settings(&self) -> Settings {
         Settings { classes: self.classes.table(), ..self.settings.clone() }
     }
 
     fn notify(&mut self, taken: &Taken, ending: Ending) {
-        self.noticing.insert(taken.id);
+        let end = match ending {
+            Ending::GivenUp => End::Failed,
+            Ending::HandedBack(_) => End::Rejected,
+        };
+        self.noticing.insert(taken.id, (taken.class.clone(), end));
         let _ = self.notices.send(Notice { id: taken.id, trace: taken.trace.clone(), ending });
     }
 
@@ -542,7 +571,11 @@
         }
         if end.done {
             records.push(Record::Ended(end.id));
-            self.forget(end.id);
+            if let Some(held) = self.forget(end.id) {
+                // Withdrawn, by the endpoint's word: not delivered, and not to be handed in again.
+                let served = end.outcome == Outcome::Served;
+                self.figures.ended(&held.taken.class, if served { End::Completed } else { End::Failed });
+            }
         } else if end.outcome.never_ran() {
             records.push(Record::NeverRan(end.id, end.attempt));
         }
--- a/src/bin/nickelshed/main.rs
+++ b/src/bin/nickelshed/main.rs
@@ -7,6 +7,7 @@
 mod core;
 mod discovery;
 mod drain;
+mod figures;
 mod journal;
 mod memory;
 mod notices;
@@ -71,23 +72,28 @@
     let sockets = config.limits.sockets.saturating_sub(reserved);
     let calls = (settings.slots * 2 + 32).max(sockets / 4).min(sockets * 3 / 8);
     let turned_away = (sockets / 16).max(1);
+    let figures = Rc::new(figures::Figures::default());
+    figures.show(&config.around.classes);
     let pool = Rc::new(connections::Pool::new(settings.dial_timeout, settings.idle_close, calls));
     spawn_local(pool.clone().keep());
-    let client = Rc::new(calls::Client { core: core_in.clone(), pool: pool.clone() });
+    let client =
+        Rc::new(calls::Client { core: core_in.clone(), figures: figures.clone(), pool: pool.clone() });
     let drain = Rc::new(drain::Drain::new());
-    if let Some(at) = config.control {
-        let listener = TcpListener::bind(at).await.map_err(|e| format!("cannot listen on {at}: {e}"))?;
-        spawn_local(Rc::new(control::Control { drain: drain.clone() }).serve(listener));
-    }
     let (place, discovery) = watch::channel(config.discovery);
     spawn_local(discovery::follow(discovery.clone(), core_in.clone()));
     spawn_local(notices::run(discovery, notices, core_in.clone()));
     let (listen, known) = (config.listen, std::mem::take(&mut config.known));
     let terms = server::Terms::new(&config.settings, config.around.clone());
+    let operators = config.control;
     let in_force = std::mem::take(&mut config.file);
     let mut core = core::Core::new(config, journal, client, inbox, notices_in);
     core.resume(known).await;
     let core = spawn_local(core.run());
+    if let Some(at) = operators {
+        let listener = TcpListener::bind(at).await.map_err(|e| format!("cannot listen on {at}: {e}"))?;
+        let (drain, figures, core) = (drain.clone(), figures.clone(), core_in.clone());
+        spawn_local(Rc::new(control::Control { drain, figures, core }).serve(listener));
+    }
 
     // Only now: a sender is used once it answers, and what the journal holds comes first.
     let listener = TcpListener::bind(listen).await.map_err(|e| format!("cannot listen on {listen}: {e}"))?;
@@ -97,13 +103,20 @@
         terms: terms.into(),
         budget,
         drain: drain.clone(),
+        figures: figures.clone(),
         most: sockets.saturating_sub(calls + turned_away),
         turned_away,
         open: Default::default(),
         guests: Default::default(),
     });
-    let reload =
-        reload::Reload { in_force, discovery: place, core: core_in.clone(), pool, server: server.clone() };
+    let reload = reload::Reload {
+        in_force,
+        discovery: place,
+        core: core_in.clone(),
+        pool,
+        server: server.clone(),
+        figures,
+    };
     spawn_local(reload.run(hangup));
     let accepting = spawn_local(server.clone().accept(listener, closing));
     drain.listening();
--- a/src/bin/nickelshed/reload.rs
+++ b/src/bin/nickelshed/reload.rs
@@ -2,6 +2,7 @@
 use crate::config;
 use crate::connections::Pool;
 use crate::core::Input;
+use crate::figures::{bump, Figures};
 use crate::server::{Server, Terms};
 use serde_json::Value;
 use std::net::SocketAddr;
@@ -16,6 +17,7 @@
     pub core: mpsc::Sender<Input>,
     pub pool: Rc<Pool>,
     pub server: Rc<Server>,
+    pub figures: Rc<Figures>,
 }
 
 impl Reload {
@@ -25,6 +27,7 @@
             match config::reread(&self.in_force) {
                 Ok(config) => self.swap(config).await,
                 Err(reason) => {
+                    bump(&self.figures.reload_errors);
                     tracing::error!(%reason, "the new file is turned down whole, the old configuration is kept")
                 }
             }
@@ -41,6 +44,7 @@
             return;
         }
         self.server.terms.replace(terms);
+        bump(&self.figures.reloads);
         self.discovery.send_if_modified(|old| std::mem::replace(old, address) != address);
         self.in_force = config.file;
         tracing::info!(%address, classes, "the configuration was read again");
--- a/src/bin/nickelshed/server.rs
+++ b/src/bin/nickelshed/server.rs
@@ -1,6 +1,7 @@
 //! Clients in: takes requests, checks their form, and hands them to the core.
 use crate::core::{Input, Reply};
 use crate::drain::{Drain, State};
+use crate::figures::{End, Figures};
 use crate::journal::{Taken, MAX_BODY};
 use crate::memory::Budget;
 use crate::wire::{Io, Socket, MAX_HEAD, MAX_HEADERS};
@@ -65,6 +66,7 @@
     pub terms: RefCell<Rc<Terms>>,
     pub budget: Budget,
     pub drain: Rc<Drain>,
+    pub figures: Rc<Figures>,
     /// Most connections that are served.
     pub most: usize,
     /// Connections over that bound that are told to come again; what comes beyond them is closed.
@@ -138,7 +140,7 @@
                         server.serve(guest).await;
                         server.guests.borrow_mut().remove(&number);
                     }
-                    None => turn_away(socket).await,
+                    None => server.turn_away(socket).await,
                 }
                 server.open.set(server.open.get() - 1);
             });
@@ -174,6 +176,22 @@
         true
     }
 
+    /// The class in a path, if it is in force.
+    fn class(&self, path: &str) -> Option<String> {
+        let terms = self.terms.borrow();
+        terms.class(path).map(|class| terms.around.classes[class].clone())
+    }
+
+    /// Counts a message that the door ends; what is malformed is no message.
+    fn count(&self, class: Option<String>, status: StatusCode) {
+        let end = match status {
+            StatusCode::SERVICE_UNAVAILABLE => End::Rejected,
+            StatusCode::INTERNAL_SERVER_ERROR => End::Failed,
+            _ => return,
+        };
+        class.into_iter().for_each(|class| self.figures.ended(&class, end));
+    }
+
     fn sends_away(&self) -> bool {
         matches!(self.drain.state(), State::Draining | State::Ending)
     }
@@ -185,7 +203,9 @@
             let guest = guest.clone();
             async move {
                 guest.busy.set(true);
+                let class = self.class(request.uri().path());
                 let mut response = self.answer(request, guest.deadline(false)).await;
+                self.count(class, response.status());
                 // Clients that come with a new connection for each message would fill all places with idle ones
                 // that are too young to be closed.
                 if self.sends_away() || self.guests.borrow().len() > self.most * 3 / 4 {
@@ -222,6 +242,18 @@
         let _ = timeout(DRAIN, socket.close(DRAIN_BYTES)).await;
     }
 
+    /// Tells a client that there is no place for its connection now, whatever it asks.
+    async fn turn_away(&self, socket: Rc<Socket>) {
+        let service = service_fn(|request: Request<Incoming>| {
+            let response = closing(refused(None));
+            self.count(self.class(request.uri().path()), response.status());
+            async { Ok::<_, Infallible>(response) }
+        });
+        let connection = http().serve_connection(TokioIo::new(Io(socket.clone())), service);
+        let _ = timeout(TURN_AWAY, connection).await;
+        let _ = timeout(TURN_AWAY, socket.close(DRAIN_BYTES)).await;
+    }
+
     /// `by`: when the whole request must be here.
     async fn answer(&self, request: Request<Incoming>, by: Instant) -> Response<Full<Bytes>> {
         let (head, body) = request.into_parts();
@@ -238,9 +270,8 @@
         if path == "/healthz" {
             return wrong_method("GET, HEAD");
         }
-        let named = path.trim_start_matches('/').split('/').next().unwrap_or_default();
         let terms = self.terms.borrow().clone();
-        let Some(class) = terms.around.classes.iter().position(|c| c == named && !c.is_empty()) else {
+        let Some(class) = terms.class(path) else {
             return bad(StatusCode::NOT_FOUND, "no such class of message");
         };
         if head.method != Method::POST {
@@ -284,6 +315,11 @@
 }
 
 impl Terms {
+    fn class(&self, path: &str) -> Option<usize> {
+        let named = path.trim_start_matches('/').split('/').next().unwrap_or_default();
+        self.around.classes.iter().position(|c| c == named && !c.is_empty())
+    }
+
     /// What a message's headers say, with its body still to come.
     fn read_head(&self, headers: &HeaderMap, class: usize) -> Result<(Taken, Duration), &'static str> {
         let text = |name: &str| {
@@ -373,11 +409,3 @@
     }
     response
 }
-
-/// Tells a client that there is no place for its connection now, whatever it asks.
-async fn turn_away(socket: Rc<Socket>) {
-    let service = service_fn(|_| async { Ok::<_, Infallible>(closing(refused(None))) });
-    let connection = http().serve_connection(TokioIo::new(Io(socket.clone())), service);
-    let _ = timeout(TURN_AWAY, connection).await;
-    let _ = timeout(TURN_AWAY, socket.close(DRAIN_BYTES)).await;
-}
--- a/src/bin/nickelshed/wire.rs
+++ b/src/bin/nickelshed/wire.rs
@@ -27,6 +27,14 @@
     head: RefCell<Option<Vec<u8>>>,
     /// Set while nothing may come: what does is no answer to what is written next.
     quiet: Cell<bool>,
+    /// Counted once, when so many bytes are written.
+    goal: RefCell<Option<Goal>>,
+}
+
+struct Goal {
+    at: u64,
+    count: Rc<Cell<u64>>,
+    by: u64,
 }
 
 impl Socket {
@@ -40,6 +48,7 @@
             news: Notify::new(),
             head: RefCell::new(None),
             quiet: Cell::new(false),
+            goal: RefCell::new(None),
         })
     }
 
@@ -47,6 +56,18 @@
         self.written.get()
     }
 
+    /// Raises `count` by `by` once `bytes` more are written; one that was asked for before is dropped.
+    pub fn count_when_written(&self, bytes: u64, count: &Rc<Cell<u64>>, by: u64) {
+        self.goal.replace(Some(Goal { at: self.written() + bytes, count: count.clone(), by }));
+    }
+
+    fn add_written(&self, bytes: u64) {
+        self.written.set(self.written.get() + bytes);
+        if let Some(goal) = self.goal.borrow_mut().take_if(|goal| self.written.get() >= goal.at) {
+            goal.count.set(goal.count.get() + goal.by);
+        }
+    }
+
     pub fn heard(&self) -> Option<Instant> {
         self.heard.get()
     }
@@ -144,7 +165,7 @@
                 done => break done?,
             }
         };
-        socket.written.set(socket.written.get() + n as u64);
+        socket.add_written(n as u64);
         Poll::Ready(Ok(n))
     }
 }
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -192,6 +192,16 @@
         (self.calls.len(), dests.filter_map(view).collect())
     }
 
+    /// Endpoints that get nothing now, whatever room there is: failing, in doubt, or told to wait for.
+    pub fn avoided(&self, now: Ns) -> impl Iterator<Item = EndpointId> + '_ {
+        let avoids = move |id: &EndpointId, e: &Endpoint| {
+            let route = self.routes.get(&self.route_of(*id));
+            let shut = route.is_some_and(|r| r.doubt || r.wait_until > now);
+            e.avoid_until > now || shut
+        };
+        self.endpoints.iter().filter(move |(id, e)| avoids(id, e)).map(|(&id, _)| id)
+    }
+
     fn gate(&self, id: DestId, dest: &Dest) -> Gate {
         let usable = |e: &&EndpointId| self.endpoints.get(e).is_some_and(|e| e.dest == id && e.usable);
         let routes = dest.places.iter().filter(usable).filter_map(|&e| self.routes.get(&self.route_of(e)));
--- a/tests/operations.rs
+++ b/tests/operations.rs
@@ -175,3 +175,50 @@
     assert_eq!(elsewhere.connections(), 0);
     drop(discovery);
 }
+
+/// One figure; its labels are part of its name.
+fn figure(node: &Node, name: &str) -> u64 {
+    let (status, text) = node.control("GET", "/v1/metrics");
+    assert_eq!(status, 200);
+    let value = text.lines().find_map(|l| l.strip_prefix(name)?.strip_prefix(' '));
+    value.unwrap_or_else(|| panic!("no {name} in {text}")).parse().unwrap()
+}
+
+fn ended(node: &Node, class: &str) -> [u64; 3] {
+    let name = |result| format!("sender_downstream_requests{{lane=\"{class}\",result=\"{result}\"}}");
+    ["completed", "rejected", "failed"].map(|result| figure(node, &name(result)))
+}
+
+#[test]
+fn the_figures_agree_with_the_ends_and_with_what_was_written() {
+    let endpoint = Peer::new(|r| match r.id() {
+        "lost" => Reply::Close,
+        "hangs" => Reply::Hang,
+        _ => ok(),
+    });
+    let discovery = Discovery::new(json!([ready("e-1", endpoint.address, 7), closed(8)]));
+    let node = Node::with(&discovery, json!([]), Node::controlled);
+    assert_eq!((figure(&node, "sender_members"), figure(&node, "sender_members_unavailable")), (2, 1));
+    let large = vec![b'x'; 60_000];
+    for (id, body) in [("a", &b"1"[..]), ("b", b""), ("c", &large)] {
+        assert_eq!(node.hand_in("alert", id, 7, 16_000, body), 202);
+        endpoint.wait_for(id, 1);
+    }
+    assert_eq!(node.hand_in("order", "lost", 7, 16_000, b"x"), 202);
+    discovery.wait_notice("lost");
+    assert_eq!(node.hand_in("alert", "never", 8, 500, b"x"), 202);
+    discovery.wait_notice("never");
+    node.until("all is counted", || figure(&node, "sender_pending") == 0);
+    assert_eq!(ended(&node, "alert"), [3, 1, 0]);
+    assert_eq!(ended(&node, "order"), [0, 0, 1]);
+    assert_eq!(figure(&node, "sender_upstream_requests"), 4);
+    // A call is counted as it is written, not as it ends; what waits is pending.
+    assert_eq!(node.hand_in("order", "hangs", 7, 16_000, b"x"), 202);
+    endpoint.wait_for("hangs", 1);
+    assert_eq!((figure(&node, "sender_upstream_requests"), figure(&node, "sender_pending")), (5, 1));
+    assert_eq!(figure(&node, "sender_config_reloads"), 0);
+    node.reload("{}");
+    node.until("it is turned down", || figure(&node, "sender_config_reload_errors") == 1);
+    node.reload(&node.config.to_string());
+    node.until("it is taken", || figure(&node, "sender_config_reloads") == 1);
+}
