--- a/src/api.rs
+++ b/src/api.rs
@@ -1,4 +1,5 @@
 //! The interface of the decision module: settings, events, actions. Data only, no decisions.
+use serde::{Deserialize, Serialize};
 
 /// A point in time or a span, in nanoseconds. The clock starts anywhere and only rises.
 pub type Ns = i64;
@@ -139,7 +140,7 @@
     pub limit: f64,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Outcome {
     Served,
     ServerError,
@@ -190,6 +191,28 @@
     pub may_have_run: bool,
 }
 
+/// What one process of a sender hands to the next of a route: a destination, or one endpoint of it where routes are
+/// separate. All times are spans from now: left to wait, or passed.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Standing {
+    pub dest: DestId,
+    #[serde(skip)]
+    pub endpoint: Option<EndpointId>,
+    pub wait: Ns,
+    pub pause: Ns,
+    pub doubt: bool,
+    pub cold: bool,
+    pub failed: Ns,
+    pub trial: Ns,
+    pub failures: u32,
+    pub refusals: u32,
+    pub failing: f64,
+    pub share: f64,
+    pub share_age: Ns,
+    pub tokens: f64,
+    pub served: f64,
+}
+
 #[derive(Clone, Debug)]
 pub enum Event {
     /// A list of endpoints. `whole`: what is missing from it is gone.
@@ -205,6 +228,16 @@
         past: Vec<PastAttempt>,
     },
     AttemptEnd(AttemptEnd),
+    /// Calls that another process of this sender still has out, by destination: they hold slots. While it sends
+    /// by itself (`sends`) it has them all.
+    Elsewhere {
+        sends: bool,
+        calls: Vec<DestId>,
+    },
+    /// One of those calls has ended.
+    EndedElsewhere(AttemptEnd),
+    /// What the process that sent before this one knew.
+    Inherited(Vec<Standing>),
     /// New settings in place of the old. A class that open messages have keeps its number and its rules: it is in
     /// the table for as long as they are, though no new message comes with it.
     Settings(Settings),
--- a/src/bin/nickelshed/connections.rs
+++ b/src/bin/nickelshed/connections.rs
@@ -201,7 +201,7 @@
     pub dial: Cell<Duration>,
     idle: Cell<Duration>,
     /// Most connections to endpoints at a time.
-    most: usize,
+    pub most: Cell<usize>,
     open: Rc<Cell<usize>>,
     links: RefCell<HashMap<EndpointId, Vec<Connection>>>,
     places: RefCell<HashMap<EndpointId, Place>>,
@@ -214,7 +214,7 @@
             turnover: Cell::default(),
             dial: Cell::default(),
             idle: Cell::default(),
-            most,
+            most: Cell::new(most),
             open: Rc::default(),
             links: RefCell::default(),
             places: RefCell::default(),
@@ -288,6 +288,11 @@
         self.count(|t| t.withdrawn += closed as u64);
     }
 
+    pub fn close_all_idle(&self) {
+        let endpoints: Vec<EndpointId> = self.links.borrow().keys().copied().collect();
+        endpoints.into_iter().for_each(|endpoint| self.close_idle(endpoint));
+    }
+
     /// Closes what has stood idle too long or was closed from the other side, and forgets waits that are over.
     pub async fn keep(self: Rc<Self>) {
         let mut every = tokio::time::interval(Duration::from_millis(100));
@@ -337,7 +342,7 @@
 
     /// Frees the place of the connection that has stood idle longest.
     fn make_place(&self) -> bool {
-        if self.open.get() < self.most {
+        if self.open.get() < self.most.get() {
             return true;
         }
         let mut pool = self.links.borrow_mut();
--- a/src/bin/nickelshed/core.rs
+++ b/src/bin/nickelshed/core.rs
@@ -5,7 +5,8 @@
 use crate::connections::Turnover;
 use crate::discovery::List;
 use crate::figures::{End, Figures, Gauges};
-use crate::journal::{wall_ms, Begun, Ending, Journal, Record, Taken};
+use crate::handover::Elsewhere;
+use crate::journal::{first_id, wall_ms, Begun, Ending, Journal, Live, Record, Release, Taken};
 use crate::notices::Notice;
 use leadfold::api::*;
 use leadfold::rules::Sender;
@@ -45,6 +46,19 @@
     },
     /// The platform has answered for these notices.
     Noticed(Vec<u64>),
+    /// Messages of other processes that are this one's now, once they are written down here.
+    TakeOver(Vec<Live>, oneshot::Sender<bool>),
+    /// What the others hold of this sender's bounds.
+    Elsewhere(Elsewhere),
+    EndedElsewhere(Vec<Release>),
+    /// What the process before knew of routes, by the names of their endpoints where these are routes apart.
+    Inherited(Vec<(Option<String>, Standing)>),
+    /// No other process of this sender has files any more.
+    Alone,
+    /// A process that was started later is there.
+    Succeeded,
+    /// Yield all work to that one but the calls out; answered with whether that is written down.
+    Yield(oneshot::Sender<bool>),
     /// What stands now, for the figures.
     Gauges(oneshot::Sender<Gauges>),
     /// The file of the configuration was read again.
@@ -120,6 +134,12 @@
     timer: Option<Ns>,
     next_id: u64,
     wind: Option<Instant>,
+    /// Messages that are held by another process of this sender.
+    held_elsewhere: usize,
+    is_succeeded: bool,
+    /// The next process has all work but the calls out: the module is asked nothing more.
+    has_yielded: bool,
+    yielding: Option<oneshot::Sender<bool>>,
     write_failed: bool,
     told: Told,
 }
@@ -146,7 +166,7 @@
 impl Core {
     pub fn new(
         config: Config,
-        journal: Journal,
+        (number, journal): (u64, Journal),
         client: Rc<Client>,
         inbox: mpsc::Receiver<Input>,
         notices: mpsc::UnboundedSender<Notice>,
@@ -156,7 +176,7 @@
             classes: Classes::new(&config.settings, &config.around),
             settings: config.settings,
             around: config.around,
-            next_id: journal.live().keys().next_back().map_or(0, |id| id + 1),
+            next_id: first_id(number),
             journal,
             figures: client.figures.clone(),
             client,
@@ -174,6 +194,10 @@
             next: Vec::new(),
             timer: None,
             wind: None,
+            held_elsewhere: 0,
+            is_succeeded: false,
+            has_yielded: false,
+            yielding: None,
             write_failed: false,
             told: Told { at: Instant::now(), no_room: 0, no_journal: 0, turnover: Turnover::default() },
         }
@@ -187,60 +211,81 @@
         self.start + Duration::from_nanos((at - CLOCK_START).max(0) as u64)
     }
 
-    /// Takes up what the journal holds. `known` may be old, so a fresh list is waited for, but not for long.
-    pub async fn resume(&mut self, known: List) {
+    /// Takes up what earlier processes left; false if it could not be written down. `known` may be old, so a fresh
+    /// list is waited for, but not for long. While an earlier one `sends` nothing goes out from here.
+    pub async fn resume(&mut self, known: List, left: Vec<Live>, sends: bool) -> bool {
         let mut events = vec![self.list(known, true)];
         let first = timeout(FIRST_LIST, self.inbox.recv()).await;
         if let Ok(Some(Input::List(list))) = first {
             let whole = list.reset;
             events.push(self.list(list, whole));
         }
-        let (now, wall) = (self.clock(Instant::now()), wall_ms());
-        let (mut lost, mut resumed) = (Vec::new(), Vec::new());
-        for (&id, live) in self.journal.live() {
-            let taken = live.taken.clone();
-            if let Some(ending) = live.ending {
-                lost.push((id, taken, ending, false));
-                continue;
-            }
-            let past: Vec<PastAttempt> = live
-                .attempts
-                .iter()
-                .map(|a| PastAttempt {
-                    endpoint: self.names.get(&a.endpoint).copied(),
-                    sent: now - (wall - a.at).max(0).saturating_mul(MS).min(CLOCK_START),
-                    may_have_run: !a.never_ran,
-                })
-                .collect();
-            // Numbers may have a gap where one could not be written down; the module counts on from these.
-            let attempts = past.len() as u32;
-            let Some(class) = self.classes.of(&taken.class, taken.rules.as_deref()) else {
-                // Neither the settings nor the journal have its rules, so the module can't be asked.
-                let ran = past.iter().any(|p| p.may_have_run);
-                let ending = if ran { Ending::GivenUp } else { Ending::HandedBack(None) };
-                lost.push((id, taken, ending, true));
-                continue;
-            };
-            let left = (taken.end - wall).saturating_mul(MS);
-            resumed.push((taken, class, left, attempts, past));
+        events.push(Event::Elsewhere { sends, calls: Vec::new() });
+        let count = left.len();
+        let written = self.take_over(left, &mut events);
+        if count > 0 {
+            tracing::info!(
+                messages = self.held.len(),
+                notices = self.noticing.len(),
+                "resumed from the journal"
+            );
         }
-        events.insert(0, Event::Settings(self.module_settings()));
-        for (taken, class, left, attempts, past) in resumed {
-            let message = self.hold(taken, class, left, now + left, attempts);
-            events.push(Event::Resumed { message, past });
+        self.round(Vec::new(), events);
+        written
+    }
+
+    /// Makes messages of an earlier process this one's.
+    fn take_over(&mut self, left: Vec<Live>, events: &mut Vec<Event>) -> bool {
+        let left: Vec<Live> = left.into_iter().filter(|l| !self.journal.has_seen(l.taken.id)).collect();
+        let records: Vec<Record> = left.iter().flat_map(Live::records).collect();
+        if let Err(error) = self.journal.take_over(&records) {
+            tracing::warn!(%error, "cannot take over what another process left; it is tried again");
+            return false;
         }
-        if !self.journal.live().is_empty() {
-            tracing::info!(messages = self.held.len(), notices = lost.len(), "resumed from the journal");
+        let mut lost = Vec::new();
+        // The module must know their classes before it is told of them.
+        let at = events.len();
+        for live in left {
+            match self.resumed(live) {
+                Ok(event) => events.push(event),
+                Err(end) => lost.push(end),
+            }
         }
+        events.insert(at, Event::Settings(self.module_settings()));
         let mut records = Vec::new();
-        for (id, taken, ending, decide) in lost {
+        for (taken, ending, decide) in lost {
             if decide {
-                records.push(Record::Decided(id, ending));
+                records.push(Record::Decided(taken.id, ending));
             }
             self.notify(&taken, ending);
         }
         self.write(&records);
-        self.round(Vec::new(), events);
+        true
+    }
+
+    /// The event that tells the module of a message, or how it ends without: its notice was under way, or (`true`)
+    /// neither the settings nor the journal have its rules, so the module can't be asked.
+    fn resumed(&mut self, live: Live) -> Result<Event, (Rc<Taken>, Ending, bool)> {
+        let (now, wall) = (self.clock(Instant::now()), wall_ms());
+        let taken = live.taken;
+        if let Some(ending) = live.ending {
+            return Err((taken, ending, false));
+        }
+        let past = |a: &Begun| PastAttempt {
+            endpoint: self.names.get(&a.endpoint).copied(),
+            sent: now - (wall - a.at).max(0).saturating_mul(MS).min(CLOCK_START),
+            may_have_run: !a.never_ran,
+        };
+        let past: Vec<PastAttempt> = live.attempts.iter().map(past).collect();
+        // Numbers may have a gap where one could not be written down; the module counts on from these.
+        let attempts = past.len() as u32;
+        let Some(class) = self.classes.of(&taken.class, taken.rules.as_deref()) else {
+            let ran = past.iter().any(|p| p.may_have_run);
+            return Err((taken, if ran { Ending::GivenUp } else { Ending::HandedBack(None) }, true));
+        };
+        let left = (taken.end - wall).saturating_mul(MS);
+        let message = self.hold(taken, class, left, now + left, attempts);
+        Ok(Event::Resumed { message, past })
     }
 
     pub async fn run(mut self) {
@@ -270,6 +315,107 @@
                 events.push(Event::Timer);
             }
             self.round(std::mem::take(&mut inputs), events);
+            if let Some(reply) = self.yielding.take() {
+                let _ = reply.send(self.yield_work());
+            }
+        }
+    }
+
+    /// Makes all but the calls out the next process's. False if that could not be written down: then all stays here.
+    fn yield_work(&mut self) -> bool {
+        let out: Vec<(u64, u32)> =
+            self.calls.keys().copied().filter(|(id, _)| self.held.contains_key(id)).collect();
+        let standings = self.sender.standings(self.clock(Instant::now())).into_iter();
+        let named = |s: Standing| {
+            (s.endpoint.and_then(|e| self.endpoints.get(&e)).map(|known| known.name.clone()), s)
+        };
+        let (calls, standings) = (out.len(), standings.map(named).collect());
+        let kept: HashSet<u64> = out.iter().map(|(id, _)| *id).collect();
+        if let Err(error) = self.journal.give_over(Record::Yielded(out, standings)) {
+            tracing::error!(%error, "cannot yield to the next process");
+            return false;
+        }
+        let given: Vec<u64> = self.held.keys().copied().filter(|id| !kept.contains(id)).collect();
+        given.iter().for_each(|&id| _ = self.forget(id));
+        (self.has_yielded, self.timer) = (true, None);
+        self.next.clear();
+        // No call begins from here any more, and no connection is kept.
+        self.client.pool.withdraw_all();
+        self.client.pool.close_all_idle();
+        tracing::info!(messages = given.len(), calls, "work is yielded to the next process");
+        true
+    }
+
+    /// What still comes once all is yielded: clients' last messages, the ends of the calls out, notices.
+    fn after_yield(&mut self, input: Input) {
+        let mut records = Vec::new();
+        match input {
+            Input::Offer { taken, reply, .. } => self.pass_on(taken, reply),
+            Input::Ended(ends) => ends.iter().for_each(|end| self.release(end, &mut records)),
+            Input::Noticed(ids) => self.noticed(ids, &mut records),
+            Input::Settings(new) => _ = self.reset(*new),
+            Input::TakeOver(_, reply) => _ = reply.send(false),
+            Input::Yield(reply) => _ = reply.send(true),
+            Input::Gauges(reply) => _ = reply.send(self.gauges(self.clock(Instant::now()))),
+            Input::Wind(until) => self.wind = Some(until),
+            Input::Elsewhere(_) | Input::EndedElsewhere(_) | Input::Inherited(_) => {}
+            Input::List(_) | Input::Alone | Input::Succeeded | Input::Probed { .. } => {}
+        }
+        self.write(&records);
+    }
+
+    /// Takes a message on for the next process, which finds it in this one's journal.
+    fn pass_on(&mut self, mut taken: Taken, reply: oneshot::Sender<Reply>) {
+        if !self.dests.contains(&taken.dest) {
+            let _ = reply.send(Reply::NoDestination);
+            return;
+        }
+        taken.id = self.next_id;
+        let class = self.classes.current(&taken.class);
+        let class = class.filter(|_| self.journal.has_room(&taken, 0).is_some());
+        let written = class.is_some_and(|class| {
+            taken.rules = Some(self.classes.stored(class).into());
+            self.next_id += 1;
+            self.write(&[Record::Taken(Rc::new(taken))])
+        });
+        let answer = if written { Reply::TakenOn } else { Reply::Refused(None) };
+        if reply.send(answer).is_err() && written {
+            // The client has left without its answer: it may hand the message in again elsewhere.
+            self.write(&[Record::Ended(self.next_id - 1)]);
+        }
+    }
+
+    /// Books the end of a call that was out as all else was yielded. What was not delivered is the next process's.
+    fn release(&mut self, end: &AttemptEnd, records: &mut Vec<Record>) {
+        if end.done {
+            return self.ended(end, records);
+        }
+        self.calls.remove(&(end.id, end.attempt));
+        if !self.held.contains_key(&end.id) {
+            return;
+        }
+        let endpoint = self.endpoints.get(&end.endpoint).map_or(String::new(), |known| known.name.clone());
+        let (id, attempt, outcome, took, wait) = (end.id, end.attempt, end.outcome, end.took, end.wait);
+        records.push(Record::Released(Release { id, attempt, endpoint, outcome, took, wait }));
+        if !self.calls.keys().any(|(other, _)| *other == id) {
+            self.forget(id);
+        }
+    }
+
+    fn ended_elsewhere(&self, r: &Release) -> Option<Event> {
+        let endpoint = *self.names.get(&r.endpoint)?;
+        let (id, attempt, outcome, took, wait) = (r.id, r.attempt, r.outcome, r.took, r.wait);
+        let (done, report, kept) = (false, None, false);
+        let end = AttemptEnd { id, attempt, endpoint, outcome, took, done, wait, report, kept };
+        Some(Event::EndedElsewhere(end))
+    }
+
+    fn noticed(&mut self, ids: Vec<u64>, records: &mut Vec<Record>) {
+        for id in ids {
+            if let Some((class, end)) = self.noticing.remove(&id) {
+                self.figures.ended(&class, end);
+            }
+            records.push(Record::Ended(id));
         }
     }
 
@@ -343,6 +489,9 @@
     fn round(&mut self, inputs: Vec<Input>, events: Vec<Event>) {
         let at = Instant::now();
         let (now, wall) = (self.clock(at), wall_ms());
+        if self.has_yielded {
+            return inputs.into_iter().for_each(|input| self.after_yield(input));
+        }
         let mut records = Vec::new();
         let mut round = Round { at, events, offered: BTreeMap::new(), claimed: 0 };
         for input in inputs {
@@ -365,14 +514,31 @@
                 Input::Probed { endpoint, outcome, report } => {
                     round.events.push(Event::Probed { endpoint, outcome, report })
                 }
-                Input::Noticed(ids) => {
-                    for id in ids {
-                        if let Some((class, end)) = self.noticing.remove(&id) {
-                            self.figures.ended(&class, end);
-                        }
-                        records.push(Record::Ended(id));
-                    }
+                Input::Noticed(ids) => self.noticed(ids, &mut records),
+                Input::TakeOver(left, reply) => _ = reply.send(self.take_over(left, &mut round.events)),
+                Input::Elsewhere(Elsewhere { sends, calls, held, bytes }) => {
+                    self.held_elsewhere = held;
+                    self.journal.set_others(bytes);
+                    round.events.push(Event::Elsewhere { sends, calls });
+                }
+                Input::EndedElsewhere(releases) => {
+                    let ends = releases.iter().filter_map(|r| self.ended_elsewhere(r));
+                    round.events.extend(ends);
+                }
+                Input::Inherited(standings) => {
+                    let named = |(name, standing): (Option<String>, Standing)| {
+                        let endpoint = name.and_then(|name| self.names.get(&name).copied());
+                        Standing { endpoint, ..standing }
+                    };
+                    round.events.push(Event::Inherited(standings.into_iter().map(named).collect()));
+                }
+                Input::Alone => self.journal.forget_seen(),
+                Input::Succeeded if !self.is_succeeded => {
+                    self.is_succeeded = true;
+                    records.push(Record::Shared);
                 }
+                Input::Succeeded => {}
+                Input::Yield(reply) => self.yielding = Some(reply),
                 Input::Gauges(reply) => _ = reply.send(self.gauges(now)),
                 Input::Settings(new) => round.events.push(self.reset(*new)),
                 Input::Wind(until) => self.wind = Some(until),
@@ -503,7 +669,7 @@
         taken.id = self.next_id;
         let room = self.journal.has_room(&taken, round.claimed);
         self.told.no_journal += usize::from(room.is_none());
-        let full = self.held.len() >= self.settings.max_open;
+        let full = self.held.len() + self.held_elsewhere >= self.settings.max_open;
         self.told.no_room += usize::from(full);
         let room = room.filter(|_| !full && self.wind.is_none());
         let (Some(claim), Some(class)) = (room, self.classes.current(&taken.class)) else {
--- a/src/bin/nickelshed/drain.rs
+++ b/src/bin/nickelshed/drain.rs
@@ -1,5 +1,7 @@
 //! Whether clients are wanted: the one state that health checks, client connections and the control calls follow.
+use std::cell::Cell;
 use tokio::sync::watch;
+use tokio::time::Instant;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum State {
@@ -13,15 +15,23 @@
 }
 
 /// The owner of the state. Whoever follows it holds a receiver.
-pub struct Drain(watch::Sender<State>);
+pub struct Drain {
+    state: watch::Sender<State>,
+    since: Cell<Instant>,
+}
 
 impl Drain {
     pub fn new() -> Drain {
-        Drain(watch::Sender::new(State::Starting))
+        Drain { state: watch::Sender::new(State::Starting), since: Cell::new(Instant::now()) }
     }
 
     pub fn state(&self) -> State {
-        *self.0.borrow()
+        *self.state.borrow()
+    }
+
+    /// When the state last changed.
+    pub fn since(&self) -> Instant {
+        self.since.get()
     }
 
     pub fn is_active(&self) -> bool {
@@ -29,7 +39,7 @@
     }
 
     pub fn follow(&self) -> watch::Receiver<State> {
-        self.0.subscribe()
+        self.state.subscribe()
     }
 
     /// Clients can connect from now on; an end that was told before stands.
@@ -50,14 +60,15 @@
     }
 
     pub fn end(&self) {
-        if self.0.send_replace(State::Ending) != State::Ending {
-            tracing::info!(to = ?State::Ending, "clients");
+        if self.state() != State::Ending {
+            self.change(self.state(), State::Ending);
         }
     }
 
     fn change(&self, from: State, to: State) {
-        let changed = self.0.send_if_modified(|s| *s == from && std::mem::replace(s, to) != to);
-        if changed {
+        if self.state() == from {
+            self.since.set(Instant::now());
+            self.state.send_replace(to);
             tracing::info!(?from, ?to, "clients");
         }
     }
--- /dev/null
+++ b/src/bin/nickelshed/handover.rs
@@ -0,0 +1,390 @@
+//! `$EDGE_STATE` with several processes of one sender in it: who owns what, and what passes from one to the next.
+//!
+//! Process N keeps `journal.N` and holds a lock on `owner.N`, which the kernel lets go when it dies. Only then is the
+//! file taken over and deleted. A process that lives is followed by reading its file; nobody writes another's.
+use crate::core::Input;
+use crate::journal::{decode, Ledger, Live, Release};
+use crate::memory::Budget;
+use leadfold::api::DestId;
+use std::collections::{BTreeMap, BTreeSet, HashSet};
+use std::fs::{self, File, OpenOptions};
+use std::io;
+use std::os::unix::fs::{FileExt, MetadataExt};
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::time::sleep;
+
+/// How often the folder is looked at: while another process is there, and else.
+const FOLLOW: Duration = Duration::from_millis(15);
+const LOOK: Duration = Duration::from_millis(100);
+/// Messages that are taken over in one write.
+const AT_ONCE: usize = 64;
+const JOURNAL: &str = "journal";
+const OWNER: &str = "owner";
+/// A lock file before it has its number.
+const UNNUMBERED: &str = "owner.new";
+
+/// Numbers of ended processes, in order, with their locks.
+pub type Dead = Vec<(u64, File)>;
+
+/// The folder, and this process's number in it.
+pub struct Folder {
+    path: PathBuf,
+    pub own: u64,
+    /// Held as long as the process lives.
+    _lock: File,
+}
+
+impl Folder {
+    /// Takes the next number. The lock is held before its name is there, so nobody finds it without its owner.
+    pub fn enter(path: &Path) -> io::Result<Folder> {
+        for stale in fs::read_dir(path)?.flatten() {
+            let unnumbered = stale.file_name().to_string_lossy().starts_with(UNNUMBERED);
+            if unnumbered && File::open(stale.path()).is_ok_and(|lock| lock.try_lock().is_ok()) {
+                fs::remove_file(stale.path())?;
+            }
+        }
+        let unnumbered = path.join(format!("{UNNUMBERED}.{}", std::process::id()));
+        let lock = File::create(&unnumbered)?;
+        lock.try_lock()?;
+        let mut own = numbers(path, &[JOURNAL, OWNER]).last().map_or(1, |last| last + 1);
+        while let Err(error) = fs::hard_link(&unnumbered, owner(path, own)) {
+            if error.kind() != io::ErrorKind::AlreadyExists {
+                return Err(error);
+            }
+            own += 1;
+        }
+        fs::remove_file(&unnumbered)?;
+        // Left so that the number was not used again; this one is higher.
+        for number in numbers(path, &[OWNER]).difference(&numbers(path, &[JOURNAL])) {
+            let unused = File::open(owner(path, *number)).is_ok_and(|lock| lock.try_lock().is_ok());
+            if *number != own && unused {
+                fs::remove_file(owner(path, *number))?;
+            }
+        }
+        Ok(Folder { path: path.to_path_buf(), own, _lock: lock })
+    }
+
+    /// The paths of its own journal and of that file's rewrite.
+    pub fn paths(&self) -> (PathBuf, PathBuf) {
+        (journal(&self.path, self.own), rewrite(&self.path, self.own))
+    }
+
+    fn others(&self) -> BTreeSet<u64> {
+        numbers(&self.path, &[JOURNAL]).into_iter().filter(|&n| n != self.own).collect()
+    }
+
+    /// The other's lock, if that process has died.
+    fn inherit(&self, number: u64) -> Option<File> {
+        let lock =
+            OpenOptions::new().create(true).truncate(false).write(true).open(owner(&self.path, number));
+        lock.ok().filter(|lock| lock.try_lock().is_ok())
+    }
+
+    /// Whether a process that was started later lives.
+    pub fn has_successor(&self) -> bool {
+        self.others().range(self.own..).any(|&n| self.inherit(n).is_none())
+    }
+
+    /// Whether one that was started before lives.
+    pub fn has_predecessor(&self) -> bool {
+        self.others().range(..self.own).any(|&n| self.inherit(n).is_none())
+    }
+
+    /// Bytes in the files of the others, in whole blocks.
+    fn bytes(&self) -> u64 {
+        let files = self.others().into_iter().flat_map(|n| [journal(&self.path, n), rewrite(&self.path, n)]);
+        files.filter_map(|f| fs::metadata(f).ok()).map(|m| m.len().div_ceil(512) * 512).sum()
+    }
+
+    /// Those that have died, with the locks that keep their files ours.
+    pub fn dead(&self) -> Dead {
+        self.others().into_iter().filter_map(|n| Some((n, self.inherit(n)?))).collect()
+    }
+
+    /// What the dead have left, each message once.
+    pub fn left(&self, dead: &Dead, budget: &Budget) -> Vec<Live> {
+        let mut seen = BTreeSet::new();
+        let mut left = Vec::new();
+        // The newest first: what it had taken over, and perhaps ended, is in the older one's file still.
+        for (number, _) in dead.iter().rev() {
+            let mut reader = Reader::new(&self.path, *number, budget);
+            reader.read();
+            reader.warn_if_torn();
+            let ledger = reader.ledger;
+            left.extend(ledger.live.into_values().filter(|live| !seen.contains(&live.taken.id)));
+            seen.extend(ledger.seen);
+        }
+        left.sort_by_key(|live| live.taken.id);
+        left
+    }
+
+    /// Deletes what was taken over, the oldest first: a newer file tells what of an older one is over. The lock file
+    /// of a later process stays, as its number must not be used again while its messages are known by it.
+    pub fn discard(&self, dead: Dead) {
+        for (number, _lock) in dead {
+            let lock = (number < self.own).then(|| owner(&self.path, number));
+            let files = [rewrite(&self.path, number), journal(&self.path, number)];
+            for file in files.into_iter().chain(lock) {
+                match fs::remove_file(&file) {
+                    Err(error) if error.kind() != io::ErrorKind::NotFound => {
+                        tracing::warn!(%error, file = %file.display(), "cannot delete what was taken over")
+                    }
+                    _ => {}
+                }
+            }
+        }
+    }
+}
+
+fn owner(folder: &Path, number: u64) -> PathBuf {
+    folder.join(format!("{OWNER}.{number}"))
+}
+
+/// Number 0 is the one file of versions that knew no numbers.
+fn journal(folder: &Path, number: u64) -> PathBuf {
+    match number {
+        0 => folder.join(JOURNAL),
+        _ => folder.join(format!("{JOURNAL}.{number}")),
+    }
+}
+
+fn rewrite(folder: &Path, number: u64) -> PathBuf {
+    match number {
+        0 => folder.join("journal.new"),
+        _ => folder.join(format!("rewrite.{number}")),
+    }
+}
+
+/// The numbers of the files with these names.
+fn numbers(folder: &Path, names: &[&str]) -> BTreeSet<u64> {
+    let number = |file: &str| match file.split_once('.') {
+        None => (file == JOURNAL && names.contains(&JOURNAL)).then_some(0),
+        Some((name, number)) if names.contains(&name) => number.parse().ok(),
+        Some(_) => None,
+    };
+    let files = fs::read_dir(folder).into_iter().flatten().flatten().map(|f| f.file_name());
+    files.filter_map(|file| number(file.to_str()?)).collect()
+}
+
+/// Reads another process's file, as far as it has been written.
+struct Reader {
+    path: PathBuf,
+    number: u64,
+    file: Option<File>,
+    at: u64,
+    length: u64,
+    ledger: Ledger,
+    budget: Budget,
+}
+
+impl Reader {
+    fn new(folder: &Path, number: u64, budget: &Budget) -> Reader {
+        let (path, ledger) = (journal(folder, number), Ledger::new(number));
+        Reader { path, number, file: None, at: 0, length: 0, ledger, budget: budget.clone() }
+    }
+
+    /// Reads on; from the start where the file was rewritten.
+    fn read(&mut self) {
+        let inode = |m: io::Result<fs::Metadata>| m.ok().map(|m| m.ino());
+        let known = self.file.as_ref().and_then(|f| inode(f.metadata()));
+        if known.is_none() || known != inode(fs::metadata(&self.path)) {
+            let Ok(file) = File::open(&self.path) else { return };
+            (self.file, self.at, self.ledger) = (Some(file), 0, Ledger::new(self.number));
+        }
+        let Some(file) = &self.file else { return };
+        self.length = file.metadata().map_or(self.at, |m| m.len());
+        let mut bytes = vec![0; self.length.saturating_sub(self.at) as usize];
+        if bytes.is_empty() || file.read_exact_at(&mut bytes, self.at).is_err() {
+            return;
+        }
+        let mut rest = &bytes[..];
+        while let Some((record, length)) = decode(rest, &self.budget) {
+            self.ledger.note(&record);
+            self.at += length as u64;
+            rest = &rest[length..];
+        }
+    }
+
+    /// What was torn by a process's end had not been answered for yet.
+    fn warn_if_torn(&self) {
+        if self.at < self.length {
+            let (number, kept, cut) = (self.number, self.at, self.length - self.at);
+            tracing::warn!(number, kept, cut, "a journal's tail is torn");
+        }
+    }
+
+    /// Whether it begins calls by itself.
+    fn sends(&self) -> bool {
+        self.ledger.out.is_none()
+    }
+
+    fn is_out(&self, id: u64) -> bool {
+        self.ledger.out.as_ref().is_none_or(|out| out.range((id, 0)..=(id, u32::MAX)).next().is_some())
+    }
+
+    /// What it has yielded: all but what is out, and what has only its notice to come.
+    fn yielded(&self) -> impl Iterator<Item = &Live> {
+        self.ledger.live.values().filter(|live| !self.is_out(live.taken.id) && live.ending.is_none())
+    }
+}
+
+/// What the others hold of this sender's bounds.
+#[derive(Clone, Default, PartialEq)]
+pub struct Elsewhere {
+    pub sends: bool,
+    /// Destinations of the calls out.
+    pub calls: Vec<DestId>,
+    /// Messages that are not this process's yet.
+    pub held: usize,
+    pub bytes: u64,
+}
+
+/// Follows the others, and takes over what they yield or leave.
+pub struct Handover {
+    folder: Rc<Folder>,
+    budget: Budget,
+    core: mpsc::Sender<Input>,
+    /// Those that were started before and live, with how many of their releases were told.
+    before: BTreeMap<u64, (Reader, usize)>,
+    taken: HashSet<u64>,
+    told: Option<Elsewhere>,
+    alone: bool,
+    has_successor: bool,
+}
+
+impl Handover {
+    pub fn new(folder: Rc<Folder>, budget: Budget, core: mpsc::Sender<Input>) -> Handover {
+        let (before, taken) = Default::default();
+        let (told, alone, has_successor) = (None, true, false);
+        Handover { folder, budget, core, before, taken, told, alone, has_successor }
+    }
+
+    /// Until the core has gone. `share` is told whether descriptors are shared with another process, `clear` once
+    /// every process that was there before leaves this one its part.
+    pub async fn run(mut self, share: impl Fn(bool), clear: watch::Sender<bool>) {
+        while self.look(&share, &clear).await.is_some() {
+            sleep(if self.alone { LOOK } else { FOLLOW }).await;
+        }
+    }
+
+    /// None once the core has gone.
+    async fn look(&mut self, share: &impl Fn(bool), clear: &watch::Sender<bool>) -> Option<()> {
+        // Their locks first: what is read after that is all that they will have written.
+        let dead = self.folder.dead();
+        let others = self.folder.others();
+        for &number in others.range(..self.folder.own) {
+            self.follow(number).await?;
+        }
+        let left = self.folder.left(&dead, &self.budget).into_iter();
+        let left = left.filter(|live| !self.taken.contains(&live.taken.id)).collect();
+        if !dead.is_empty() && self.take_over(left).await? {
+            let numbers: Vec<u64> = dead.iter().map(|(n, _)| *n).collect();
+            tracing::info!(?numbers, "what ended processes left is taken over");
+            self.before.retain(|n, _| !numbers.contains(n));
+            self.folder.discard(dead);
+        }
+        let others = self.folder.others();
+        if std::mem::replace(&mut self.alone, others.is_empty()) != self.alone {
+            share(!self.alone);
+            if self.alone {
+                self.taken.clear();
+                self.core.send(Input::Alone).await.ok()?;
+            }
+        }
+        if !self.has_successor && others.range(self.folder.own..).next().is_some() {
+            self.has_successor = true;
+            self.core.send(Input::Succeeded).await.ok()?;
+        }
+        self.tell().await?;
+        let is_clear = self.before.values().all(|(r, _)| r.ledger.shared || !r.sends());
+        clear.send_if_modified(|old| std::mem::replace(old, is_clear) != is_clear);
+        Some(())
+    }
+
+    /// Reads on what a process that was started before has written, and passes on what concerns this one.
+    async fn follow(&mut self, number: u64) -> Option<()> {
+        let new = || (Reader::new(&self.folder.path, number, &self.budget), 0);
+        let (mut reader, told) = self.before.remove(&number).unwrap_or_else(new);
+        let sent = reader.sends();
+        reader.read();
+        if sent && !reader.sends() {
+            tracing::info!(number, "the process before this one has yielded its work");
+            self.core.send(Input::Inherited(reader.ledger.standings.clone())).await.ok()?;
+        }
+        let releases: Vec<Release> = reader.ledger.releases[told..].to_vec();
+        let told = told + releases.len();
+        if !releases.is_empty() {
+            self.core.send(Input::EndedElsewhere(releases)).await.ok()?;
+        }
+        let new = reader.yielded().filter(|live| !self.taken.contains(&live.taken.id));
+        let new = new.cloned().collect();
+        self.before.insert(number, (reader, told));
+        self.take_over(new).await.map(|_| ())
+    }
+
+    /// Hands messages to the core; false if it could not write all of them down.
+    async fn take_over(&mut self, mut left: Vec<Live>) -> Option<bool> {
+        while !left.is_empty() {
+            let part: Vec<Live> = left.drain(..left.len().min(AT_ONCE)).collect();
+            let ids: Vec<u64> = part.iter().map(|live| live.taken.id).collect();
+            let (reply, written) = oneshot::channel();
+            self.core.send(Input::TakeOver(part, reply)).await.ok()?;
+            if !written.await.ok()? {
+                return Some(false);
+            }
+            self.taken.extend(ids);
+        }
+        Some(true)
+    }
+
+    async fn tell(&mut self) -> Option<()> {
+        let mut now = Elsewhere { bytes: self.folder.bytes(), ..Elsewhere::default() };
+        for (reader, _) in self.before.values() {
+            let live = &reader.ledger.live;
+            now.sends |= reader.sends();
+            now.held += live.keys().filter(|id| !self.taken.contains(id)).count();
+            let out = reader.ledger.out.iter().flatten();
+            now.calls.extend(out.filter_map(|(id, _)| Some(live.get(id)?.taken.dest)));
+        }
+        if self.told.as_ref() != Some(&now) {
+            self.told = Some(now.clone());
+            self.core.send(Input::Elsewhere(now)).await.ok()?;
+        }
+        Some(())
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_number_is_never_used_twice_and_a_folder_does_not_fill_up() {
+        let name = format!("leadfold-folder-{}", std::process::id());
+        let path = std::env::temp_dir().join(name);
+        let _ = fs::remove_dir_all(&path);
+        fs::create_dir_all(&path).unwrap();
+        let enter = || {
+            let folder = Folder::enter(&path).unwrap();
+            File::create(folder.paths().0).unwrap();
+            folder
+        };
+        let first = enter();
+        assert!(!first.has_successor() && !first.has_predecessor());
+        let second = enter();
+        assert!(first.has_successor() && second.has_predecessor() && !second.has_successor());
+        drop(second);
+        assert!(!first.has_successor(), "its lock is let go with it");
+        first.discard(first.dead());
+        let third = enter();
+        assert_eq!((first.own, third.own), (1, 3));
+        drop(first);
+        third.discard(third.dead());
+        let files = fs::read_dir(&path).unwrap().flatten().map(|f| f.file_name().into_string().unwrap());
+        assert_eq!(files.collect::<BTreeSet<_>>(), ["journal.3", "owner.3"].map(String::from).into());
+        fs::remove_dir_all(&path).unwrap();
+    }
+}
--- a/src/bin/nickelshed/journal.rs
+++ b/src/bin/nickelshed/journal.rs
@@ -1,16 +1,17 @@
 //! What the sender has taken on, kept in `$EDGE_STATE` so that it outlasts the process.
 //!
-//! One file of records, each framed by its length and a checksum. It is rewritten with what still lives once
-//! it would pass half of the disk's limit, so that both files together stay under it.
+//! One file of records for each process, each record framed by its length and a checksum. It is rewritten with what
+//! still lives once it would pass half of the disk that is left, so that both files together stay under the limit.
 use crate::classes::Stored;
 use crate::memory::{Budget, Share};
 use bytes::Bytes;
+use leadfold::api::{Ns, Outcome, Standing};
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
-use std::fs::{self, File, OpenOptions};
+use std::collections::{BTreeMap, BTreeSet};
+use std::fs::{self, File};
 use std::io::{self, Write};
 use std::os::unix::fs::FileExt;
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::{SystemTime, UNIX_EPOCH};
 
@@ -86,8 +87,37 @@
     Decided(u64, Ending),
     #[serde(rename = "E")]
     Ended(u64),
+    /// Messages of earlier processes that were taken over and have ended here: not to be taken over again.
+    #[serde(rename = "S")]
+    Seen(Vec<u64>),
+    /// The process that came after this one is known, and descriptors are shared with it.
+    #[serde(rename = "H")]
+    Shared,
+    /// All is the next process's, but for these attempts that are out and the notices under way.
+    #[serde(rename = "Y")]
+    Yielded(Vec<(u64, u32)>, Vec<(Option<String>, Standing)>),
+    /// One of these attempts has ended without a delivery.
+    #[serde(rename = "R")]
+    Released(Release),
 }
 
+#[derive(Serialize, Deserialize, Clone, Debug)]
+pub struct Release {
+    #[serde(rename = "i")]
+    pub id: u64,
+    #[serde(rename = "n")]
+    pub attempt: u32,
+    #[serde(rename = "e")]
+    pub endpoint: String,
+    #[serde(rename = "o")]
+    pub outcome: Outcome,
+    #[serde(rename = "t")]
+    pub took: Ns,
+    #[serde(rename = "w")]
+    pub wait: Ns,
+}
+
+#[derive(Clone)]
 pub struct Live {
     pub taken: Rc<Taken>,
     pub attempts: Vec<Begun>,
@@ -96,14 +126,40 @@
     claim: u64,
 }
 
+/// What a file's records come to.
+#[derive(Default)]
+pub struct Ledger {
+    number: u64,
+    pub live: BTreeMap<u64, Live>,
+    claimed: u64,
+    /// Messages of other files that were taken over into this one, ended or not.
+    pub seen: BTreeSet<u64>,
+    pub shared: bool,
+    /// Attempts still out, once the rest was yielded.
+    pub out: Option<BTreeSet<(u64, u32)>>,
+    /// What came with the yield and after it.
+    pub standings: Vec<(Option<String>, Standing)>,
+    pub releases: Vec<Release>,
+}
+
 pub struct Journal {
     path: PathBuf,
+    /// Where it is rewritten.
+    new: PathBuf,
     file: File,
     size: u64,
-    /// Each of the two files stays under this.
-    bound: u64,
-    claimed: u64,
-    live: BTreeMap<u64, Live>,
+    /// All files together stay under this.
+    disk: u64,
+    /// What other processes' files hold now.
+    others: u64,
+    ledger: Ledger,
+}
+
+/// An id's upper bits are the number of the process that took the message on.
+const ID_BITS: u32 = 40;
+
+pub fn first_id(number: u64) -> u64 {
+    number << ID_BITS
 }
 
 /// Bodies hold at most so much.
@@ -117,6 +173,8 @@
 const TAKE_ON: f64 = 0.8;
 /// Names of endpoints longer than this would break the bound above.
 pub const MAX_NAME: usize = 64;
+/// Ids in one record at most.
+const SEEN_AT_ONCE: usize = 1_000;
 /// Longest record that is read back: a body of 64 KiB and its headers.
 const MAX_RECORD: usize = 256 << 10;
 
@@ -138,7 +196,7 @@
 }
 
 /// The record at the start of `bytes` and its length; None where it is torn or damaged.
-fn decode(bytes: &[u8], budget: &Budget) -> Option<(Record, usize)> {
+pub fn decode(bytes: &[u8], budget: &Budget) -> Option<(Record, usize)> {
     let word = |at: usize| Some(u32::from_le_bytes(bytes.get(at..at + 4)?.try_into().ok()?) as usize);
     let length = word(0)?;
     if !(4..=MAX_RECORD).contains(&length) {
@@ -176,42 +234,48 @@
 }
 
 impl Journal {
-    pub fn open(folder: &Path, disk_mb: f64, budget: &Budget) -> io::Result<Journal> {
-        let path = folder.join("journal");
-        // A rewrite that was cut short: the old file still holds everything.
-        let _ = fs::remove_file(folder.join("journal.new"));
-        let bytes = match fs::read(&path) {
-            Ok(bytes) => bytes,
-            Err(e) if e.kind() == io::ErrorKind::NotFound => Vec::new(),
-            Err(e) => return Err(e),
-        };
-        let file = OpenOptions::new().create(true).truncate(false).write(true).open(&path)?;
+    /// A new file of the process with this number.
+    pub fn create(path: PathBuf, new: PathBuf, number: u64, disk_mb: f64) -> io::Result<Journal> {
+        let file = File::create(&path)?;
         // Files count in whole blocks; a part stays free for that and for the folder itself.
-        let bound = ((disk_mb * 1e6 * 0.94 / 2.0) as u64 / 512).saturating_sub(4) * 512;
-        let mut journal = Journal { path, file, size: 0, bound, claimed: 0, live: BTreeMap::new() };
-        let mut at = 0;
-        while let Some((record, length)) = decode(&bytes[at..], budget) {
-            journal.note(&record);
-            at += length;
-        }
-        // What was torn by the end of the process before had not been answered for yet.
-        if at < bytes.len() {
-            tracing::warn!(kept = at, cut = bytes.len() - at, "the journal's tail is torn");
-            journal.file.set_len(at as u64)?;
-        }
-        journal.size = at as u64;
-        Ok(journal)
+        let disk = (disk_mb * 1e6 * 0.94) as u64;
+        Ok(Journal { path, new, file, size: 0, disk, others: 0, ledger: Ledger::new(number) })
+    }
+
+    /// What the file may grow to: as much again must be free for it to be rewritten.
+    fn bound(&self) -> u64 {
+        (self.disk.saturating_sub(self.others) / 2 / 512).saturating_sub(4) * 512
+    }
+
+    pub fn set_others(&mut self, bytes: u64) {
+        self.others = bytes;
     }
 
-    pub fn live(&self) -> &BTreeMap<u64, Live> {
-        &self.live
+    /// The files of others that it has taken messages over from are gone.
+    pub fn forget_seen(&mut self) {
+        self.ledger.seen.clear();
+    }
+
+    pub fn has_seen(&self, id: u64) -> bool {
+        self.ledger.live.contains_key(&id) || self.ledger.seen.contains(&id)
     }
 
     /// Whether there is room for one more besides `waiting` bytes that were promised in this round.
     pub fn has_room(&self, taken: &Taken, waiting: u64) -> Option<u64> {
         let claim = claim(taken);
-        let most = (self.bound as f64 * TAKE_ON) as u64;
-        (self.claimed + waiting + claim <= most).then_some(claim)
+        let most = (self.bound() as f64 * TAKE_ON) as u64;
+        (self.ledger.claimed + waiting + claim <= most).then_some(claim)
+    }
+
+    /// Writes down what was another process's: it takes no more than it took there, so it needs no claim.
+    pub fn take_over(&mut self, records: &[Record]) -> io::Result<()> {
+        self.append(records, self.disk.saturating_sub(self.others))
+    }
+
+    /// The last record but for those of what is out. The file is rewritten before, as it only grows after it.
+    pub fn give_over(&mut self, record: Record) -> io::Result<()> {
+        self.compact()?;
+        self.append(&[record], self.bound())
     }
 
     /// Writes the records of a round at once. If that fails nothing of them holds.
@@ -221,15 +285,22 @@
         }
         // What is claimed always fits: an end that could not be written down would be undone by a restart.
         let growth: u64 = records.iter().map(growth).sum();
-        if growth > 0 && self.claimed + growth > self.bound {
+        let bound = self.bound();
+        if growth > 0 && self.ledger.claimed + growth > bound {
             return Err(io::Error::new(io::ErrorKind::StorageFull, "no room for further attempts"));
         }
+        // Once it has yielded, the next process follows the file: it only grows.
+        let most = if self.ledger.out.is_some() { self.disk.saturating_sub(self.others) } else { bound };
+        self.append(records, most)
+    }
+
+    fn append(&mut self, records: &[Record], bound: u64) -> io::Result<()> {
         let mut buffer = Vec::new();
         records.iter().for_each(|r| encode(r, &mut buffer));
-        if self.size + buffer.len() as u64 > self.bound {
+        if self.size + buffer.len() as u64 > bound && self.ledger.out.is_none() {
             self.compact()?;
         }
-        if self.size + buffer.len() as u64 > self.bound {
+        if self.size + buffer.len() as u64 > bound {
             return Err(io::Error::new(io::ErrorKind::StorageFull, "the journal is full"));
         }
         if let Err(e) = self.file.write_all_at(&buffer, self.size) {
@@ -237,41 +308,63 @@
             return Err(e);
         }
         self.size += buffer.len() as u64;
-        records.iter().for_each(|r| self.note(r));
+        records.iter().for_each(|r| self.ledger.note(r));
         Ok(())
     }
 
     /// Rewrites the file with what still lives.
     fn compact(&mut self) -> io::Result<()> {
         let mut buffer = Vec::new();
-        for (&id, live) in &self.live {
-            encode(&Record::Taken(live.taken.clone()), &mut buffer);
-            for attempt in &live.attempts {
-                encode(&Record::Begun(id, attempt.clone()), &mut buffer);
-                if attempt.never_ran {
-                    encode(&Record::NeverRan(id, attempt.number), &mut buffer);
-                }
-            }
-            if let Some(ending) = live.ending {
-                encode(&Record::Decided(id, ending), &mut buffer);
-            }
-        }
-        let new = self.path.with_extension("new");
-        let mut file = File::create(&new)?;
-        if let Err(e) = file.write_all(&buffer).and_then(|()| fs::rename(&new, &self.path)) {
-            let _ = fs::remove_file(&new);
+        let ledger = &self.ledger;
+        ledger.live.values().flat_map(Live::records).for_each(|r| encode(&r, &mut buffer));
+        let ended: Vec<u64> =
+            ledger.seen.iter().copied().filter(|id| !ledger.live.contains_key(id)).collect();
+        let parts = ended.chunks(SEEN_AT_ONCE).map(|ids| Record::Seen(ids.to_vec()));
+        parts.chain(ledger.shared.then_some(Record::Shared)).for_each(|r| encode(&r, &mut buffer));
+        let mut file = File::create(&self.new)?;
+        if let Err(e) = file.write_all(&buffer).and_then(|()| fs::rename(&self.new, &self.path)) {
+            let _ = fs::remove_file(&self.new);
             return Err(e);
         }
         (self.file, self.size) = (file, buffer.len() as u64);
         Ok(())
     }
+}
 
-    fn note(&mut self, record: &Record) {
+impl Live {
+    /// All that the file must hold of it.
+    pub fn records(&self) -> Vec<Record> {
+        let id = self.taken.id;
+        let mut records = vec![Record::Taken(self.taken.clone())];
+        for attempt in &self.attempts {
+            records.push(Record::Begun(id, attempt.clone()));
+            records.extend(attempt.never_ran.then_some(Record::NeverRan(id, attempt.number)));
+        }
+        records.extend(self.ending.map(|ending| Record::Decided(id, ending)));
+        records
+    }
+}
+
+impl Ledger {
+    pub fn new(number: u64) -> Ledger {
+        Ledger { number, ..Ledger::default() }
+    }
+
+    fn never_ran(&mut self, id: u64, number: u32) {
+        if let Some(live) = self.live.get_mut(&id) {
+            live.attempts.iter_mut().filter(|a| a.number == number).for_each(|a| a.never_ran = true);
+        }
+    }
+
+    pub fn note(&mut self, record: &Record) {
         match record {
             Record::Taken(taken) => {
                 let claim = growth(record);
                 self.claimed += claim;
                 let live = Live { taken: taken.clone(), attempts: Vec::new(), ending: None, claim };
+                if taken.id >> ID_BITS != self.number {
+                    self.seen.insert(taken.id);
+                }
                 self.live.insert(taken.id, live);
             }
             Record::Begun(id, begun) => {
@@ -282,9 +375,7 @@
                 }
             }
             Record::NeverRan(id, number) => {
-                if let Some(live) = self.live.get_mut(id) {
-                    live.attempts.iter_mut().filter(|a| a.number == *number).for_each(|a| a.never_ran = true);
-                }
+                self.never_ran(*id, *number);
             }
             Record::Decided(id, ending) => {
                 if let Some(live) = self.live.get_mut(id) {
@@ -295,6 +386,20 @@
                 if let Some(live) = self.live.remove(id) {
                     self.claimed -= live.claim;
                 }
+                self.out.iter_mut().for_each(|out| out.retain(|(other, _)| other != id));
+            }
+            Record::Seen(ids) => self.seen.extend(ids),
+            Record::Shared => self.shared = true,
+            Record::Yielded(out, standings) => {
+                self.out = Some(out.iter().copied().collect());
+                self.standings = standings.clone();
+            }
+            Record::Released(release) => {
+                self.out.iter_mut().for_each(|out| _ = out.remove(&(release.id, release.attempt)));
+                if release.outcome.never_ran() {
+                    self.never_ran(release.id, release.attempt);
+                }
+                self.releases.push(release.clone());
             }
         }
     }
--- a/src/bin/nickelshed/main.rs
+++ b/src/bin/nickelshed/main.rs
@@ -8,7 +8,9 @@
 mod discovery;
 mod drain;
 mod figures;
+mod handover;
 mod journal;
+mod listen;
 mod memory;
 mod notices;
 mod reload;
@@ -20,7 +22,7 @@
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, SignalKind};
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::{spawn_local, LocalSet};
 use tokio::time::{sleep, timeout, Instant};
 
@@ -32,6 +34,8 @@
 const END: Duration = Duration::from_millis(3_300);
 /// Descriptors that neither clients nor calls use.
 const OWN_SOCKETS: usize = 24;
+/// How long the process before this one may take to leave it its part of the descriptors.
+const CLEAR: Duration = Duration::from_secs(2);
 /// Inputs that wait for the core. Clients are told 503 beyond it.
 const INBOX: usize = 2_048;
 
@@ -54,6 +58,32 @@
     }
 }
 
+/// How a process divides the descriptors that it may hold.
+struct Places {
+    calls: usize,
+    turned_away: usize,
+    clients: usize,
+}
+
+impl Places {
+    /// Some are reserved, for the listeners, the watch, notices, files and operators. Of the rest calls always find
+    /// theirs, a sixteenth is for clients that are only told to come again, and all others are for clients: some
+    /// connect by hundreds.
+    fn of(sockets: usize, reserved: usize, slots: usize) -> Places {
+        let sockets = sockets.saturating_sub(reserved);
+        let calls = (slots * 2 + 32).max(sockets / 4).min(sockets * 3 / 8);
+        let turned_away = (sockets / 16).max(1);
+        Places { calls, turned_away, clients: sockets.saturating_sub(calls + turned_away) }
+    }
+}
+
+/// Yields all work but the calls out to the next process; whether it is done.
+async fn yields(core: &mpsc::Sender<core::Input>) -> bool {
+    let (reply, done) = oneshot::channel();
+    let _ = core.send(core::Input::Yield(reply)).await;
+    done.await.unwrap_or(false)
+}
+
 async fn run() -> Result<(), String> {
     let mut config = config::read()?;
     let mut terminate = signal(SignalKind::terminate()).map_err(|e| format!("signals: {e}"))?;
@@ -61,17 +91,20 @@
     let hangup = signal(SignalKind::hangup()).map_err(|e| format!("signals: {e}"))?;
     let limits = &config.limits;
     let budget = memory::Budget::new(limits.memory_mb);
-    let journal = journal::Journal::open(&config.state, limits.disk_mb, &budget)
-        .map_err(|e| format!("journal in {}: {e}", config.state.display()))?;
+    let state = |e| format!("journal in {}: {e}", config.state.display());
+    let folder = Rc::new(handover::Folder::enter(&config.state).map_err(state)?);
+    let (path, rewrite) = folder.paths();
+    let journal = journal::Journal::create(path, rewrite, folder.own, limits.disk_mb).map_err(state)?;
+    let dead = folder.dead();
+    let left = folder.left(&dead, &budget);
+    let has_predecessor = folder.has_predecessor();
     let (core_in, inbox) = mpsc::channel(INBOX);
     let (notices_in, notices) = mpsc::unbounded_channel();
     let settings = &config.settings;
-    // Some are for the listener, the watch, notices and files. Of the rest calls always find theirs, a sixteenth
-    // is for clients that are only told to come again, and all others are for clients: some connect by hundreds.
     let reserved = OWN_SOCKETS + config.control.map_or(0, |_| control::CALLERS + 1);
-    let sockets = config.limits.sockets.saturating_sub(reserved);
-    let calls = (settings.slots * 2 + 32).max(sockets / 4).min(sockets * 3 / 8);
-    let turned_away = (sockets / 16).max(1);
+    let (sockets, slots) = (config.limits.sockets, settings.slots);
+    let places = move |shared: bool| Places::of(sockets / if shared { 2 } else { 1 }, reserved, slots);
+    let Places { calls, turned_away, clients } = places(has_predecessor);
     let figures = Rc::new(figures::Figures::default());
     figures.show(&config.around.classes);
     let pool = Rc::new(connections::Pool::new(settings.dial_timeout, settings.idle_close, calls));
@@ -86,8 +119,10 @@
     let terms = server::Terms::new(&config.settings, config.around.clone());
     let operators = config.control;
     let in_force = std::mem::take(&mut config.file);
-    let mut core = core::Core::new(config, journal, client, inbox, notices_in);
-    core.resume(known).await;
+    let mut core = core::Core::new(config, (folder.own, journal), client, inbox, notices_in);
+    if core.resume(known, left, has_predecessor).await {
+        folder.discard(dead);
+    }
     let core = spawn_local(core.run());
     if let Some(at) = operators {
         let listener = TcpListener::bind(at).await.map_err(|e| format!("cannot listen on {at}: {e}"))?;
@@ -95,29 +130,44 @@
         spawn_local(Rc::new(control::Control { drain, figures, core }).serve(listener));
     }
 
-    // Only now: a sender is used once it answers, and what the journal holds comes first.
-    let listener = TcpListener::bind(listen).await.map_err(|e| format!("cannot listen on {listen}: {e}"))?;
     let (close, closing) = watch::channel(false);
     let server = Rc::new(server::Server {
         core: core_in.clone(),
         terms: terms.into(),
-        budget,
+        budget: budget.clone(),
         drain: drain.clone(),
         figures: figures.clone(),
-        most: sockets.saturating_sub(calls + turned_away),
-        turned_away,
+        most: clients.into(),
+        turned_away: turned_away.into(),
         open: Default::default(),
+        number: Default::default(),
         guests: Default::default(),
     });
     let reload = reload::Reload {
         in_force,
         discovery: place,
         core: core_in.clone(),
-        pool,
+        pool: pool.clone(),
         server: server.clone(),
         figures,
     };
     spawn_local(reload.run(hangup));
+    let handover = handover::Handover::new(folder.clone(), budget, core_in.clone());
+    let (shared, mut clear) = watch::channel(!has_predecessor);
+    let (bounds, links) = (server.clone(), pool);
+    let share = move |shared| {
+        let places = places(shared);
+        bounds.most.set(places.clients);
+        bounds.turned_away.set(places.turned_away);
+        links.most.set(places.calls);
+    };
+    spawn_local(handover.run(share, shared));
+    // A process that was there before first leaves this one its part of the descriptors.
+    if timeout(CLEAR, clear.wait_for(|c| *c)).await.is_err() {
+        tracing::warn!("the process before this one does not answer; going on beside it");
+    }
+    // Only now: a sender is used once it answers, and what the journals hold comes first.
+    let listener = listen::bind(listen).map_err(|e| format!("cannot listen on {listen}: {e}"))?;
     let accepting = spawn_local(server.clone().accept(listener, closing));
     drain.listening();
 
@@ -129,7 +179,10 @@
     }
     let told = Instant::now();
     drain.end();
-    sleep(ACCEPT_ON).await;
+    // With a process to go on, clients find that one: nothing more need be taken here but what is on its way.
+    if !(folder.has_successor() && yields(&core_in).await) {
+        sleep(ACCEPT_ON).await;
+    }
     let _ = close.send(true);
     let _ = accepting.await;
     let gone = async {
@@ -137,7 +190,7 @@
             sleep(Duration::from_millis(10)).await;
         }
     };
-    let _ = timeout(CLIENTS_GONE - ACCEPT_ON, gone).await;
+    let _ = timeout((told + CLIENTS_GONE).saturating_duration_since(Instant::now()), gone).await;
     let _ = core_in.send(core::Input::Wind(told + BEGIN_ON)).await;
     let _ = timeout((told + END).saturating_duration_since(Instant::now()), core_in.closed()).await;
     Ok(())
--- a/src/bin/nickelshed/server.rs
+++ b/src/bin/nickelshed/server.rs
@@ -3,6 +3,7 @@
 use crate::drain::{Drain, State};
 use crate::figures::{End, Figures};
 use crate::journal::{Taken, MAX_BODY};
+use crate::listen;
 use crate::memory::Budget;
 use crate::wire::{Io, Socket, MAX_HEAD, MAX_HEADERS};
 use bytes::Bytes;
@@ -21,7 +22,7 @@
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, oneshot, watch, Notify};
 use tokio::time::{sleep, sleep_until, timeout, timeout_at, Instant};
 
@@ -32,8 +33,9 @@
 const IDLE: Duration = Duration::from_secs(30);
 const IDLE_AT_BOUND: Duration = Duration::from_secs(2);
 const SILENT_AT_BOUND: Duration = Duration::from_millis(500);
-/// How long a connection without a first request is kept while clients are sent away.
-const SILENT_IN_DRAIN: Duration = Duration::from_millis(500);
+/// How long a connection may still be used while clients are sent away: the next answer ends it, and closing it
+/// before may cross a request.
+const LINGER: Duration = Duration::from_millis(700);
 /// What is still read from a connection that closes, so that its last answer arrives.
 const DRAIN: Duration = Duration::from_millis(300);
 const DRAIN_BYTES: usize = 1 << 20;
@@ -68,10 +70,12 @@
     pub drain: Rc<Drain>,
     pub figures: Rc<Figures>,
     /// Most connections that are served.
-    pub most: usize,
+    pub most: Cell<usize>,
     /// Connections over that bound that are told to come again; what comes beyond them is closed.
-    pub turned_away: usize,
+    pub turned_away: Cell<usize>,
     pub open: Cell<usize>,
+    /// Of the next connection.
+    pub number: Cell<u64>,
     /// Those that are served, in order of acceptance.
     pub guests: RefCell<BTreeMap<u64, Rc<Guest>>>,
 }
@@ -93,24 +97,23 @@
     }
 
     /// When the request that is coming must be here, or the idle connection has stood long enough.
-    fn deadline(&self, sent_away: bool) -> Instant {
-        match self.socket.heard() {
-            Some(heard) if self.has_asked.get() => heard + PATIENCE,
-            None if sent_away && self.has_asked.get() => self.since.get(),
-            None if sent_away => self.since.get() + SILENT_IN_DRAIN,
-            None if self.has_asked.get() => self.since.get() + IDLE,
+    fn deadline(&self, sent_away: Option<Instant>) -> Instant {
+        match (self.socket.heard(), sent_away) {
+            (Some(heard), _) if self.has_asked.get() => heard + PATIENCE,
+            (None, Some(told)) => self.since.get().max(told) + LINGER,
+            (None, None) if self.has_asked.get() => self.since.get() + IDLE,
             _ => self.since.get() + PATIENCE,
         }
     }
 }
 
 impl Server {
-    /// Accepts until `closing` says so.
+    /// Accepts until `closing` says so; who waits in the queue then is served too.
     pub async fn accept(self: Rc<Self>, listener: TcpListener, mut closing: watch::Receiver<bool>) {
         let mut failing = false;
-        for number in 0.. {
+        loop {
             let stream = tokio::select! {
-                _ = closing.wait_for(|c| *c) => return,
+                _ = closing.wait_for(|c| *c) => break,
                 accepted = listener.accept() => match accepted {
                     Ok((stream, _)) => stream,
                     Err(error) => {
@@ -124,27 +127,33 @@
                 },
             };
             failing = false;
-            // Never left waiting: a client that is not accepted can't be told anything.
-            let full = self.guests.borrow().len() >= self.most && !self.make_place();
-            if full && self.open.get() >= self.most + self.turned_away {
-                continue;
-            }
-            self.open.set(self.open.get() + 1);
-            let server = self.clone();
-            let socket = Socket::new(stream);
-            // Entered at once: many may be accepted before the first of their tasks runs.
-            let guest = (!full).then(|| self.enter(number, &socket));
-            tokio::task::spawn_local(async move {
-                match guest {
-                    Some(guest) => {
-                        server.serve(guest).await;
-                        server.guests.borrow_mut().remove(&number);
-                    }
-                    None => server.turn_away(socket).await,
-                }
-                server.open.set(server.open.get() - 1);
-            });
+            self.clone().welcome(stream);
         }
+        listen::close(listener).into_iter().for_each(|stream| self.clone().welcome(stream));
+    }
+
+    fn welcome(self: Rc<Self>, stream: TcpStream) {
+        // Never left waiting: a client that is not accepted can't be told anything.
+        let full = self.guests.borrow().len() >= self.most.get() && !self.make_place();
+        if full && self.open.get() >= self.most.get() + self.turned_away.get() {
+            return;
+        }
+        let number = self.number.replace(self.number.get() + 1);
+        self.open.set(self.open.get() + 1);
+        let server = self;
+        let socket = Socket::new(stream);
+        // Entered at once: many may be accepted before the first of their tasks runs.
+        let guest = (!full).then(|| server.enter(number, &socket));
+        tokio::task::spawn_local(async move {
+            match guest {
+                Some(guest) => {
+                    server.serve(guest).await;
+                    server.guests.borrow_mut().remove(&number);
+                }
+                None => server.turn_away(socket).await,
+            }
+            server.open.set(server.open.get() - 1);
+        });
     }
 
     fn enter(&self, number: u64, socket: &Rc<Socket>) -> Rc<Guest> {
@@ -192,8 +201,9 @@
         class.into_iter().for_each(|class| self.figures.ended(&class, end));
     }
 
-    fn sends_away(&self) -> bool {
-        matches!(self.drain.state(), State::Draining | State::Ending)
+    /// Since when clients are sent away, if they are.
+    fn sent_away(&self) -> Option<Instant> {
+        matches!(self.drain.state(), State::Draining | State::Ending).then(|| self.drain.since())
     }
 
     async fn serve(&self, guest: Rc<Guest>) {
@@ -204,11 +214,11 @@
             async move {
                 guest.busy.set(true);
                 let class = self.class(request.uri().path());
-                let mut response = self.answer(request, guest.deadline(false)).await;
+                let mut response = self.answer(request, guest.deadline(None)).await;
                 self.count(class, response.status());
                 // Clients that come with a new connection for each message would fill all places with idle ones
                 // that are too young to be closed.
-                if self.sends_away() || self.guests.borrow().len() > self.most * 3 / 4 {
+                if self.sent_away().is_some() || self.guests.borrow().len() > self.most.get() * 3 / 4 {
                     response = closing(response);
                 }
                 guest.busy.set(false);
@@ -222,7 +232,7 @@
         {
             let mut connection = pin!(connection);
             loop {
-                let deadline = guest.deadline(self.sends_away());
+                let deadline = guest.deadline(self.sent_away());
                 tokio::select! {
                     _ = connection.as_mut() => break,
                     Ok(()) = drain.changed() => {}
@@ -231,7 +241,7 @@
                     () = socket.news.notified() => {}
                     // While it is busy the request's own bound holds.
                     () = sleep_until(deadline), if !guest.busy.get() => {
-                        let over = Instant::now() >= guest.deadline(self.sends_away());
+                        let over = Instant::now() >= guest.deadline(self.sent_away());
                         if over && !(guest.is_idle() && socket.has_news()) {
                             break;
                         }
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -117,6 +117,8 @@
     dests: BTreeMap<DestId, Dest>,
     calls: BTreeMap<u64, Call>,
     next_call: u64,
+    /// Slots that another process of this sender holds.
+    elsewhere: usize,
     keys: BTreeMap<u64, KeyTurn>,
     /// Destinations with calls out or work held; no other costs anything.
     active: BTreeSet<DestId>,
@@ -146,6 +148,9 @@
                 Event::Message(m) => self.take(*m),
                 Event::Resumed { message, past } => self.resume(*message, past, out),
                 Event::AttemptEnd(e) => self.attempt_end(e, out),
+                Event::Elsewhere { sends, calls } => self.elsewhere(*sends, calls),
+                Event::EndedElsewhere(e) => self.ended_elsewhere(e),
+                Event::Inherited(standings) => standings.iter().for_each(|s| self.inherit(s)),
                 Event::Settings(new) => self.settings(new),
                 Event::Expired { id } => self.close(*id),
                 Event::Probed { .. } => {}
@@ -167,7 +172,7 @@
         }
         self.close_idle(out);
         if !self.messages.is_empty() {
-            let due = self.agenda.first().filter(|_| self.calls.len() < self.cfg.slots);
+            let due = self.agenda.first().filter(|_| !self.is_full());
             let wake = due.map_or(Ns::MAX, |d| d.0).min(self.next_end).min(self.decided_at + PERIOD);
             let wake = wake.max(self.now + self.cfg.tick.max(1));
             if self.timer_at.is_none_or(|at| at > wake) {
@@ -214,8 +219,8 @@
         };
         match routes.map(of_route).reduce(|a, b| if a == Gate::Open { a } else { b }) {
             None => Gate::NoEndpoint,
-            _ if self.calls.len() >= self.cfg.slots => Gate::Slots,
-            _ if dest.in_flight >= dest.cap => Gate::Cap,
+            _ if self.is_full() => Gate::Slots,
+            _ if dest.in_flight + dest.elsewhere >= dest.cap => Gate::Cap,
             Some(gate) => gate,
         }
     }
@@ -341,6 +346,74 @@
         }
     }
 
+    fn is_full(&self) -> bool {
+        self.calls.len() + self.elsewhere >= self.cfg.slots
+    }
+
+    /// While another process of this sender sends, this one holds what it takes; later that one's calls out hold
+    /// their slots and count for the caps.
+    fn elsewhere(&mut self, sends: bool, calls: &[DestId]) {
+        self.elsewhere = if sends { self.cfg.slots } else { calls.len() };
+        self.dests.values_mut().for_each(|dest| dest.elsewhere = 0);
+        for id in calls {
+            self.dest(*id).elsewhere += 1;
+        }
+        for id in self.active.clone() {
+            self.due(id, LONG_AGO);
+        }
+    }
+
+    /// What an outcome tells of its route holds whichever process made the call.
+    fn ended_elsewhere(&mut self, e: &AttemptEnd) {
+        if !self.endpoints.contains_key(&e.endpoint) {
+            return;
+        }
+        let route_id = self.route_of(e.endpoint);
+        if let Some(route) = self.routes.get_mut(&route_id).filter(|_| e.wait > 0) {
+            route.wait_until = route.wait_until.max(self.now.saturating_add(e.wait));
+        }
+        self.judge(e, route_id, self.now - e.took, false);
+    }
+
+    /// What one process hands to the next: each wait, doubt and cold route, and the pace, as they stand.
+    pub fn standings(&self, now: Ns) -> Vec<Standing> {
+        let left = |at: Ns| at.saturating_sub(now).max(0);
+        let standing = |(&(dest, endpoint), r): (&RouteId, &Route)| Standing {
+            dest,
+            endpoint: (endpoint != EndpointId::MAX).then_some(endpoint),
+            wait: left(r.wait_until),
+            pause: left(r.not_before),
+            doubt: r.doubt,
+            cold: r.cold,
+            failed: now - r.last_failure,
+            trial: left(r.next_trial),
+            failures: r.failures,
+            refusals: r.refusals,
+            failing: r.failing,
+            share: r.share,
+            share_age: now - r.share_at,
+            tokens: r.tokens,
+            served: r.served.aged(now),
+        };
+        self.routes.iter().map(standing).collect()
+    }
+
+    fn inherit(&mut self, s: &Standing) {
+        let now = self.now;
+        let Some(route) = self.routes.get_mut(&(s.dest, s.endpoint.unwrap_or(EndpointId::MAX))) else {
+            return;
+        };
+        route.wait_until = route.wait_until.max(now + s.wait);
+        route.not_before = route.not_before.max(now + s.pause);
+        (route.doubt, route.cold) = (s.doubt, s.cold);
+        (route.last_failure, route.next_trial) = (now - s.failed, now + s.trial);
+        (route.failures, route.refusals, route.failing) = (s.failures, s.refusals, s.failing);
+        (route.share, route.share_at) = (s.share, now - s.share_age);
+        (route.tokens, route.filled_at) = (s.tokens, now);
+        route.served = Stat { weight: s.served, sum: s.served, squares: s.served, at: now };
+        self.due(s.dest, LONG_AGO);
+    }
+
     /// Takes new settings. What was measured of a class stands while its rules do; caps keep to the new slots.
     fn settings(&mut self, new: &Settings) {
         let old = std::mem::replace(&mut self.cfg, new.clone());
@@ -752,7 +825,7 @@
 
     /// Sends what may go now, the most urgent first. While all slots are taken only the period looks.
     fn dispatch(&mut self, periodic: bool, out: &mut Vec<Action>) {
-        if self.calls.len() >= self.cfg.slots && !periodic {
+        if self.is_full() && !periodic {
             return;
         }
         let due = self.agenda.range(..=(self.now, DestId::MAX));
@@ -766,7 +839,7 @@
                 }
             }
             let best = (0..sendable.len()).max_by(|&a, &b| sendable[a].3.total_cmp(&sendable[b].3));
-            let Some(best) = best.filter(|_| self.calls.len() < self.cfg.slots) else { break };
+            let Some(best) = best.filter(|_| !self.is_full()) else { break };
             let (dest, endpoint, ids, _) = sendable.swap_remove(best);
             self.send(dest, endpoint, &ids, out);
             look.push(dest);
@@ -818,7 +891,7 @@
     fn candidate(&mut self, id: DestId) -> Result<Plan, Ns> {
         let now = self.now;
         let dest = &self.dests[&id];
-        if dest.held.is_empty() || dest.in_flight >= dest.cap {
+        if dest.held.is_empty() || dest.in_flight + dest.elsewhere >= dest.cap {
             return Err(Ns::MAX);
         }
         let mut best: Option<(bool, bool, bool, usize, EndpointId)> = None;
--- a/src/state.rs
+++ b/src/state.rs
@@ -97,6 +97,8 @@
 pub struct Dest {
     pub cap: usize,
     pub in_flight: usize,
+    /// Calls that another process of this sender has out.
+    pub elsewhere: usize,
     pub held: Vec<MsgId>,
     pub places: Vec<EndpointId>,
     /// When it is looked at next, by `Sender::agenda`.
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -781,3 +781,54 @@
     let out = sends(&stand.give(vec![Event::List { whole: false, entries: vec![entry(2, 8, 0)] }]));
     assert_eq!(out.len(), 3, "{out:?}");
 }
+
+#[test]
+fn while_another_process_sends_work_is_held_and_its_calls_hold_slots_and_count_for_the_caps() {
+    let mut cfg = settings();
+    cfg.slots = 4;
+    let mut stand = Stand::new(cfg, &[entry(1, 7, 0), entry(2, 8, 0)]);
+    stand.give(vec![Event::Elsewhere { sends: true, calls: Vec::new() }]);
+    for id in 1..=4 {
+        assert!(sends(&stand.take(message(id, 7, 1))).is_empty());
+    }
+    assert!(sends(&stand.take(message(5, 8, 1))).is_empty());
+    assert!(sends(&plain(&stand.pass(SECOND))).is_empty());
+    // Three calls to one destination are its cap; the fourth slot is free for another.
+    let out = sends(&stand.give(vec![Event::Elsewhere { sends: false, calls: vec![7, 7, 7] }]));
+    assert_eq!(out, [(5, 2)]);
+    let freed = sends(&stand.give(vec![Event::Elsewhere { sends: false, calls: vec![7] }]));
+    assert_eq!(freed.len(), 2, "{freed:?}");
+    assert!(freed.iter().all(|(_, endpoint)| *endpoint == 1));
+}
+
+#[test]
+fn waits_doubts_and_cold_routes_pass_to_the_next_process() {
+    let entries = [entry(1, 7, 0), entry(2, 8, 0), entry(3, 9, 0)];
+    let mut before = Stand::new(settings(), &entries);
+    before.take(message(1, 7, 1));
+    before.end(AttemptEnd { wait: 3 * SECOND, ..end(1, 0, 1, Outcome::TurnedAway) });
+    for id in 10..13 {
+        before.take(message(id, 8, 1));
+    }
+    for id in 10..13 {
+        before.end(end(id, 0, 2, Outcome::ServerError));
+    }
+    let standings = before.sender.standings(before.now);
+    let mut stand = Stand::new(settings(), &entries);
+    stand.give(vec![Event::Inherited(standings)]);
+    assert!(sends(&stand.take(message(20, 7, 1))).is_empty(), "told to wait");
+    assert!(sends(&stand.take(message(21, 8, 1))).is_empty(), "in doubt");
+    // What a call of the other process is told later holds as well.
+    let told = AttemptEnd { wait: 2 * SECOND, ..end(99, 0, 3, Outcome::TurnedAway) };
+    stand.give(vec![Event::EndedElsewhere(told)]);
+    assert!(sends(&stand.take(message(22, 9, 1))).is_empty());
+    let later = stand.pass(4 * SECOND);
+    let at = |wanted: EndpointId| {
+        let mut sent = later.iter();
+        let found = sent.find(|(_, a)| matches!(a, Action::Send { endpoint, .. } if *endpoint == wanted));
+        found.map(|(at, _)| at - T0)
+    };
+    assert!(at(1).is_some_and(|at| at >= 3 * SECOND), "{:?}", at(1));
+    assert!(at(3).is_some_and(|at| at >= 2 * SECOND), "{:?}", at(3));
+    assert!(at(2).is_some_and(|at| at >= 500 * MS), "a spaced trial: {:?}", at(2));
+}
--- a/tests/operations.rs
+++ b/tests/operations.rs
@@ -222,3 +222,148 @@
     node.reload(&node.config.to_string());
     node.until("it is taken", || figure(&node, "sender_config_reloads") == 1);
 }
+
+/// Closed for now, so that what comes for it is held.
+const HELD: u64 = 8;
+
+fn upgradable(endpoint: &Peer) -> (Discovery, Node) {
+    let discovery = Discovery::new(json!([ready("e-1", endpoint.address, 7), closed(HELD)]));
+    let node = Node::with(&discovery, json!([]), Node::controlled);
+    (discovery, node)
+}
+
+fn open(discovery: &Discovery, endpoint: &Peer) {
+    discovery.set(json!([ready("e-1", endpoint.address, 7), ready("e-2", endpoint.address, HELD)]));
+}
+
+/// Each of these was called for once, after all that was handed in before `settle` had its turn.
+fn once_each(node: &Node, endpoint: &Peer, ids: &[String]) {
+    ids.iter().for_each(|id| drop(endpoint.wait_for(id, 1)));
+    assert_eq!(node.hand_in("alert", "settle", 7, 16_000, b"."), 202);
+    endpoint.wait_for("settle", 1);
+    let seen = endpoint.seen();
+    for id in ids {
+        assert_eq!(seen.iter().filter(|r| r.id() == id).count(), 1, "{id}");
+    }
+}
+
+/// Hands in as many messages for a destination; with two processes either may take each.
+fn some(node: &Node, name: &str, dest: u64) -> Vec<String> {
+    let ids: Vec<String> = (0..8).map(|n| format!("{name}-{n}")).collect();
+    for (n, id) in ids.iter().enumerate() {
+        assert_eq!(node.hand_in(["alert", "order"][n % 2], id, dest, 16_000, b"x"), 202);
+    }
+    ids
+}
+
+#[test]
+fn an_upgrade_hands_over_what_is_held_and_never_repeats_what_may_have_run() {
+    let endpoint = Peer::new(|r| if r.id() == "out" { Reply::Hang } else { ok() });
+    let (discovery, mut node) = upgradable(&endpoint);
+    assert_eq!(node.hand_in("order", "out", 7, 16_000, b"x"), 202);
+    endpoint.wait_for("out", 1);
+    let mut ids = some(&node, "before", HELD);
+    node.upgrade();
+    ids.extend(some(&node, "beside", 7));
+    ids.extend(some(&node, "beside-held", HELD));
+    node.terminate_older();
+    ids.extend(some(&node, "after", 7));
+    open(&discovery, &endpoint);
+    once_each(&node, &endpoint, &ids);
+    assert!(node.wait_older().success());
+    // It was out as the old process ended.
+    assert_eq!(discovery.wait_notice("out")["outcome"], "given_up");
+    assert_eq!(endpoint.wait_for("out", 1).len(), 1);
+    assert_eq!(discovery.notices().len(), 1);
+    node.until("only its own files are left", || std::fs::read_dir(node.state()).unwrap().count() == 2);
+}
+
+#[test]
+fn a_wait_that_one_process_was_told_is_kept_by_the_next() {
+    let endpoint = Peer::new(|r| match r.id() {
+        "told" => answer("429 Wait", "Retry-After: 2.5\r\n", ""),
+        _ => ok(),
+    });
+    let (_discovery, mut node) = upgradable(&endpoint);
+    assert_eq!(node.hand_in("order", "told", 7, 2_000, b"x"), 202);
+    let told = endpoint.wait_for("told", 1)[0].at;
+    node.upgrade();
+    node.terminate_older();
+    node.wait_older();
+    assert_eq!(node.hand_in("alert", "next", 7, 16_000, b"x"), 202);
+    let next = endpoint.wait_for("next", 1)[0].at;
+    assert!(next - told >= std::time::Duration::from_millis(2_400), "{:?}", next - told);
+}
+
+#[test]
+fn a_process_killed_beside_another_leaves_its_messages_to_that_one() {
+    let endpoint = Peer::new(|_| ok());
+    let (discovery, mut node) = upgradable(&endpoint);
+    // The new one, before it has anything but what it took from clients.
+    node.upgrade();
+    let mut ids = some(&node, "new-killed", HELD);
+    node.kill_newer();
+    ids.extend(some(&node, "alone", 7));
+    // The old one, without a word.
+    node.upgrade();
+    ids.extend(some(&node, "old-killed", HELD));
+    node.kill_older();
+    open(&discovery, &endpoint);
+    once_each(&node, &endpoint, &ids);
+    assert!(discovery.notices().is_empty());
+}
+
+#[test]
+fn both_killed_after_the_yield_leave_every_message_once_to_the_next_start() {
+    let endpoint = Peer::new(|r| if r.id() == "out" { Reply::Hang } else { ok() });
+    let (discovery, mut node) = upgradable(&endpoint);
+    assert_eq!(node.hand_in("order", "out", 7, 16_000, b"x"), 202);
+    endpoint.wait_for("out", 1);
+    let mut ids = some(&node, "before", HELD);
+    node.upgrade();
+    ids.extend(some(&node, "beside", HELD));
+    // Some are delivered by the new one while the old one's file still holds them.
+    node.terminate_older();
+    open(&discovery, &endpoint);
+    ids.iter().for_each(|id| drop(endpoint.wait_for(id, 1)));
+    assert_eq!(node.hand_in("alert", "settle-first", 7, 16_000, b"."), 202);
+    endpoint.wait_for("settle-first", 1);
+    node.kill();
+    node.kill_older();
+    node.restart();
+    once_each(&node, &endpoint, &ids);
+    assert_eq!(discovery.wait_notice("out")["outcome"], "given_up");
+}
+
+#[test]
+fn clients_that_come_during_an_upgrade_are_all_answered() {
+    use std::sync::atomic::{AtomicBool, Ordering};
+    let endpoint = Peer::new(|_| ok());
+    let (discovery, mut node) = upgradable(&endpoint);
+    for round in 0..2 {
+        node.upgrade();
+        let over = AtomicBool::new(false);
+        let mut older = node.terminate_and_take_older();
+        let ids: Vec<String> = std::thread::scope(|scope| {
+            let client = |name: usize| {
+                let (node, over) = (&node, &over);
+                move || {
+                    let mut ids = Vec::new();
+                    while !over.load(Ordering::SeqCst) {
+                        let id = format!("c-{round}-{name}-{}", ids.len());
+                        assert_eq!(node.hand_in("order", &id, 7, 16_000, b"x"), 202);
+                        ids.push(id);
+                        std::thread::sleep(std::time::Duration::from_millis(10));
+                    }
+                    ids
+                }
+            };
+            let clients: Vec<_> = (0..3).map(|name| scope.spawn(client(name))).collect();
+            assert!(older.wait().unwrap().success());
+            over.store(true, Ordering::SeqCst);
+            clients.into_iter().flat_map(|c| c.join().unwrap()).collect()
+        });
+        ids.iter().for_each(|id| assert_eq!(endpoint.wait_for(id, 1).len(), 1, "{id}"));
+    }
+    assert!(discovery.notices().is_empty());
+}
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -273,6 +273,8 @@
     pub address: SocketAddr,
     discovery: SocketAddr,
     child: Option<Child>,
+    /// The process that an upgrade replaces.
+    older: Option<Child>,
     pub config: Value,
 }
 
@@ -305,7 +307,8 @@
                     "OverloadForNs": 2_000_000_000},
                 "Services": [class("alert", "keyed"), class("order", "unsafe")]}});
         change(&mut config);
-        let mut node = Node { folder, address, discovery: discovery.peer.address, child: None, config };
+        let mut node =
+            Node { folder, address, discovery: discovery.peer.address, child: None, older: None, config };
         node.restart();
         node
     }
@@ -314,6 +317,13 @@
         self.folder.join("state")
     }
 
+    /// The journal of the process that ran last.
+    pub fn journal(&self) -> PathBuf {
+        let files = std::fs::read_dir(self.state()).unwrap().flatten().map(|f| f.path());
+        let number = |p: &PathBuf| p.to_str()?.rsplit_once("journal.")?.1.parse::<u64>().ok();
+        files.filter(|p| number(p).is_some()).max_by_key(number).expect("a journal")
+    }
+
     /// Bytes in the lasting folder, in whole blocks.
     pub fn on_disk(&self) -> u64 {
         let files = std::fs::read_dir(self.state()).unwrap().flatten();
@@ -342,6 +352,51 @@
 
     pub fn restart(&mut self) {
         assert!(self.child.is_none(), "still running");
+        self.spawn();
+        self.until("it is ready", || {
+            let health = "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n";
+            self.ask(health.as_bytes()).is_some_and(|r| r.first.contains(" 200"))
+        });
+    }
+
+    /// Starts a second process beside the one that runs, and waits until it takes clients.
+    pub fn upgrade(&mut self) {
+        self.older = self.child.take();
+        Node::controlled(&mut self.config);
+        self.spawn();
+        let address: SocketAddr = self.config["control"].as_str().unwrap().parse().unwrap();
+        self.until("the new process listens", || TcpStream::connect(address).is_ok());
+        self.until("the new process is ready", || self.control("GET", "/v1/readyz").0 == 200);
+    }
+
+    /// What an upgrade tells the process that it replaces.
+    pub fn terminate_older(&mut self) {
+        let id = self.older.as_ref().unwrap().id().to_string();
+        assert!(Command::new("kill").args(["-TERM", &id]).status().unwrap().success());
+    }
+
+    /// The same, with the process to wait for, so that clients can go on beside.
+    pub fn terminate_and_take_older(&mut self) -> Child {
+        self.terminate_older();
+        self.older.take().unwrap()
+    }
+
+    pub fn wait_older(&mut self) -> ExitStatus {
+        self.older.take().unwrap().wait().unwrap()
+    }
+
+    pub fn kill_older(&mut self) {
+        self.older.as_mut().unwrap().kill().unwrap();
+        self.wait_older();
+    }
+
+    /// Ends the new process of an upgrade at once; the older one is the one that runs again.
+    pub fn kill_newer(&mut self) {
+        self.kill();
+        self.child = self.older.take();
+    }
+
+    fn spawn(&mut self) {
         let config = self.config_path();
         std::fs::write(&config, self.config.to_string()).unwrap();
         let log =
@@ -357,15 +412,6 @@
             .spawn()
             .expect("the sender starts");
         self.child = Some(child);
-        let until = Instant::now() + BOUND;
-        loop {
-            let health = "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n";
-            if self.ask(health.as_bytes()).is_some_and(|r| r.first.contains(" 200")) {
-                return;
-            }
-            assert!(Instant::now() < until, "never ready: {}", self.log());
-            std::thread::sleep(Duration::from_millis(10));
-        }
     }
 
     pub fn log(&self) -> String {
@@ -450,7 +496,7 @@
 
 impl Drop for Node {
     fn drop(&mut self) {
-        if let Some(mut child) = self.child.take() {
+        for mut child in [self.child.take(), self.older.take()].into_iter().flatten() {
             let _ = child.kill();
             let _ = child.wait();
         }
--- a/tests/sender.rs
+++ b/tests/sender.rs
@@ -368,10 +368,10 @@
         assert_eq!(node.hand_in("order", id, 7, 16_000, &[7; 300]), 202);
     }
     node.kill();
-    let path = node.state().join("journal");
+    let path = node.journal();
     let bytes = std::fs::read(&path).unwrap();
     std::fs::write(&path, &bytes[..bytes.len() - 5]).unwrap();
-    std::fs::write(node.state().join("journal.new"), b"a rewrite that was cut short").unwrap();
+    std::fs::write(node.state().join("rewrite.1"), b"a rewrite that was cut short").unwrap();
     discovery.set(json!([ready("e-1", endpoint.address, 7)]));
     node.restart();
     endpoint.wait_for("whole", 1);
@@ -395,6 +395,8 @@
     let mut node = Node::start(&discovery);
     node.kill();
     let noise: Vec<u8> = (0..5_000u32).map(|i| (i.wrapping_mul(2_654_435_761) >> 13) as u8).collect();
+    // Its own, and the one that versions without numbers left.
+    std::fs::write(node.journal(), &noise).unwrap();
     std::fs::write(node.state().join("journal"), noise).unwrap();
     node.restart();
     assert_eq!(node.hand_in("order", "m", 7, 16_000, b"x"), 202);
