Keep what an ended process had delivered known while an older one's file remains

A start beside a process that had yielded and still waited for a call took its file for new work and sent again what the process between them had delivered.

--- a/src/bin/nickelshed/core.rs
+++ b/src/bin/nickelshed/core.rs
@@ -5,8 +5,8 @@
 use crate::connections::Turnover;
 use crate::discovery::List;
 use crate::figures::{End, Figures, Gauges};
-use crate::handover::Elsewhere;
-use crate::journal::{first_id, wall_ms, Begun, Ending, Journal, Live, Record, Release, Taken};
+use crate::handover::{Elsewhere, Left};
+use crate::journal::{first_id, seen, wall_ms, Begun, Ending, Journal, Live, Record, Release, Taken};
 use crate::notices::Notice;
 use leadfold::api::*;
 use leadfold::rules::Sender;
@@ -47,7 +47,7 @@
     /// The platform has answered for these notices.
     Noticed(Vec<u64>),
     /// Messages of other processes that are this one's now, once they are written down here.
-    TakeOver(Vec<Live>, oneshot::Sender<bool>),
+    TakeOver(Left, oneshot::Sender<bool>),
     /// What the others hold of this sender's bounds.
     Elsewhere(Elsewhere),
     EndedElsewhere(Vec<Release>),
@@ -213,7 +213,7 @@
 
     /// Takes up what earlier processes left; false if it could not be written down. `known` may be old, so a fresh
     /// list is waited for, but not for long. While an earlier one `sends` nothing goes out from here.
-    pub async fn resume(&mut self, known: List, left: Vec<Live>, sends: bool) -> bool {
+    pub async fn resume(&mut self, known: List, left: Left, sends: bool) -> bool {
         let mut events = vec![self.list(known, true)];
         let first = timeout(FIRST_LIST, self.inbox.recv()).await;
         if let Ok(Some(Input::List(list))) = first {
@@ -221,7 +221,7 @@
             events.push(self.list(list, whole));
         }
         events.push(Event::Elsewhere { sends, calls: Vec::new() });
-        let count = left.len();
+        let count = left.messages.len();
         let written = self.take_over(left, &mut events);
         if count > 0 {
             tracing::info!(
@@ -235,9 +235,11 @@
     }
 
     /// Makes messages of an earlier process this one's.
-    fn take_over(&mut self, left: Vec<Live>, events: &mut Vec<Event>) -> bool {
-        let left: Vec<Live> = left.into_iter().filter(|l| !self.journal.has_seen(l.taken.id)).collect();
-        let records: Vec<Record> = left.iter().flat_map(Live::records).collect();
+    fn take_over(&mut self, left: Left, events: &mut Vec<Event>) -> bool {
+        let Left { messages: mut left, seen: ended } = left;
+        left.retain(|live| !self.journal.has_seen(live.taken.id));
+        let records = left.iter().flat_map(Live::records);
+        let records: Vec<Record> = records.chain(seen(ended.into_iter())).collect();
         if let Err(error) = self.journal.take_over(&records) {
             tracing::warn!(%error, "cannot take over what another process left; it is tried again");
             return false;
--- a/src/bin/nickelshed/handover.rs
+++ b/src/bin/nickelshed/handover.rs
@@ -29,6 +29,14 @@
 /// Numbers of ended processes, in order, with their locks.
 pub type Dead = Vec<(u64, File)>;
 
+/// What ended processes have left.
+#[derive(Default)]
+pub struct Left {
+    pub messages: Vec<Live>,
+    /// What they had taken over from others and ended: the file that it came from may outlast theirs.
+    pub seen: BTreeSet<u64>,
+}
+
 /// The folder, and this process's number in it.
 pub struct Folder {
     path: PathBuf,
@@ -105,19 +113,19 @@
     }
 
     /// What the dead have left, each message once.
-    pub fn left(&self, dead: &Dead, budget: &Budget) -> Vec<Live> {
-        let mut seen = BTreeSet::new();
-        let mut left = Vec::new();
+    pub fn left(&self, dead: &Dead, budget: &Budget) -> Left {
+        let mut left = Left::default();
         // The newest first: what it had taken over, and perhaps ended, is in the older one's file still.
         for (number, _) in dead.iter().rev() {
             let mut reader = Reader::new(&self.path, *number, budget);
             reader.read();
             reader.warn_if_torn();
             let ledger = reader.ledger;
-            left.extend(ledger.live.into_values().filter(|live| !seen.contains(&live.taken.id)));
-            seen.extend(ledger.seen);
+            left.messages.extend(ledger.live.into_values().filter(|l| !left.seen.contains(&l.taken.id)));
+            left.seen.extend(ledger.seen);
         }
-        left.sort_by_key(|live| live.taken.id);
+        left.messages.sort_by_key(|live| live.taken.id);
+        left.messages.iter().for_each(|live| _ = left.seen.remove(&live.taken.id));
         left
     }
 
@@ -253,20 +261,22 @@
     told: Option<Elsewhere>,
     alone: bool,
     has_successor: bool,
+    /// What the dead left could not be written down: it is tried again.
+    is_stuck: bool,
 }
 
 impl Handover {
     pub fn new(folder: Rc<Folder>, budget: Budget, core: mpsc::Sender<Input>) -> Handover {
         let (before, taken) = Default::default();
-        let (told, alone, has_successor) = (None, true, false);
-        Handover { folder, budget, core, before, taken, told, alone, has_successor }
+        let (told, alone, has_successor, is_stuck) = (None, false, false, false);
+        Handover { folder, budget, core, before, taken, told, alone, has_successor, is_stuck }
     }
 
     /// Until the core has gone. `share` is told whether descriptors are shared with another process, `clear` once
     /// every process that was there before leaves this one its part.
     pub async fn run(mut self, share: impl Fn(bool), clear: watch::Sender<bool>) {
         while self.look(&share, &clear).await.is_some() {
-            sleep(if self.alone { LOOK } else { FOLLOW }).await;
+            sleep(if self.alone || self.is_stuck { LOOK } else { FOLLOW }).await;
         }
     }
 
@@ -278,9 +288,10 @@
         for &number in others.range(..self.folder.own) {
             self.follow(number).await?;
         }
-        let left = self.folder.left(&dead, &self.budget).into_iter();
-        let left = left.filter(|live| !self.taken.contains(&live.taken.id)).collect();
-        if !dead.is_empty() && self.take_over(left).await? {
+        let mut left = self.folder.left(&dead, &self.budget);
+        left.messages.retain(|live| !self.taken.contains(&live.taken.id));
+        self.is_stuck = !dead.is_empty() && !self.take_over(left).await?;
+        if !dead.is_empty() && !self.is_stuck {
             let numbers: Vec<u64> = dead.iter().map(|(n, _)| *n).collect();
             tracing::info!(?numbers, "what ended processes left is taken over");
             self.before.retain(|n, _| !numbers.contains(n));
@@ -320,17 +331,21 @@
             self.core.send(Input::EndedElsewhere(releases)).await.ok()?;
         }
         let new = reader.yielded().filter(|live| !self.taken.contains(&live.taken.id));
-        let new = new.cloned().collect();
+        let left = Left { messages: new.cloned().collect(), seen: BTreeSet::new() };
         self.before.insert(number, (reader, told));
-        self.take_over(new).await.map(|_| ())
+        if !left.messages.is_empty() {
+            self.take_over(left).await?;
+        }
+        Some(())
     }
 
     /// Hands messages to the core; false if it could not write all of them down.
-    async fn take_over(&mut self, mut left: Vec<Live>) -> Option<bool> {
-        while !left.is_empty() {
-            let part: Vec<Live> = left.drain(..left.len().min(AT_ONCE)).collect();
-            let ids: Vec<u64> = part.iter().map(|live| live.taken.id).collect();
+    async fn take_over(&mut self, mut left: Left) -> Option<bool> {
+        while !left.messages.is_empty() || !left.seen.is_empty() {
+            let messages: Vec<Live> = left.messages.drain(..left.messages.len().min(AT_ONCE)).collect();
+            let ids: Vec<u64> = messages.iter().map(|live| live.taken.id).collect();
             let (reply, written) = oneshot::channel();
+            let part = Left { messages, seen: std::mem::take(&mut left.seen) };
             self.core.send(Input::TakeOver(part, reply)).await.ok()?;
             if !written.await.ok()? {
                 return Some(false);
--- a/src/bin/nickelshed/journal.rs
+++ b/src/bin/nickelshed/journal.rs
@@ -317,10 +317,9 @@
         let mut buffer = Vec::new();
         let ledger = &self.ledger;
         ledger.live.values().flat_map(Live::records).for_each(|r| encode(&r, &mut buffer));
-        let ended: Vec<u64> =
-            ledger.seen.iter().copied().filter(|id| !ledger.live.contains_key(id)).collect();
-        let parts = ended.chunks(SEEN_AT_ONCE).map(|ids| Record::Seen(ids.to_vec()));
-        parts.chain(ledger.shared.then_some(Record::Shared)).for_each(|r| encode(&r, &mut buffer));
+        let ended = seen(ledger.seen.iter().copied().filter(|id| !ledger.live.contains_key(id)));
+        let rest = ended.into_iter().chain(ledger.shared.then_some(Record::Shared));
+        rest.for_each(|r| encode(&r, &mut buffer));
         let mut file = File::create(&self.new)?;
         if let Err(e) = file.write_all(&buffer).and_then(|()| fs::rename(&self.new, &self.path)) {
             let _ = fs::remove_file(&self.new);
@@ -331,6 +330,12 @@
     }
 }
 
+/// The records of messages that must not be taken over again.
+pub fn seen(ids: impl Iterator<Item = u64>) -> Vec<Record> {
+    let ids: Vec<u64> = ids.collect();
+    ids.chunks(SEEN_AT_ONCE).map(|part| Record::Seen(part.to_vec())).collect()
+}
+
 impl Live {
     /// All that the file must hold of it.
     pub fn records(&self) -> Vec<Record> {
--- a/tests/operations.rs
+++ b/tests/operations.rs
@@ -227,8 +227,9 @@
 const HELD: u64 = 8;
 
 fn upgradable(endpoint: &Peer) -> (Discovery, Node) {
-    let discovery = Discovery::new(json!([ready("e-1", endpoint.address, 7), closed(HELD)]));
-    let node = Node::with(&discovery, json!([]), Node::controlled);
+    let list = json!([ready("e-1", endpoint.address, 7), closed(HELD)]);
+    let discovery = Discovery::new(list.clone());
+    let node = Node::with(&discovery, list, Node::controlled);
     (discovery, node)
 }
 
@@ -335,6 +336,28 @@
     assert_eq!(discovery.wait_notice("out")["outcome"], "given_up");
 }
 
+#[test]
+fn a_start_beside_a_process_that_has_yielded_repeats_nothing_that_a_dead_one_delivered() {
+    let endpoint = Peer::new(|r| if r.id() == "out" { Reply::Hang } else { ok() });
+    let (discovery, mut node) = upgradable(&endpoint);
+    assert_eq!(node.hand_in("order", "out", 7, 16_000, b"x"), 202);
+    endpoint.wait_for("out", 1);
+    let ids = some(&node, "before", HELD);
+    node.upgrade();
+    node.terminate_older();
+    open(&discovery, &endpoint);
+    ids.iter().for_each(|id| drop(endpoint.wait_for(id, 1)));
+    assert_eq!(node.hand_in("alert", "settle-first", 7, 16_000, b"."), 202);
+    endpoint.wait_for("settle-first", 1);
+    // The oldest still waits for its call; its file holds all that it has yielded.
+    node.kill();
+    node.restart();
+    once_each(&node, &endpoint, &ids);
+    node.wait_older();
+    assert_eq!(discovery.wait_notice("out")["outcome"], "given_up");
+    assert_eq!(discovery.notices().len(), 1);
+}
+
 #[test]
 fn clients_that_come_during_an_upgrade_are_all_answered() {
     use std::sync::atomic::{AtomicBool, Ordering};
