--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -261,8 +261,14 @@
     instance(&format!("closed-{dest}"), nowhere, dest, "plain", "Terminating")
 }
 
+static ADDRESSES: AtomicUsize = AtomicUsize::new(0);
+
+/// An address to listen on later, or again. No other test has its IP, and no connection begins there: on 127.0.0.1
+/// a port that is free for a moment may become some connection's own end before it is bound again.
 pub fn free_address() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+    let (process, number) = (std::process::id(), ADDRESSES.fetch_add(1, Ordering::SeqCst));
+    let ip = [127, 1 + (process >> 8) as u8 % 254, process as u8, 1 + (number % 254) as u8];
+    TcpListener::bind(SocketAddr::from((ip, 0))).unwrap().local_addr().unwrap()
 }
 
 static FOLDERS: AtomicUsize = AtomicUsize::new(0);
