--- a/src/bin/nickelshed/core.rs
+++ b/src/bin/nickelshed/core.rs
@@ -55,6 +55,8 @@
     Inherited(Vec<(Option<String>, Standing)>),
     /// No other process of this sender has files any more.
     Alone,
+    /// Clients can connect; answered once it is written down.
+    Listening(oneshot::Sender<bool>),
     /// A process that was started later is there.
     Succeeded,
     /// Yield all work to that one but the calls out; answered with whether that is written down.
@@ -361,7 +363,8 @@
             Input::Gauges(reply) => _ = reply.send(self.gauges(self.clock(Instant::now()))),
             Input::Wind(until) => self.wind = Some(until),
             Input::Elsewhere(_) | Input::EndedElsewhere(_) | Input::Inherited(_) => {}
-            Input::List(_) | Input::Alone | Input::Succeeded | Input::Probed { .. } => {}
+            Input::List(_) | Input::Alone | Input::Succeeded | Input::Listening(_) | Input::Probed { .. } => {
+            }
         }
         self.write(&records);
     }
@@ -540,6 +543,7 @@
                     records.push(Record::Shared);
                 }
                 Input::Succeeded => {}
+                Input::Listening(reply) => _ = reply.send(self.write(&[Record::Listening])),
                 Input::Yield(reply) => self.yielding = Some(reply),
                 Input::Gauges(reply) => _ = reply.send(self.gauges(now)),
                 Input::Settings(new) => round.events.push(self.reset(*new)),
--- a/src/bin/nickelshed/handover.rs
+++ b/src/bin/nickelshed/handover.rs
@@ -91,9 +91,14 @@
         lock.ok().filter(|lock| lock.try_lock().is_ok())
     }
 
-    /// Whether a process that was started later lives.
-    pub fn has_successor(&self) -> bool {
-        self.others().range(self.own..).any(|&n| self.inherit(n).is_none())
+    /// Whether a process that was started later lives and clients can connect to it.
+    pub fn has_successor(&self, budget: &Budget) -> bool {
+        let listens = |number| {
+            let mut reader = Reader::new(&self.path, number, budget);
+            reader.read();
+            reader.ledger.listening
+        };
+        self.others().range(self.own..).any(|&n| self.inherit(n).is_none() && listens(n))
     }
 
     /// Whether one that was started before lives.
@@ -375,6 +380,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::journal::{Journal, Record};
 
     #[test]
     fn a_number_is_never_used_twice_and_a_folder_does_not_fill_up() {
@@ -382,19 +388,24 @@
         let path = std::env::temp_dir().join(name);
         let _ = fs::remove_dir_all(&path);
         fs::create_dir_all(&path).unwrap();
+        let budget = Budget::new(1.0);
         let enter = || {
             let folder = Folder::enter(&path).unwrap();
-            File::create(folder.paths().0).unwrap();
-            folder
+            let (path, rewrite) = folder.paths();
+            let journal = Journal::create(path, rewrite, folder.own, 1.0).unwrap();
+            (folder, journal)
         };
-        let first = enter();
-        assert!(!first.has_successor() && !first.has_predecessor());
-        let second = enter();
-        assert!(first.has_successor() && second.has_predecessor() && !second.has_successor());
+        let (first, _) = enter();
+        assert!(!first.has_successor(&budget) && !first.has_predecessor());
+        let (second, mut journal) = enter();
+        assert!(second.has_predecessor() && !second.has_successor(&budget));
+        assert!(!first.has_successor(&budget), "clients would find nobody yet");
+        journal.write(&[Record::Listening]).unwrap();
+        assert!(first.has_successor(&budget));
         drop(second);
-        assert!(!first.has_successor(), "its lock is let go with it");
+        assert!(!first.has_successor(&budget), "its lock is let go with it");
         first.discard(first.dead());
-        let third = enter();
+        let (third, _) = enter();
         assert_eq!((first.own, third.own), (1, 3));
         drop(first);
         third.discard(third.dead());
--- a/src/bin/nickelshed/journal.rs
+++ b/src/bin/nickelshed/journal.rs
@@ -93,6 +93,9 @@
     /// The process that came after this one is known, and descriptors are shared with it.
     #[serde(rename = "H")]
     Shared,
+    /// Clients can connect to the process that writes this.
+    #[serde(rename = "L")]
+    Listening,
     /// All is the next process's, but for these attempts that are out and the notices under way.
     #[serde(rename = "Y")]
     Yielded(Vec<(u64, u32)>, Vec<(Option<String>, Standing)>),
@@ -135,6 +138,7 @@
     /// Messages of other files that were taken over into this one, ended or not.
     pub seen: BTreeSet<u64>,
     pub shared: bool,
+    pub listening: bool,
     /// Attempts still out, once the rest was yielded.
     pub out: Option<BTreeSet<(u64, u32)>>,
     /// What came with the yield and after it.
@@ -319,6 +323,7 @@
         ledger.live.values().flat_map(Live::records).for_each(|r| encode(&r, &mut buffer));
         let ended = seen(ledger.seen.iter().copied().filter(|id| !ledger.live.contains_key(id)));
         let rest = ended.into_iter().chain(ledger.shared.then_some(Record::Shared));
+        let rest = rest.chain(ledger.listening.then_some(Record::Listening));
         rest.for_each(|r| encode(&r, &mut buffer));
         let mut file = File::create(&self.new)?;
         if let Err(e) = file.write_all(&buffer).and_then(|()| fs::rename(&self.new, &self.path)) {
@@ -395,6 +400,7 @@
             }
             Record::Seen(ids) => self.seen.extend(ids),
             Record::Shared => self.shared = true,
+            Record::Listening => self.listening = true,
             Record::Yielded(out, standings) => {
                 self.out = Some(out.iter().copied().collect());
                 self.standings = standings.clone();
--- a/src/bin/nickelshed/main.rs
+++ b/src/bin/nickelshed/main.rs
@@ -77,10 +77,10 @@
     }
 }
 
-/// Yields all work but the calls out to the next process; whether it is done.
-async fn yields(core: &mpsc::Sender<core::Input>) -> bool {
+/// Asks something of the core; false too where it has gone.
+async fn asked(core: &mpsc::Sender<core::Input>, what: fn(oneshot::Sender<bool>) -> core::Input) -> bool {
     let (reply, done) = oneshot::channel();
-    let _ = core.send(core::Input::Yield(reply)).await;
+    let _ = core.send(what(reply)).await;
     done.await.unwrap_or(false)
 }
 
@@ -152,7 +152,7 @@
         figures,
     };
     spawn_local(reload.run(hangup));
-    let handover = handover::Handover::new(folder.clone(), budget, core_in.clone());
+    let handover = handover::Handover::new(folder.clone(), budget.clone(), core_in.clone());
     let (shared, mut clear) = watch::channel(!has_predecessor);
     let (bounds, links) = (server.clone(), pool);
     let share = move |shared| {
@@ -169,6 +169,8 @@
     // Only now: a sender is used once it answers, and what the journals hold comes first.
     let listener = listen::bind(listen).map_err(|e| format!("cannot listen on {listen}: {e}"))?;
     let accepting = spawn_local(server.clone().accept(listener, closing));
+    // Written down before it is said: from now on the process before this one may be told to end.
+    asked(&core_in, core::Input::Listening).await;
     drain.listening();
 
     tokio::select! {
@@ -180,7 +182,7 @@
     let told = Instant::now();
     drain.end();
     // With a process to go on, clients find that one: nothing more need be taken here but what is on its way.
-    if !(folder.has_successor() && yields(&core_in).await) {
+    if !(folder.has_successor(&budget) && asked(&core_in, core::Input::Yield).await) {
         sleep(ACCEPT_ON).await;
     }
     let _ = close.send(true);
--- a/tests/operations.rs
+++ b/tests/operations.rs
@@ -257,13 +257,19 @@
     ids
 }
 
-#[test]
-fn an_upgrade_hands_over_what_is_held_and_never_repeats_what_may_have_run() {
+/// A sender with one call that is never answered and some messages that are held.
+fn with_a_call_out() -> (Peer, Discovery, Node, Vec<String>) {
     let endpoint = Peer::new(|r| if r.id() == "out" { Reply::Hang } else { ok() });
-    let (discovery, mut node) = upgradable(&endpoint);
+    let (discovery, node) = upgradable(&endpoint);
     assert_eq!(node.hand_in("order", "out", 7, 16_000, b"x"), 202);
     endpoint.wait_for("out", 1);
-    let mut ids = some(&node, "before", HELD);
+    let ids = some(&node, "before", HELD);
+    (endpoint, discovery, node, ids)
+}
+
+#[test]
+fn an_upgrade_hands_over_what_is_held_and_never_repeats_what_may_have_run() {
+    let (endpoint, discovery, mut node, mut ids) = with_a_call_out();
     node.upgrade();
     ids.extend(some(&node, "beside", 7));
     ids.extend(some(&node, "beside-held", HELD));
@@ -316,11 +322,7 @@
 
 #[test]
 fn both_killed_after_the_yield_leave_every_message_once_to_the_next_start() {
-    let endpoint = Peer::new(|r| if r.id() == "out" { Reply::Hang } else { ok() });
-    let (discovery, mut node) = upgradable(&endpoint);
-    assert_eq!(node.hand_in("order", "out", 7, 16_000, b"x"), 202);
-    endpoint.wait_for("out", 1);
-    let mut ids = some(&node, "before", HELD);
+    let (endpoint, discovery, mut node, mut ids) = with_a_call_out();
     node.upgrade();
     ids.extend(some(&node, "beside", HELD));
     // Some are delivered by the new one while the old one's file still holds them.
@@ -338,11 +340,7 @@
 
 #[test]
 fn a_start_beside_a_process_that_has_yielded_repeats_nothing_that_a_dead_one_delivered() {
-    let endpoint = Peer::new(|r| if r.id() == "out" { Reply::Hang } else { ok() });
-    let (discovery, mut node) = upgradable(&endpoint);
-    assert_eq!(node.hand_in("order", "out", 7, 16_000, b"x"), 202);
-    endpoint.wait_for("out", 1);
-    let ids = some(&node, "before", HELD);
+    let (endpoint, discovery, mut node, ids) = with_a_call_out();
     node.upgrade();
     node.terminate_older();
     open(&discovery, &endpoint);
