--- a/src/api.rs
+++ b/src/api.rs
@@ -191,8 +191,8 @@
     pub may_have_run: bool,
 }
 
-/// What one process of a sender hands to the next of a route: a destination, or one endpoint of it where routes are
-/// separate. All times are spans from now: left to wait, or passed.
+/// What one process of a sender hands to the next of a route: a destination, or one endpoint of it where
+/// routes are separate. All times are spans from now: left to wait, or passed.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Standing {
     pub dest: DestId,
@@ -228,8 +228,8 @@
         past: Vec<PastAttempt>,
     },
     AttemptEnd(AttemptEnd),
-    /// Calls that another process of this sender still has out, by destination: they hold slots. While it sends
-    /// by itself (`sends`) it has them all.
+    /// Calls that another process of this sender still has out, by destination: they hold slots. While it
+    /// sends by itself (`sends`) it has them all.
     Elsewhere {
         sends: bool,
         calls: Vec<DestId>,
@@ -238,8 +238,8 @@
     EndedElsewhere(AttemptEnd),
     /// What the process that sent before this one knew.
     Inherited(Vec<Standing>),
-    /// New settings in place of the old. A class that open messages have keeps its number and its rules: it is in
-    /// the table for as long as they are, though no new message comes with it.
+    /// New settings in place of the old. A class that open messages have keeps its number and its rules: it is
+    /// in the table for as long as they are, though no new message comes with it.
     Settings(Settings),
     /// The client took the message back; nothing more is owed.
     Expired {
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -350,8 +350,8 @@
         self.calls.len() + self.elsewhere >= self.cfg.slots
     }
 
-    /// While another process of this sender sends, this one holds what it takes; later that one's calls out hold
-    /// their slots and count for the caps.
+    /// While another process of this sender sends, this one holds what it takes; later that one's calls out
+    /// hold their slots and count for the caps.
     fn elsewhere(&mut self, sends: bool, calls: &[DestId]) {
         self.elsewhere = if sends { self.cfg.slots } else { calls.len() };
         self.dests.values_mut().for_each(|dest| dest.elsewhere = 0);
@@ -414,7 +414,7 @@
         self.due(s.dest, LONG_AGO);
     }
 
-    /// Takes new settings. What was measured of a class stands while its rules do; caps keep to the new slots.
+    /// Takes new settings. What was measured of a class stands while its rules do; caps keep to new slots.
     fn settings(&mut self, new: &Settings) {
         let old = std::mem::replace(&mut self.cfg, new.clone());
         let (before, after) = (top(&old), top(new));
