Hand over which endpoints are closed, as discovery may be silent in an upgrade

A process started while discovery is silent knew only the list in its configuration, and sent new work to what its predecessor had been told drains.

--- a/src/bin/nickelshed/connections.rs
+++ b/src/bin/nickelshed/connections.rs
@@ -270,6 +270,12 @@
         self.places.borrow_mut().values_mut().for_each(|p| p.usable = false);
     }
 
+    /// Nothing more is written to an endpoint until a list names it as ready.
+    pub fn withdraw(&self, endpoint: EndpointId) {
+        self.places.borrow_mut().get_mut(&endpoint).into_iter().for_each(|place| place.usable = false);
+        self.close_idle(endpoint);
+    }
+
     /// Whether nothing more may be written to an endpoint, and no wait is kept under its number.
     pub fn is_done_with(&self, endpoint: EndpointId) -> bool {
         let places = self.places.borrow();
--- a/src/bin/nickelshed/core.rs
+++ b/src/bin/nickelshed/core.rs
@@ -6,7 +6,8 @@
 use crate::discovery::List;
 use crate::figures::{End, Figures, Gauges};
 use crate::handover::{Elsewhere, Left};
-use crate::journal::{first_id, seen, wall_ms, Begun, Ending, Journal, Live, Record, Release, Taken};
+use crate::journal::{first_id, seen, wall_ms};
+use crate::journal::{Begun, Ending, Inheritance, Journal, Live, Record, Release, Taken};
 use crate::notices::Notice;
 use leadfold::api::*;
 use leadfold::rules::Sender;
@@ -51,8 +52,8 @@
     /// What the others hold of this sender's bounds.
     Elsewhere(Elsewhere),
     EndedElsewhere(Vec<Release>),
-    /// What the process before knew of routes, by the names of their endpoints where these are routes apart.
-    Inherited(Vec<(Option<String>, Standing)>),
+    /// What the process that sent before this one knew.
+    Inherited(Inheritance),
     /// No other process of this sender has files any more.
     Alone,
     /// Clients can connect; answered once it is written down.
@@ -80,7 +81,8 @@
 /// An endpoint that a list has named.
 struct Known {
     name: String,
-    kind: usize,
+    /// As the list had it last.
+    entry: Entry,
     /// In the list, in whatever state.
     listed: bool,
     /// Since when it takes nothing new.
@@ -121,6 +123,8 @@
     start: Instant,
     names: HashMap<String, EndpointId>,
     endpoints: HashMap<EndpointId, Known>,
+    /// The version of the list.
+    generation: u64,
     /// Numbers are never used again: calls and the module may know an endpoint longer than the list.
     next_endpoint: EndpointId,
     /// All destinations that a list has named: as many as there are customers' systems.
@@ -188,6 +192,7 @@
             names: HashMap::new(),
             dests: HashSet::new(),
             endpoints: HashMap::new(),
+            generation: 0,
             next_endpoint: 0,
             held: BTreeMap::new(),
             traces: HashMap::new(),
@@ -333,9 +338,12 @@
         let named = |s: Standing| {
             (s.endpoint.and_then(|e| self.endpoints.get(&e)).map(|known| known.name.clone()), s)
         };
-        let (calls, standings) = (out.len(), standings.map(named).collect());
+        let closed = self.endpoints.values().filter(|known| known.closed.is_some());
+        let closed = closed.map(|known| known.name.clone()).collect();
+        let (calls, generation) = (out.len(), self.generation);
+        let inheritance = Inheritance { standings: standings.map(named).collect(), generation, closed };
         let kept: HashSet<u64> = out.iter().map(|(id, _)| *id).collect();
-        if let Err(error) = self.journal.give_over(Record::Yielded(out, standings)) {
+        if let Err(error) = self.journal.give_over(Record::Yielded(out, inheritance)) {
             tracing::error!(%error, "cannot yield to the next process");
             return false;
         }
@@ -407,6 +415,31 @@
         }
     }
 
+    fn inherit(&mut self, inheritance: Inheritance, events: &mut Vec<Event>) {
+        let Inheritance { standings, generation, closed } = inheritance;
+        if generation > self.generation {
+            tracing::info!(generation, own = self.generation, "the process before this one has a newer list");
+            events.push(self.close(&closed));
+        }
+        let named = |(name, standing): (Option<String>, Standing)| {
+            let endpoint = name.and_then(|name| self.names.get(&name).copied());
+            Standing { endpoint, ..standing }
+        };
+        events.push(Event::Inherited(standings.into_iter().map(named).collect()));
+    }
+
+    /// Sends nothing new to these endpoints until a list says otherwise.
+    fn close(&mut self, names: &[String]) -> Event {
+        let mut entries = Vec::new();
+        for endpoint in names.iter().filter_map(|name| self.names.get(name)) {
+            let Some(known) = self.endpoints.get_mut(endpoint) else { continue };
+            known.closed.get_or_insert_with(Instant::now);
+            self.client.pool.withdraw(*endpoint);
+            entries.push(Entry { condition: Condition::Draining, ..known.entry });
+        }
+        Event::List { whole: false, entries }
+    }
+
     fn ended_elsewhere(&self, r: &Release) -> Option<Event> {
         let endpoint = *self.names.get(&r.endpoint)?;
         let (id, attempt, outcome, took, wait) = (r.id, r.attempt, r.outcome, r.took, r.wait);
@@ -447,6 +480,7 @@
                 known.closed.get_or_insert(now);
             }
         }
+        self.generation = list.generation;
         let mut entries = Vec::new();
         for instance in list.instances() {
             let condition = match instance.lifecycle.as_str() {
@@ -463,14 +497,15 @@
             let zone = position(&self.around.zones, &instance.zone).unwrap_or(usize::MAX);
             let separate = self.settings.kinds.get(kind).is_some_and(|k| k.separate_routes);
             let ready = condition == Condition::Ready;
-            let new = || Known { name: instance.name.clone(), kind, listed: true, closed: None };
+            let (dest, hint) = (instance.dest, instance.weight);
+            let entry = Entry { endpoint, dest, kind, zone, condition, hint };
+            let new = || Known { name: instance.name.clone(), entry, listed: true, closed: None };
             let known = self.endpoints.entry(endpoint).or_insert_with(new);
-            (known.kind, known.listed) = (kind, condition != Condition::Gone);
+            (known.entry, known.listed) = (entry, condition != Condition::Gone);
             known.closed = if ready { None } else { known.closed.or(Some(now)) };
             self.client.pool.place(endpoint, instance.address, instance.dest, separate, ready);
-            let (dest, hint) = (instance.dest, instance.weight);
             self.dests.insert(dest);
-            entries.push(Entry { endpoint, dest, kind, zone, condition, hint });
+            entries.push(entry);
         }
         self.forget_endpoints(now);
         Event::List { whole, entries }
@@ -530,13 +565,7 @@
                     let ends = releases.iter().filter_map(|r| self.ended_elsewhere(r));
                     round.events.extend(ends);
                 }
-                Input::Inherited(standings) => {
-                    let named = |(name, standing): (Option<String>, Standing)| {
-                        let endpoint = name.and_then(|name| self.names.get(&name).copied());
-                        Standing { endpoint, ..standing }
-                    };
-                    round.events.push(Event::Inherited(standings.into_iter().map(named).collect()));
-                }
+                Input::Inherited(inheritance) => self.inherit(inheritance, &mut round.events),
                 Input::Alone => self.journal.forget_seen(),
                 Input::Succeeded if !self.is_succeeded => {
                     self.is_succeeded = true;
@@ -565,7 +594,7 @@
                 Action::Send { id, endpoint, limit, by } => {
                     let known = self.endpoints.get(&endpoint);
                     let (Some(held), Some(known)) = (self.held.get_mut(&id), known) else { continue };
-                    let (name, kind) = (known.name.clone(), known.kind);
+                    let (name, kind) = (known.name.clone(), known.entry.kind);
                     let attempt = held.attempts;
                     let record = Begun { number: attempt, at: wall, endpoint: name, never_ran: false };
                     begun.push(Record::Begun(id, record));
--- a/src/bin/nickelshed/handover.rs
+++ b/src/bin/nickelshed/handover.rs
@@ -328,7 +328,7 @@
         reader.read();
         if sent && !reader.sends() {
             tracing::info!(number, "the process before this one has yielded its work");
-            self.core.send(Input::Inherited(reader.ledger.standings.clone())).await.ok()?;
+            self.core.send(Input::Inherited(reader.ledger.inheritance.clone())).await.ok()?;
         }
         let releases: Vec<Release> = reader.ledger.releases[told..].to_vec();
         let told = told + releases.len();
--- a/src/bin/nickelshed/journal.rs
+++ b/src/bin/nickelshed/journal.rs
@@ -98,12 +98,26 @@
     Listening,
     /// All is the next process's, but for these attempts that are out and the notices under way.
     #[serde(rename = "Y")]
-    Yielded(Vec<(u64, u32)>, Vec<(Option<String>, Standing)>),
+    Yielded(Vec<(u64, u32)>, Inheritance),
     /// One of these attempts has ended without a delivery.
     #[serde(rename = "R")]
     Released(Release),
 }
 
+/// What the next process must know as soon as it sends.
+#[derive(Serialize, Deserialize, Clone, Debug, Default)]
+pub struct Inheritance {
+    /// By the names of their endpoints where these are routes apart.
+    #[serde(rename = "s")]
+    pub standings: Vec<(Option<String>, Standing)>,
+    /// The list's version, and the endpoints that take nothing new by it: the next process may have an older one
+    /// while discovery is silent.
+    #[serde(rename = "g")]
+    pub generation: u64,
+    #[serde(rename = "c")]
+    pub closed: Vec<String>,
+}
+
 #[derive(Serialize, Deserialize, Clone, Debug)]
 pub struct Release {
     #[serde(rename = "i")]
@@ -142,7 +156,7 @@
     /// Attempts still out, once the rest was yielded.
     pub out: Option<BTreeSet<(u64, u32)>>,
     /// What came with the yield and after it.
-    pub standings: Vec<(Option<String>, Standing)>,
+    pub inheritance: Inheritance,
     pub releases: Vec<Release>,
 }
 
@@ -401,9 +415,9 @@
             Record::Seen(ids) => self.seen.extend(ids),
             Record::Shared => self.shared = true,
             Record::Listening => self.listening = true,
-            Record::Yielded(out, standings) => {
+            Record::Yielded(out, inheritance) => {
                 self.out = Some(out.iter().copied().collect());
-                self.standings = standings.clone();
+                self.inheritance = inheritance.clone();
             }
             Record::Released(release) => {
                 self.out.iter_mut().for_each(|out| _ = out.remove(&(release.id, release.attempt)));
--- a/tests/operations.rs
+++ b/tests/operations.rs
@@ -312,6 +312,26 @@
     assert!(next - told >= std::time::Duration::from_millis(2_400), "{:?}", next - told);
 }
 
+#[test]
+fn a_drain_that_one_process_heard_binds_the_next_though_discovery_is_silent() {
+    let (drained, fresh) = (Peer::new(|_| ok()), Peer::new(|_| ok()));
+    let (discovery, mut node) = upgradable(&drained);
+    let gone = instance("e-1", drained.address, 7, "plain", "Terminating");
+    discovery.set(json!([gone.clone()]));
+    node.until("the drain is heard", || discovery.peer.seen().iter().any(|r| r.first.contains("index=2")));
+    discovery.silence();
+    // Its configuration still has the endpoint as ready.
+    node.upgrade();
+    node.terminate_older();
+    node.wait_older();
+    let ids = some(&node, "m", 7);
+    node.until("the new process sends", || node.log().contains("has a newer list"));
+    discovery.speak();
+    discovery.set(json!([gone, ready("e-3", fresh.address, 7)]));
+    ids.iter().for_each(|id| drop(fresh.wait_for(id, 1)));
+    assert!(drained.seen().is_empty());
+}
+
 #[test]
 fn a_process_killed_beside_another_leaves_its_messages_to_that_one() {
     let endpoint = Peer::new(|_| ok());
