Close idle connections in a large fleet; read full connection tables as such

Endpoints hold few connections, and each of 100 senders kept an idle one for 9 s. The module knows scarcity by NoConnection only, which these answers never were; it read them as the limit's, cut its share and paused. Closing only where a sender was refused itself (tried) leaves places taken for 10 s, as those that hold them are never refused.

Ruled out: a refused connect (none), told waits (22 to 129 a destination), CPU (0.01 of a second), descriptors.

At fault: rules.rs close_idle (only after scarcity, only as a call ends, never without messages) and judge; calls.rs outcome. Now connections that are idle for longer than three senders' part of the settings' time are closed, and such an answer is Crowded: it says nothing of the limit or an outage.

--- a/src/api.rs
+++ b/src/api.rs
@@ -147,6 +147,8 @@
     TurnedAway,
     NoAnswer,
     NoConnection,
+    /// Turned away with its new connection: the endpoint lives, but holds all the connections it takes.
+    Crowded,
     ConnectionLost,
     CalledOff,
     NotSent,
@@ -155,7 +157,7 @@
 impl Outcome {
     /// It proves that the attempt had no effect.
     pub fn never_ran(self) -> bool {
-        matches!(self, Outcome::TurnedAway | Outcome::NoConnection | Outcome::NotSent)
+        matches!(self, Outcome::TurnedAway | Outcome::NoConnection | Outcome::Crowded | Outcome::NotSent)
     }
 
     /// The attempt may run on after this outcome.
--- a/src/bin/nickelshed/calls.rs
+++ b/src/bin/nickelshed/calls.rs
@@ -61,6 +61,8 @@
 
 /// What an answer said.
 struct Answer {
+    /// The first one on its connection.
+    fresh: bool,
     status: u16,
     headers: HeaderMap,
     /// Of a call with several messages and 200: the whole answer. Else what is left to read.
@@ -178,9 +180,9 @@
                 Ok(answer) => break (link, answer),
             }
         };
+        let closes = says_close(&answer.headers);
         let ends = read_ends(&members, &answer, endpoint, started);
-        let closes =
-            answer.headers.get(CONNECTION).is_some_and(|v| v.as_bytes().eq_ignore_ascii_case(b"close"));
+        tracing::debug!(endpoint, status = answer.status, closes, fresh = answer.fresh, "answer");
         let at_rest = link.finish(answer.rest).await;
         if at_rest && !closes {
             self.pool.give_back(endpoint, link);
@@ -198,7 +200,7 @@
         endpoint: EndpointId,
         several: bool,
     ) -> Result<Answer, Fault> {
-        let socket = link.socket.clone();
+        let (socket, fresh) = (link.socket.clone(), link.idle().is_none());
         let (head, body) = tokio::select! {
             biased;
             answer = link.send(request) => answer?.into_parts(),
@@ -214,9 +216,9 @@
             let whole = timeout(WHOLE, Limited::new(body, MAX_BODY).collect()).await;
             let whole = whole.map_err(|_| Fault::Broken("the answer does not end".into()))?;
             let whole = whole.map_err(|e| Fault::Broken(format!("the answer can't be read: {e}")))?;
-            return Ok(Answer { status, headers, ends: Some(whole.to_bytes()), rest: None });
+            return Ok(Answer { fresh, status, headers, ends: Some(whole.to_bytes()), rest: None });
         }
-        Ok(Answer { status, headers, ends: None, rest: Some(body) })
+        Ok(Answer { fresh, status, headers, ends: None, rest: Some(body) })
     }
 
     async fn report(&self, ends: Vec<AttemptEnd>) {
@@ -232,10 +234,11 @@
         if !self.pool.may_write(endpoint) {
             return self.probed(endpoint, Outcome::NotSent, None).await;
         }
+        let fresh = link.idle().is_none();
         let asked = request("GET", "/healthz", link.at, &[], Bytes::new());
         let (outcome, report) = match timeout(self.pool.dial.get(), link.exchange(asked, MAX_BODY)).await {
             Ok(Ok((status, headers, _))) => {
-                let (outcome, ..) = outcome(status, &headers);
+                let (outcome, ..) = outcome(status, &headers, fresh);
                 self.pool.give_back(endpoint, link);
                 (outcome, load_report(&headers))
             }
@@ -309,11 +312,14 @@
 }
 
 /// The protocol's table: outcome, and whether the message is over. What it does not name may have run.
-fn outcome(status: u16, headers: &HeaderMap) -> (Outcome, bool) {
+fn outcome(status: u16, headers: &HeaderMap, fresh: bool) -> (Outcome, bool) {
     match status {
         200 => (Outcome::Served, true),
         429 => (Outcome::TurnedAway, false),
         503 if headers.get("x-line-busy").is_some_and(|v| v.as_bytes() == b"1") => (Outcome::NotSent, false),
+        // A limit, a queue and a shut door are told on a connection that stays; one that the endpoint has no room
+        // for is turned away as a whole.
+        503 if fresh && says_close(headers) && wait_told(headers).is_none() => (Outcome::Crowded, false),
         503 => (Outcome::TurnedAway, false),
         410 => (Outcome::NotSent, true),
         400 | 413 | 504 => (Outcome::NotSent, false),
@@ -330,7 +336,7 @@
     let states: Option<HashMap<String, String>> =
         list.map(|l| l.iter().filter_map(|v| Some((text(v, "id")?, text(v, "state")?))).collect());
     let state = |m: &Member| {
-        let Some(states) = &states else { return outcome(answer.status, &answer.headers) };
+        let Some(states) = &states else { return outcome(answer.status, &answer.headers, answer.fresh) };
         match states.get(&m.taken.trace).map(String::as_str) {
             Some("done") => (Outcome::Served, true),
             Some("busy") => (Outcome::TurnedAway, false),
@@ -383,6 +389,10 @@
     }
 }
 
+fn says_close(headers: &HeaderMap) -> bool {
+    headers.get(CONNECTION).is_some_and(|v| v.as_bytes().eq_ignore_ascii_case(b"close"))
+}
+
 /// `Retry-After` in seconds, whole or with decimals.
 fn wait_told(headers: &HeaderMap) -> Option<Duration> {
     let seconds: f64 = headers.get(RETRY_AFTER)?.to_str().ok()?.trim().parse().ok()?;
@@ -400,3 +410,22 @@
     };
     Some(Report { left: value("x0")?, limit: value("x1")? })
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_connection_that_is_turned_away_as_a_whole_is_no_word_of_the_limit() {
+        let headers = |pairs: &[(&'static str, &str)]| -> HeaderMap {
+            pairs.iter().map(|(name, value)| (name.parse().unwrap(), value.parse().unwrap())).collect()
+        };
+        let close = headers(&[("connection", "close")]);
+        assert_eq!(outcome(503, &close, true), (Outcome::Crowded, false));
+        assert_eq!(outcome(503, &close, false), (Outcome::TurnedAway, false));
+        assert_eq!(outcome(503, &headers(&[]), true), (Outcome::TurnedAway, false));
+        let told = headers(&[("connection", "close"), ("retry-after", "0.4")]);
+        assert_eq!(outcome(503, &told, true), (Outcome::TurnedAway, false));
+        assert_eq!(outcome(429, &close, true), (Outcome::TurnedAway, false));
+    }
+}
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -41,9 +41,6 @@
 /// What is gone from the list is remembered for so long after its last failure.
 const KEEP: Ns = 60 * SECOND;
 
-/// For so long after a call got no connection its kind of endpoint is taken to be short of them.
-const SCARCE: Ns = 60 * SECOND;
-
 /// What was told of a limit's use holds for so long; then the share used doubles each time.
 const STALE: Ns = 5 * SECOND;
 
@@ -125,9 +122,9 @@
     /// Those with work held, by when a call may become possible: an event makes its destination due at once.
     agenda: BTreeSet<(Ns, DestId)>,
     trials: usize,
-    /// Endpoints whose calls ended in this batch, and when each kind last took no connection.
-    ended: Vec<EndpointId>,
-    scarce_at: BTreeMap<usize, Ns>,
+    /// Endpoints whose calls ended in this batch, and all that may have idle connections.
+    ended: BTreeSet<EndpointId>,
+    idle: BTreeSet<EndpointId>,
     next_end: Ns,
     forgot_at: Ns,
     decided_at: Ns,
@@ -170,8 +167,8 @@
         if periodic || self.open >= self.cfg.max_open {
             self.make_room(out);
         }
-        self.close_idle(out);
-        if !self.messages.is_empty() {
+        let lingers = self.close_idle(periodic, out);
+        if !self.messages.is_empty() || lingers {
             let due = self.agenda.first().filter(|_| !self.is_full());
             let wake = due.map_or(Ns::MAX, |d| d.0).min(self.next_end).min(self.decided_at + PERIOD);
             let wake = wake.max(self.now + self.cfg.tick.max(1));
@@ -230,21 +227,27 @@
         (self.random >> 11) as f64 / (1u64 << 53) as f64
     }
 
-    /// Where its kind was short of connections, closes idle ones that are seldom used, as others may need
-    /// their place: all senders together keep about as many as three would. Costs handshakes.
-    fn close_idle(&mut self, out: &mut Vec<Action>) {
-        let mut ended = std::mem::take(&mut self.ended);
-        ended.sort_unstable();
-        ended.dedup();
+    /// Closes idle connections that are seldom used or have stood for long: an endpoint takes only so many, and
+    /// those who hold them hear nothing from the others that find no place. All senders together keep about as
+    /// many as three would, which keep all. Costs handshakes. Tells whether some are still to be closed, though
+    /// no message may come by then.
+    fn close_idle(&mut self, periodic: bool, out: &mut Vec<Action>) -> bool {
+        let ended = std::mem::take(&mut self.ended);
         let brief = 3 * self.cfg.idle_close / self.cfg.n_instances.max(3) as Ns;
-        for id in ended {
+        if brief >= self.cfg.idle_close {
+            return false;
+        }
+        self.idle.extend(&ended);
+        for id in if periodic { self.idle.clone() } else { ended } {
             let Some(place) = self.endpoints.get_mut(&id) else { continue };
-            let scarce = self.scarce_at.get(&place.kind).is_some_and(|&at| self.now - at < SCARCE);
-            if scarce && place.gap >= brief {
+            let stood = if place.in_flight > 0 { 0 } else { self.now - place.used_at };
+            if place.gap.max(stood) >= brief {
                 place.warm = place.in_flight.div_ceil(self.cfg.streams_per_conn);
+                self.idle.remove(&id);
                 out.push(Action::Close { endpoint: id });
             }
         }
+        !self.idle.is_empty()
     }
 
     /// The periodic part: overdue calls, caps, and all held work is due for a look.
@@ -270,6 +273,7 @@
         let now = self.now;
         self.endpoints.retain(|_, e| e.usable || e.in_flight > 0);
         let endpoints = &self.endpoints;
+        self.idle.retain(|id| endpoints.contains_key(id));
         let named: BTreeSet<RouteId> = endpoints.keys().map(|&e| self.route_of(e)).collect();
         self.routes.retain(|id, r| {
             let seen = r.last_failure.max(r.next_trial).max(r.wait_until);
@@ -517,7 +521,10 @@
             // class misses there once about half of its calls fail.
             let took = if e.outcome == Outcome::Served { e.took.max(0) } else { class.aim };
             // What never reached it, and a kept connection that it had closed, tell nothing of its load.
-            let unseen = matches!(e.outcome, Outcome::NotSent | Outcome::CalledOff | Outcome::NoConnection);
+            let unseen = matches!(
+                e.outcome,
+                Outcome::NotSent | Outcome::CalledOff | Outcome::NoConnection | Outcome::Crowded
+            );
             if !unseen && !e.kept {
                 let cells = dest.cells.len() / self.cfg.classes.len();
                 dest.cells[message.class * cells + level.min(cells - 1)].book(now, took as f64);
@@ -554,7 +561,7 @@
             if let Some(place) = self.endpoints.get_mut(&e.endpoint).filter(|_| last) {
                 place.in_flight -= 1;
                 place.used_at = now;
-                self.ended.push(e.endpoint);
+                self.ended.insert(e.endpoint);
             }
             if first {
                 self.judge(e, route_id, sent, overdue);
@@ -642,11 +649,15 @@
                 left.map_or(e.wait >= SHUT_WAIT || route.refusals >= SHUT_RUN, |l| l > 0.4)
             }
             Outcome::NoConnection => {
-                self.scarce_at.insert(place.kind, now);
                 // If it answered another call meanwhile its connections are all taken, and it is not down.
                 place.avoid_until = now + SECOND;
                 place.served_at < now.saturating_sub(e.took.max(self.cfg.tick))
             }
+            Outcome::Crowded => {
+                place.avoid_until = now + SECOND;
+                route.not_before = route.not_before.max(now + (PERIOD as f64 * jitter) as Ns);
+                false
+            }
             // The endpoint may have closed an idle connection: whether it is down a new one will tell.
             Outcome::ConnectionLost if e.kept => false,
             Outcome::ServerError | Outcome::NoAnswer | Outcome::ConnectionLost => {
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -130,7 +130,9 @@
 #[test]
 fn resend_and_refusal_follow_the_effect_and_what_the_outcome_proves() {
     use Outcome::*;
-    for outcome in [ServerError, TurnedAway, NoAnswer, NoConnection, ConnectionLost, CalledOff, NotSent] {
+    for outcome in
+        [ServerError, TurnedAway, NoAnswer, NoConnection, Crowded, ConnectionLost, CalledOff, NotSent]
+    {
         for class in 0..3 {
             let mut s = Stand::new(settings(), &[entry(1, 1, 0), entry(2, 1, 0)]);
             let place = sends(&s.take(message(1, 1, class)))[0].1;
@@ -441,13 +443,37 @@
     assert_eq!(off, [Action::Cancel { id: 2, attempt: 0 }], "only what is still out");
 }
 
+/// Two messages to one endpoint, the second soon after the first; how long after the last use its connection is closed.
+fn closed_after(n_instances: usize) -> Option<Ns> {
+    let mut s = Stand::new(Settings { n_instances, ..settings() }, &[entry(1, 1, 0)]);
+    for id in 1..3 {
+        s.now += 20 * MS;
+        assert_eq!(sends(&s.take(message(id, 1, 1))), [(id, 1)]);
+        s.now += 20 * MS;
+        s.end(end(id, 0, 1, Outcome::Served));
+    }
+    let last = s.now;
+    s.pass(settings().idle_close)
+        .iter()
+        .find(|(_, a)| *a == Action::Close { endpoint: 1 })
+        .map(|c| c.0 - last)
+}
+
+#[test]
+fn idle_connections_are_kept_by_few_senders_and_closed_soon_by_many_though_no_message_comes() {
+    assert_eq!(closed_after(2), None);
+    assert_eq!(closed_after(3), None);
+    let (ten, hundred) = (closed_after(10).unwrap(), closed_after(100).unwrap());
+    assert!((3 * SECOND..=3_200 * MS).contains(&ten), "{ten}");
+    assert!((300 * MS..=500 * MS).contains(&hundred), "{hundred}");
+}
+
 #[test]
-fn an_idle_connection_is_closed_where_connections_ran_short_and_kept_elsewhere() {
+fn a_connection_that_is_seldom_used_is_closed_as_its_call_ends_where_senders_are_many() {
     let mut s = Stand::new(settings(), &[entry(1, 1, 0)]);
     s.take(message(1, 1, 0));
     s.now += 100 * MS;
-    assert!(!s.end(end(1, 0, 1, Outcome::Served)).contains(&Action::Close { endpoint: 1 }), "none was short");
-    // Where connections ran short, many senders may each keep one only for a moment.
+    assert!(!s.end(end(1, 0, 1, Outcome::Served)).contains(&Action::Close { endpoint: 1 }), "they are few");
     let many = Settings { n_instances: 500, ..settings() };
     let mut s = Stand::new(many, &[entry(1, 1, 0), entry(2, 1, 0)]);
     s.give((1..3).map(|i| Event::Message(message(i, 1, 1))).collect());
@@ -461,6 +487,21 @@
     assert!(s.end(end(id, 0, place, Outcome::Served)).contains(&Action::Close { endpoint: place }));
 }
 
+#[test]
+fn endpoints_full_of_connections_are_no_outage_and_no_limit() {
+    let hinted = Settings { hints: true, n_instances: 100, ..settings() };
+    let mut s = Stand::new(hinted, &[Entry { hint: 400.0, ..entry(1, 1, 0) }]);
+    let (mut attempt, mut sent) = (0, sends(&s.take(message(1, 1, 1))));
+    while attempt < 7 {
+        assert_eq!(sent, [(1, 1)], "attempt {attempt}");
+        s.now += 20 * MS;
+        s.end(end(1, attempt, 1, Outcome::Crowded));
+        sent = sends(&plain(&s.pass(300 * MS)));
+        attempt += 1;
+    }
+    assert_eq!(s.sender.avoided(s.now + 2 * SECOND).count(), 0, "it is not in doubt");
+}
+
 #[test]
 fn a_refusal_at_the_limit_leaves_an_equal_share_and_time_without_news_gives_it_back() {
     let many = Settings { n_instances: 50, ..settings() };
