Let ties between endpoints fall by lot, not by the list's order

A sender of a hundred has nothing in flight most of the time, so all endpoints tie, and all senders broke the tie by the endpoint's place in the same list.

Ruled out: the limit (hardly a wait told, 150 of 380 a second), outages (refusals from second 0 on), connections.

At fault: rules.rs candidate, the last part of its key.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -905,7 +905,7 @@
         if dest.held.is_empty() || dest.in_flight + dest.elsewhere >= dest.cap {
             return Err(Ns::MAX);
         }
-        let mut best: Option<(bool, bool, bool, usize, EndpointId)> = None;
+        let mut best: Option<(bool, bool, bool, usize, u64, EndpointId)> = None;
         let mut wake = Ns::MAX;
         for place in dest.places.clone() {
             if !self.endpoints.get(&place).is_some_and(|e| e.dest == id && e.usable) {
@@ -922,11 +922,13 @@
             {
                 continue;
             }
+            // Ties fall by lot: by the list's order all senders would take the same endpoint, and leave the others.
+            let lot = (self.random() * 1e9) as u64;
             let e = &self.endpoints[&place];
             let warm = if now - e.used_at < self.cfg.idle_close { e.warm } else { e.in_flight };
             let cold_conn = e.in_flight >= warm * self.cfg.streams_per_conn;
             let far = e.zone != self.cfg.zone;
-            let key = (e.avoid_until > now, far, cold_conn, e.in_flight, place);
+            let key = (e.avoid_until > now, far, cold_conn, e.in_flight, lot, place);
             best = Some(best.map_or(key, |b| b.min(key)));
         }
         let Some((.., place)) = best else { return Err(wake) };
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -443,6 +443,19 @@
     assert_eq!(off, [Action::Cancel { id: 2, attempt: 0 }], "only what is still out");
 }
 
+#[test]
+fn senders_with_one_message_each_spread_over_a_destination_s_endpoints() {
+    let places = [entry(1, 1, 0), entry(2, 1, 0), entry(3, 1, 0)];
+    let mut got = [0; 3];
+    for seed in 0..90 {
+        let (mut sender, mut out) = (leadfold::rules::Sender::new(settings(), seed), Vec::new());
+        let list = Event::List { whole: true, entries: places.to_vec() };
+        sender.handle(T0, &[list, Event::Message(message(1, 1, 1))], &mut out);
+        got[sends(&out)[0].1 as usize - 1] += 1;
+    }
+    assert!(got.iter().all(|&n| n >= 15), "{got:?}");
+}
+
 /// Two messages to one endpoint, the second soon after the first; how long after the last use its connection is closed.
 fn closed_after(n_instances: usize) -> Option<Ns> {
     let mut s = Stand::new(Settings { n_instances, ..settings() }, &[entry(1, 1, 0)]);
