Ask discovery for what has changed, out of step and less after failures

By second 19 most calls to the largest destination went to endpoints that had moved: 2,160 of 7,400 got no connection there, and 84% of the last messages were refused. With the answers logged: a no comes 2 s after the call, some 20 new watches a second succeed, and what was given up is worked off all the same. Calls that ended after 1.5 s and began anew kept the queue longer than 2 s for ever.

Ruled out: an outage of discovery (13 senders whose watch stood heard of every change), the watch's length (those 13 renewed theirs every 5 s without a miss).

At fault: discovery.rs follow (whole list at each start, fixed pause, 1.5 s of patience), nothing that keeps senders apart. When to ask is now decided in rules.rs (Asking), from the number of senders and the seed.

A test that took the first endpoint of a tie for granted now names it.

--- a/src/bin/nickelshed/discovery.rs
+++ b/src/bin/nickelshed/discovery.rs
@@ -1,7 +1,8 @@
-//! The list of endpoints: the whole list once, then a watch that goes out again at once.
+//! The list of endpoints: what has changed since the one held, or the whole; then a watch that goes out again at once.
 use crate::connections::{self, Connection};
 use crate::core::Input;
 use crate::journal::MAX_NAME;
+use leadfold::rules::Asking;
 use serde::Deserialize;
 use serde_json::Value;
 use std::net::SocketAddr;
@@ -31,6 +32,11 @@
 }
 
 impl List {
+    /// The version that changes can be asked for by; none of an empty list, which may stand for none at all.
+    pub fn version(&self) -> Option<u64> {
+        (!self.instances.is_empty()).then_some(self.generation)
+    }
+
     /// The entries that can be read; one that can't be does not cost the others.
     pub fn instances(&self) -> impl Iterator<Item = Instance> + '_ {
         self.instances.iter().filter_map(|v| {
@@ -61,7 +67,8 @@
 /// and a watch begun in that time may never be answered.
 const WAIT: Duration = Duration::from_secs(5);
 const GRACE: Duration = Duration::from_millis(1_500);
-const PAUSE: Duration = Duration::from_millis(100);
+/// Any call waits so long for its answer: one that was given up is still work for discovery, and its next one more.
+const PATIENCE: Duration = Duration::from_millis(2_500);
 const MAX_LIST: usize = 1 << 20;
 
 async fn get(connection: &mut Option<Connection>, at: SocketAddr, path: &str) -> Result<List, String> {
@@ -77,18 +84,27 @@
     Ok(list)
 }
 
-/// Never ends: while discovery is silent the sender goes on with the list it has. Where its address changes,
-/// what is under way at the old one is dropped at once, and the new one is first asked for a whole list.
-pub async fn follow(mut place: watch::Receiver<SocketAddr>, core: mpsc::Sender<Input>) {
+/// Never ends: while discovery is silent the sender goes on with the list it has. Of that one (`known`) only what
+/// has changed is asked for, at once, as the whole is much work for discovery when all senders start together. Where
+/// its address changes, what is under way at the old one is dropped at once, and the new one is first asked for a
+/// whole list.
+pub async fn follow(
+    mut place: watch::Receiver<SocketAddr>,
+    core: mpsc::Sender<Input>,
+    mut known: Option<u64>,
+    mut asking: Asking,
+) {
     let mut connection = None;
-    let mut known: Option<u64> = None;
     let mut failing = false;
+    let mut first = true;
+    sleep(Duration::from_nanos(asking.first() as u64)).await;
     loop {
         let at = *place.borrow_and_update();
+        let wait = if first || known.is_none() { Duration::ZERO } else { WAIT };
         let path = known.map_or("/v1/servers".to_string(), |generation| {
-            format!("/v1/servers?index={generation}&wait={}", WAIT.as_millis())
+            format!("/v1/servers?index={generation}&wait={}", wait.as_millis())
         });
-        let allowed = if known.is_some() { WAIT + GRACE } else { GRACE };
+        let allowed = (wait + GRACE).max(PATIENCE);
         let asked = tokio::select! {
             biased;
             Ok(()) = place.changed() => None,
@@ -96,28 +112,39 @@
                 Some(asked.unwrap_or(Err("is silent".into())))
             }
         };
-        match asked {
-            None => (connection, known) = (None, None),
+        let failed = match asked {
+            None => {
+                (connection, known) = (None, None);
+                None
+            }
+            // A change builds on a list: the first answer must be whole where none is held.
+            Some(Ok(list)) if !list.reset && known.is_none() => Some("not a whole list".to_string()),
             Some(Ok(list)) => {
                 if std::mem::take(&mut failing) {
                     tracing::info!("discovery answers again");
                 }
-                // A change builds on a list: the first answer must be whole.
-                if list.reset || known.is_some() {
-                    known = Some(list.generation);
-                    let news = list.reset || !list.instances.is_empty();
-                    if news && core.send(Input::List(list)).await.is_err() {
-                        return;
-                    }
-                } else {
-                    sleep(PAUSE).await;
+                asking.answered();
+                known = Some(list.generation);
+                let (whole, changes) = (list.reset, list.instances.len());
+                tracing::debug!(generation = list.generation, whole, changes, path, "discovery answers");
+                // The first one tells that the list held is fresh, also where it has no news.
+                let news = whole || changes > 0 || std::mem::take(&mut first);
+                if news && core.send(Input::List(list)).await.is_err() {
+                    return;
                 }
+                None
             }
-            Some(Err(error)) => {
-                if !std::mem::replace(&mut failing, true) {
-                    tracing::warn!(%error, "discovery fails; going on with the list held");
-                }
-                sleep(PAUSE).await;
+            Some(Err(error)) => Some(error),
+        };
+        if let Some(error) = failed {
+            tracing::debug!(error, path, "discovery fails");
+            if !std::mem::replace(&mut failing, true) {
+                tracing::warn!(%error, "discovery fails; going on with the list held");
+            }
+            let pause = Duration::from_nanos(asking.failed() as u64);
+            tokio::select! {
+                Ok(()) = place.changed() => (connection, known) = (None, None),
+                () = sleep(pause) => {}
             }
         }
     }
--- a/src/bin/nickelshed/main.rs
+++ b/src/bin/nickelshed/main.rs
@@ -17,6 +17,7 @@
 mod server;
 mod wire;
 
+use leadfold::rules::Asking;
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
@@ -113,7 +114,8 @@
         Rc::new(calls::Client { core: core_in.clone(), figures: figures.clone(), pool: pool.clone() });
     let drain = Rc::new(drain::Drain::new());
     let (place, discovery) = watch::channel(config.discovery);
-    spawn_local(discovery::follow(discovery.clone(), core_in.clone()));
+    let asking = Asking::new(&config.settings, config.seed);
+    spawn_local(discovery::follow(discovery.clone(), core_in.clone(), config.known.version(), asking));
     spawn_local(notices::run(discovery, notices, core_in.clone()));
     let (listen, known) = (config.listen, std::mem::take(&mut config.known));
     let terms = server::Terms::new(&config.settings, config.around.clone());
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -52,6 +52,9 @@
 /// share to all, however many there are.
 const RISE: f64 = 0.045;
 
+/// All senders together ask discovery at most so often on the average after a failure.
+const ASK: Ns = 50 * MS;
+
 /// Aged count, mean and deviation.
 #[derive(Clone, Copy, Default)]
 pub(crate) struct Stat {
@@ -223,8 +226,7 @@
     }
 
     fn random(&mut self) -> f64 {
-        self.random = self.random.wrapping_mul(0x5851_f42d_4c95_7f2d).wrapping_add(0x1405_7b7e_f767_814f);
-        (self.random >> 11) as f64 / (1u64 << 53) as f64
+        draw(&mut self.random)
     }
 
     /// Closes idle connections that are seldom used or have stood for long: an endpoint takes only so many, and
@@ -1082,6 +1084,43 @@
     }
 }
 
+/// The next number of a sender's own row, from 0 to 1.
+fn draw(state: &mut u64) -> f64 {
+    *state = state.wrapping_mul(0x5851_f42d_4c95_7f2d).wrapping_add(0x1405_7b7e_f767_814f);
+    (*state >> 11) as f64 / (1u64 << 53) as f64
+}
+
+/// When discovery is asked. All senders of a release start together, are told no together, and what each asks is
+/// work for discovery though it has given up waiting: so each asks at a moment of its own, and all together no
+/// more often than once an `ASK` on the average, less with each failure.
+pub struct Asking {
+    random: u64,
+    span: Ns,
+    failures: u32,
+}
+
+impl Asking {
+    pub fn new(cfg: &Settings, seed: u64) -> Asking {
+        // Not the row of the decisions.
+        Asking { random: !seed, span: ASK * cfg.n_instances.max(1) as Ns, failures: 0 }
+    }
+
+    /// How long a sender that starts waits before it asks.
+    pub fn first(&mut self) -> Ns {
+        (draw(&mut self.random) * self.span as f64 / 2.0) as Ns
+    }
+
+    pub fn answered(&mut self) {
+        self.failures = 0;
+    }
+
+    pub fn failed(&mut self) -> Ns {
+        let span = 2 * self.span << self.failures.min(2);
+        self.failures += 1;
+        (draw(&mut self.random) * span as f64) as Ns
+    }
+}
+
 /// The steady rate that holds an aged count at this weight.
 fn per_second(weight: f64) -> f64 {
     weight * std::f64::consts::LN_2 / (HALF_LIFE / 1e9)
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -2,6 +2,7 @@
 mod common;
 use common::*;
 use leadfold::api::*;
+use leadfold::rules::{Asking, Sender};
 
 #[test]
 fn sends_at_once_below_the_cap_and_holds_above_it() {
@@ -443,12 +444,41 @@
     assert_eq!(off, [Action::Cancel { id: 2, attempt: 0 }], "only what is still out");
 }
 
+#[test]
+fn senders_that_start_or_fail_together_ask_discovery_out_of_step() {
+    // How many of these ask in each second, and when the last does.
+    let spread = |n: usize, ask: fn(&mut Asking) -> Ns| {
+        let cfg = Settings { n_instances: n, ..settings() };
+        let at: Vec<Ns> = (0..n as u64).map(|seed| ask(&mut Asking::new(&cfg, seed))).collect();
+        let most =
+            |at: &[Ns]| (0..60).map(|s| at.iter().filter(|&&t| t / SECOND == s).count()).max().unwrap();
+        (most(&at), *at.iter().max().unwrap())
+    };
+    let (busiest, last) = spread(100, Asking::first);
+    assert!(busiest <= 60 && last > SECOND && last <= 2_500 * MS, "{busiest} in a second, all by {last}");
+    let (busiest, last) = spread(100, Asking::failed);
+    assert!(
+        busiest <= 20 && last > 8 * SECOND && last <= 10 * SECOND,
+        "{busiest} in a second, all by {last}"
+    );
+    let often = |asking: &mut Asking| {
+        asking.failed();
+        asking.failed()
+    };
+    let (busiest, _) = spread(100, often);
+    assert!(busiest <= 14, "{busiest} in a second after two failures");
+    assert!(
+        spread(2, Asking::first).1 <= 50 * MS && spread(2, Asking::failed).1 <= 200 * MS,
+        "two need not wait"
+    );
+}
+
 #[test]
 fn senders_with_one_message_each_spread_over_a_destination_s_endpoints() {
     let places = [entry(1, 1, 0), entry(2, 1, 0), entry(3, 1, 0)];
     let mut got = [0; 3];
     for seed in 0..90 {
-        let (mut sender, mut out) = (leadfold::rules::Sender::new(settings(), seed), Vec::new());
+        let (mut sender, mut out) = (Sender::new(settings(), seed), Vec::new());
         let list = Event::List { whole: true, entries: places.to_vec() };
         sender.handle(T0, &[list, Event::Message(message(1, 1, 1))], &mut out);
         got[sends(&out)[0].1 as usize - 1] += 1;
@@ -578,7 +608,7 @@
     let mut times = Vec::new();
     for seed in 0..n as u64 {
         let cfg = Settings { n_instances: n, ..settings() };
-        let mut s = Stand { sender: leadfold::rules::Sender::new(cfg, seed), now: T0, actions: Vec::new() };
+        let mut s = Stand { sender: Sender::new(cfg, seed), now: T0, actions: Vec::new() };
         s.give(vec![Event::List { whole: true, entries: vec![entry(1, 1, 0)] }]);
         let report = Some(Report { left: 0.9, limit });
         // Three lost calls put it in doubt; then it is back, and everything is served at once.
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -228,6 +228,11 @@
         self.state.0.lock().unwrap().2 = false;
     }
 
+    /// The first lines of all calls for a list.
+    pub fn asked(&self) -> Vec<String> {
+        self.peer.seen().into_iter().map(|r| r.first).filter(|f| f.starts_with("GET /v1/servers")).collect()
+    }
+
     pub fn notices(&self) -> Vec<Value> {
         notices(&self.peer.seen())
     }
--- a/tests/sender.rs
+++ b/tests/sender.rs
@@ -601,10 +601,14 @@
 #[test]
 fn a_wait_met_while_connecting_holds_the_call() {
     let (slow, other) = (Slow::new(), first_then_ok(|| answer("429 Wait", "Retry-After: 3\r\n", "")));
-    let discovery = Discovery::new(json!([ready("e-1", slow.address, 7), ready("e-2", other.address, 7)]));
+    let discovery = Discovery::new(json!([ready("e-1", slow.address, 7)]));
     let patient = |c: &mut Value| c["settings"]["Limits"]["DialTimeoutNs"] = json!(20_000_000_000u64);
     let node = Node::with(&discovery, json!([]), patient);
     assert_eq!(node.hand_in("order", "connecting", 7, 16_000, b"x"), 202);
+    let mark = Peer::new(|_| ok());
+    let (first, second) = (ready("e-1", slow.address, 7), ready("e-2", other.address, 7));
+    discovery.set(json!([first, second, ready("e-3", mark.address, 8)]));
+    node.until("the second endpoint is heard of", || node.hand_in("order", "mark", 8, 16_000, b"x") == 202);
     assert_eq!(node.hand_in("order", "told", 7, 16_000, b"x"), 202);
     let told = other.wait_for("told", 1).remove(0).at;
     let slow = slow.open();
@@ -633,6 +637,19 @@
     assert!(node.is_running());
 }
 
+#[test]
+fn a_sender_with_a_list_asks_only_for_what_has_changed_since() {
+    let endpoint = Peer::new(|_| ok());
+    let discovery =
+        Discovery::new(json!([ready("e-1", endpoint.address, 7), ready("e-2", endpoint.address, 8)]));
+    let node = Node::with(&discovery, json!([ready("e-1", endpoint.address, 7)]), |_| {});
+    node.until("the change is heard of", || node.hand_in("alert", "new", 8, 16_000, b"x") == 202);
+    endpoint.wait_for("new", 1);
+    let asked: Vec<String> = discovery.asked();
+    assert!(asked[0].starts_with("GET /v1/servers?index=0&wait=0 "), "{asked:?}");
+    assert!(asked.iter().all(|a| !a.starts_with("GET /v1/servers ")), "{asked:?}");
+}
+
 #[test]
 fn malformed_input_is_answered_and_harms_nothing() {
     let endpoint = Peer::new(|_| ok());
