--- a/src/rules.rs
+++ b/src/rules.rs
@@ -1115,7 +1115,7 @@
     }
 
     pub fn failed(&mut self) -> Ns {
-        let span = 2 * self.span << self.failures.min(2);
+        let span = self.span << (self.failures.min(2) + 1);
         self.failures += 1;
         (draw(&mut self.random) * span as f64) as Ns
     }
