Use a told limit whole until refused; let refusals weigh more among many senders

An equal share of a small limit is one call in 3 to 8 s, while the destination served 14 of its 31 calls a second. Those who were refused together came back together, 30 refusals a second every 4 to 8 s; and as refused calls count for the limit, a destination asked for a little more than its limit served nobody for up to 7 s (dest 9: none from 1.5 to 4.3 s).

Ruled out: slots (0 to 1 of 5 in use), caps, doubt (few), endpoints' queues (latency 70 ms in the median), told waits that end together (they end 0.4 to 0.5 s after each refusal, as spread as the refusals).

At fault: rules.rs list (shares start equal), share_now (doubles in 5 s, so back from a hundredth takes 33 s), judge (a fifth less a refusal whatever the number of senders, and tokens that come back in step). Now a limit that the list tells is used whole until a refusal; refusals take the share lower among many and come back spread; the time to grow does not depend on the number of senders. Two failures in a row and the end of a cold ramp leave an equal share, so that senders together do not push a returning destination over (test with 300, now with told limits too).

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -41,9 +41,14 @@
 /// What is gone from the list is remembered for so long after its last failure.
 const KEEP: Ns = 60 * SECOND;
 
-/// What was told of a limit's use holds for so long; then the share used doubles each time.
+/// What was told of a limit's use holds for so long; in as long again an equal share grows to all.
 const STALE: Ns = 5 * SECOND;
 
+/// A refusal leaves this part of an equal share, and refusals in a row at least so much of it; less among
+/// many. At some limits refused calls count too: nobody is served until all together ask for clearly less.
+const LESS: f64 = 0.8;
+const LEAST: f64 = 0.5;
+
 /// After a refusal an equal share comes back in steps of this, each twice the one before: some waits that are
 /// told, so that a limit that is still used up shows in time.
 const RECOVER: Ns = SECOND;
@@ -93,7 +98,7 @@
         if since < back {
             self.share * ((since - recover).max(0.0) / recover).exp2()
         } else {
-            (self.share.max(fair) * ((since - back - stale).max(0.0) / stale).exp2()).min(1.0)
+            (self.share.max(fair) * fair.recip().powf((since - back - stale).max(0.0) / stale)).min(1.0)
         }
     }
 }
@@ -229,10 +234,10 @@
         draw(&mut self.random)
     }
 
-    /// Closes idle connections that are seldom used or have stood for long: an endpoint takes only so many, and
-    /// those who hold them hear nothing from the others that find no place. All senders together keep about as
-    /// many as three would, which keep all. Costs handshakes. Tells whether some are still to be closed, though
-    /// no message may come by then.
+    /// Closes idle connections that are seldom used or have stood for long: an endpoint takes only so many,
+    /// and those who hold them hear nothing of the others that find no place. All senders together keep about
+    /// as many as three would, which keep all. Costs handshakes. Tells whether some are still to be closed,
+    /// though no message may come by then.
     fn close_idle(&mut self, periodic: bool, out: &mut Vec<Action>) -> bool {
         let ended = std::mem::take(&mut self.ended);
         let brief = 3 * self.cfg.idle_close / self.cfg.n_instances.max(3) as Ns;
@@ -332,16 +337,17 @@
             (known.dest, known.kind, known.zone) = (dest, kind, zone);
             known.usable = entry.condition == Condition::Ready;
             let id = self.route_of(entry.endpoint);
-            let fair = self.fair();
+            let (fair, told) = (self.fair(), self.cfg.hints && entry.hint.is_finite());
+            // Where the list tells the limit nothing is held back before a refusal: of many senders few have
+            // work for a destination at any time, and an equal share of a small limit holds up each message.
             let route = self.routes.entry(id).or_insert_with(|| Route {
-                share: fair,
+                share: if told { 1.0 } else { fair },
                 share_at: self.now,
                 tokens: 1.0,
                 filled_at: self.now,
                 ..Route::default()
             });
             let trust = if self.cfg.rough_hints { ROUGH } else { 1.0 };
-            let told = self.cfg.hints && entry.hint.is_finite();
             route.hint = if told { entry.hint.max(0.0) * trust } else { 0.0 };
             let dest = self.dest(entry.dest);
             if !dest.places.contains(&entry.endpoint) {
@@ -640,11 +646,15 @@
             Outcome::TurnedAway => {
                 route.refused_at = now;
                 route.refusals += 1;
-                route.share = (route.share_now(now, 1.0 / n).min(1.0 / n) * 0.8).max(0.5 / n);
+                // Of many senders each hears few of the refusals, so each of these weighs more.
+                let weight = 1.0 + (n / 3.0).max(1.0).log10();
+                let less = route.share_now(now, 1.0 / n).min(1.0 / n) * LESS.powf(weight);
+                route.share = less.max(LEAST.powf(weight) / n);
                 // The pause is no staleness: else all would grow back in it and use up the limit by asking.
                 let rate = route.limit.unwrap_or(route.hint) * route.share;
                 route.share_at = now + if rate > 0.0 { (1e9 / rate).min(30e9) as Ns } else { 0 };
-                route.tokens = route.tokens.min(0.0);
+                // Those who were refused together come back around their turn's end, not in step at it.
+                route.tokens = route.tokens.min(0.0) + 1.0 - jitter;
                 let back = (PERIOD << (route.refusals - 1).min(4)) as f64 * jitter;
                 route.not_before = route.not_before.max(now + back as Ns);
                 // At the limit a refusal is the limit's. Shut: a long wait, plenty left, or refusals only.
@@ -681,10 +691,15 @@
     /// trials, and once one was `told` by an outcome a ramp. An overdue call then served was slow.
     /// Should cover kinds not listed too; harms where errors are common but the rest is well.
     fn symptom(&mut self, id: RouteId, counts: bool, told: bool) {
+        let fair = self.fair();
         let Some(route) = self.routes.get_mut(&id) else { return };
         if counts {
             route.failures += 1;
             route.failing = route.failing * 0.7 + 0.3;
+            // Many senders may each have heard of an outage by no more than this as it ends.
+            if route.failures > 1 {
+                (route.share, route.share_at) = (route.share.min(fair), self.now);
+            }
         }
         let sick = route.failures >= DOUBT_RUN || route.failing > DOUBT_SHARE;
         if sick && !route.doubt {
@@ -752,6 +767,8 @@
         let route = self.routes.get_mut(&id).expect("looked up above");
         if route.cold && !route.doubt && now - route.last_failure > self.cfg.cold {
             route.cold = false;
+            // All have work that stands by the end of the ramp: an equal share first.
+            (route.share, route.share_at) = (route.share.min(fair), now - STALE);
         }
         if route.doubt {
             // A call that is not late yet will tell; one that is may never end and keeps no trials away.
@@ -924,7 +941,7 @@
             {
                 continue;
             }
-            // Ties fall by lot: by the list's order all senders would take the same endpoint, and leave the others.
+            // Ties fall by lot: by the list's order all senders would take the same endpoint.
             let lot = (self.random() * 1e9) as u64;
             let e = &self.endpoints[&place];
             let warm = if now - e.used_at < self.cfg.idle_close { e.warm } else { e.in_flight };
@@ -1090,9 +1107,9 @@
     (*state >> 11) as f64 / (1u64 << 53) as f64
 }
 
-/// When discovery is asked. All senders of a release start together, are told no together, and what each asks is
-/// work for discovery though it has given up waiting: so each asks at a moment of its own, and all together no
-/// more often than once an `ASK` on the average, less with each failure.
+/// When discovery is asked. All senders of a release start together and are told no together, and what each
+/// asks is work for discovery though it has given up waiting: so each asks at a moment of its own, and all of
+/// them no more often than once an `ASK` on the average, less with each failure.
 pub struct Asking {
     random: u64,
     span: Ns,
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -473,6 +473,42 @@
     );
 }
 
+#[test]
+fn of_many_senders_one_uses_a_small_limit_that_no_refusal_has_told_is_used_up() {
+    let cfg = Settings { hints: true, n_instances: 100, ..settings() };
+    let mut s = Stand::new(cfg, &[Entry { hint: 20.0, ..entry(1, 1, 0) }]);
+    // An equal share is one call in 5 s; most others have no work there now.
+    for id in 0..4 {
+        assert_eq!(sends(&s.take(message(id, 1, 1))).len(), 1, "message {id}");
+        s.now += 50 * MS;
+        s.end(end(id, 0, 1, Outcome::Served));
+        s.pass(250 * MS);
+    }
+}
+
+#[test]
+fn many_senders_that_are_refused_together_come_back_out_of_step() {
+    let (n, hint) = (100, 20.0);
+    let mut back = Vec::new();
+    for seed in 0..n as u64 {
+        let cfg = Settings { hints: true, n_instances: n, ..settings() };
+        let mut s = Stand { sender: Sender::new(cfg, seed), now: T0, actions: Vec::new() };
+        s.give(vec![Event::List { whole: true, entries: vec![Entry { hint, ..entry(1, 1, 0) }] }]);
+        s.take(message(1, 1, 1));
+        s.now += 50 * MS;
+        s.end(end(1, 0, 1, Outcome::TurnedAway));
+        let from = s.now;
+        let again = s.pass(14 * SECOND);
+        back.extend(again.iter().find(|(_, a)| matches!(a, Action::Send { .. })).map(|(at, _)| at - from));
+    }
+    assert!(back.len() >= 95, "{} came back", back.len());
+    let in_second = |s: Ns| back.iter().filter(|&&at| at / SECOND == s).count() as f64;
+    for second in 0..13 {
+        assert!(in_second(second) <= 1.3 * hint, "{} in second {second}", in_second(second));
+    }
+    assert!(in_second(5) >= 0.2 * hint && in_second(11) >= 0.2 * hint, "some soon, some later: {back:?}");
+}
+
 #[test]
 fn senders_with_one_message_each_spread_over_a_destination_s_endpoints() {
     let places = [entry(1, 1, 0), entry(2, 1, 0), entry(3, 1, 0)];
@@ -603,27 +639,38 @@
 
 #[test]
 fn hundreds_of_senders_together_keep_the_return_budget_of_one_small_destination() {
+    return_budget(false);
+    return_budget(true);
+}
+
+fn return_budget(hints: bool) {
     let n = 300;
     let limit = 4.0;
     let mut times = Vec::new();
     for seed in 0..n as u64 {
-        let cfg = Settings { n_instances: n, ..settings() };
+        let cfg = Settings { n_instances: n, hints, ..settings() };
         let mut s = Stand { sender: Sender::new(cfg, seed), now: T0, actions: Vec::new() };
-        s.give(vec![Event::List { whole: true, entries: vec![entry(1, 1, 0)] }]);
-        let report = Some(Report { left: 0.9, limit });
+        let entries = vec![Entry { hint: limit, ..entry(1, 1, 0) }];
+        s.give(vec![Event::List { whole: true, entries }]);
+        let report = (!hints).then_some(Report { left: 0.9, limit });
         // Three lost calls put it in doubt; then it is back, and everything is served at once.
-        s.give((0..9).map(|i| Event::Message(message(i, 1, 1))).collect());
-        s.now += 50 * MS;
-        for id in sends(&s.actions.clone()).iter().map(|x| x.0) {
-            s.end(AttemptEnd { report, ..end(id, 0, 1, Outcome::ConnectionLost) });
+        let mut sent = sends(&s.give((0..9).map(|i| Event::Message(message(i, 1, 1))).collect()));
+        let mut attempts = std::collections::BTreeMap::<MsgId, u32>::new();
+        while s.sender.avoided(s.now + 2 * SECOND).count() == 0 {
+            s.now += 50 * MS;
+            for id in sent.drain(..).map(|x| x.0) {
+                let attempt = attempts.entry(id).or_insert(0);
+                s.end(AttemptEnd { report, ..end(id, *attempt, 1, Outcome::ConnectionLost) });
+                *attempt += 1;
+            }
+            sent = sends(&s.give(vec![Event::Timer]));
         }
         let from = s.now;
-        let mut attempts = std::collections::BTreeMap::<MsgId, u32>::new();
         while s.now < from + 15 * SECOND {
             s.now += 20 * MS;
             for (id, _) in sends(&s.give(vec![Event::Timer])) {
                 times.push(s.now - from);
-                let attempt = attempts.entry(id).or_insert(1);
+                let attempt = attempts.entry(id).or_insert(0);
                 s.end(AttemptEnd { report, ..end(id, *attempt, 1, Outcome::Served) });
                 *attempt += 1;
             }
