Let senders that find no place for a connection wait longer each time

A message has eight attempts and used them up within a second or two.

Ruled out: idle connections (the calls that hold the places time out there), the limit (3 refusals a second).

At fault: rules.rs judge, a pause that does not grow. Now it doubles until all senders together try half as often as they may call.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -627,7 +627,7 @@
                 place.served_at = now;
                 place.avoid_until = now;
                 route.served.book(now, 1.0);
-                (route.failures, route.refusals) = (0, 0);
+                (route.failures, route.refusals, route.crowded) = (0, 0, 0);
                 route.failing *= 0.7;
                 route.doubt = false;
                 // The share follows what is left of the allowance: others' calls are not seen otherwise.
@@ -667,7 +667,13 @@
             }
             Outcome::Crowded => {
                 place.avoid_until = now + SECOND;
-                route.not_before = route.not_before.max(now + (PERIOD as f64 * jitter) as Ns);
+                // Each try costs the endpoint a handshake: all senders together try no more often than they may
+                // call, once they were turned away a few times.
+                let limit = route.limit.unwrap_or(route.hint);
+                let turn = if limit > 0.0 { 2e9 * n / limit } else { f64::INFINITY };
+                let back = ((PERIOD << route.crowded.min(6)) as f64).min(turn.max(PERIOD as f64));
+                route.crowded += 1;
+                route.not_before = route.not_before.max(now + (back * jitter) as Ns);
                 false
             }
             // The endpoint may have closed an idle connection: whether it is down a new one will tell.
--- a/src/state.rs
+++ b/src/state.rs
@@ -80,6 +80,8 @@
     pub not_before: Ns,
     pub failures: u32,
     pub refusals: u32,
+    /// Calls in a row that found no place for their connections.
+    pub crowded: u32,
     /// When the last of these was heard.
     pub refused_at: Ns,
     pub failing: f64,
