--- a/src/rules.rs
+++ b/src/rules.rs
@@ -667,7 +667,7 @@
             }
             Outcome::Crowded => {
                 place.avoid_until = now + SECOND;
-                // Each try costs the endpoint a handshake: all senders together try no more often than they may
+                // Each try costs the endpoint a handshake: all senders together try half as often as they may
                 // call, once they were turned away a few times.
                 let limit = route.limit.unwrap_or(route.hint);
                 let turn = if limit > 0.0 { 2e9 * n / limit } else { f64::INFINITY };
