Ask for the whole list where discovery counts its versions anew

A watch by a version that discovery has not reached waits for ever. Since a start asks by the version of the list that it is given, no restart would mend that any more. A test shows the sender deaf without.

--- a/src/bin/nickelshed/discovery.rs
+++ b/src/bin/nickelshed/discovery.rs
@@ -119,6 +119,11 @@
             }
             // A change builds on a list: the first answer must be whole where none is held.
             Some(Ok(list)) if !list.reset && known.is_none() => Some("not a whole list".to_string()),
+            // It counts anew: changes since the version held would never come.
+            Some(Ok(list)) if known.is_some_and(|held| list.generation < held) => {
+                known = None;
+                Some(format!("version {} is older than the list held", list.generation))
+            }
             Some(Ok(list)) => {
                 if std::mem::take(&mut failing) {
                     tracing::info!("discovery answers again");
--- a/tests/sender.rs
+++ b/tests/sender.rs
@@ -650,6 +650,18 @@
     assert!(asked.iter().all(|a| !a.starts_with("GET /v1/servers ")), "{asked:?}");
 }
 
+#[test]
+fn a_discovery_that_counts_its_versions_anew_is_asked_for_the_whole_list() {
+    let endpoint = Peer::new(|_| ok());
+    let discovery =
+        Discovery::new(json!([ready("e-1", endpoint.address, 7), ready("e-2", endpoint.address, 8)]));
+    let later = |config: &mut Value| config["known"]["generation"] = json!(41);
+    let node = Node::with(&discovery, json!([ready("e-1", endpoint.address, 7)]), later);
+    node.until("the list is heard of", || node.hand_in("alert", "new", 8, 16_000, b"x") == 202);
+    endpoint.wait_for("new", 1);
+    assert!(discovery.asked().iter().any(|a| a.starts_with("GET /v1/servers ")), "{:?}", discovery.asked());
+}
+
 #[test]
 fn malformed_input_is_answered_and_harms_nothing() {
     let endpoint = Peer::new(|_| ok());
