End what cannot outlast a told wait at once, not at its deadline

Need: a message given up gets its final answer at once.

Change: a message whose last call would fall before the end of the waits of all its endpoints is ended in the round that tells of them, and one that comes later at the door. What it is told to come back after covers the wait, as far as clients heed one.

The module test fails without the change: nothing is ended when the wait is told.

--- a/src/api.rs
+++ b/src/api.rs
@@ -269,10 +269,13 @@
     Refuse {
         id: MsgId,
         backoff: Ns,
+        /// For lack of time.
+        late: bool,
     },
     /// Final: it may have taken effect.
     Fail {
         id: MsgId,
+        late: bool,
     },
     Cancel {
         id: MsgId,
--- a/src/bin/leadfold-simhost/host.rs
+++ b/src/bin/leadfold-simhost/host.rs
@@ -319,13 +319,13 @@
                 }
                 Ok(())
             }
-            Action::Refuse { id, backoff } => {
+            Action::Refuse { id, backoff, .. } => {
                 let Some(n) = name(id) else { return };
                 let done = writeln!(reply, "PUSH_BACK\tRef={n}\tBackoffNs={backoff}");
                 self.end(id);
                 done
             }
-            Action::Fail { id } => {
+            Action::Fail { id, .. } => {
                 let Some(n) = name(id) else { return };
                 let done = writeln!(reply, "LOSE\tRef={n}");
                 self.end(id);
--- a/src/bin/nickelshed/core.rs
+++ b/src/bin/nickelshed/core.rs
@@ -611,14 +611,14 @@
                         _ => calls.push((endpoint, vec![member])),
                     }
                 }
-                Action::Refuse { id, backoff } => {
+                Action::Refuse { id, backoff, .. } => {
                     let backoff = (backoff > 0).then_some((backoff / MS) as u64);
                     match offered.remove(&id) {
                         Some(o) => refused.push((o, Reply::Refused(backoff.map(Duration::from_millis)))),
                         None => endings.push((id, Ending::HandedBack(backoff))),
                     }
                 }
-                Action::Fail { id } => match offered.remove(&id) {
+                Action::Fail { id, .. } => match offered.remove(&id) {
                     Some(o) => refused.push((o, Reply::Failed)),
                     None => endings.push((id, Ending::GivenUp)),
                 },
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -312,6 +312,7 @@
     fn hold(&mut self, id: MsgId) {
         let held = &self.messages[&id];
         let (dest_id, end) = (held.message.dest, self.last_call(held));
+        let end = if self.waits_until(dest_id) > end { LONG_AGO } else { end };
         self.next_end = self.next_end.min(end);
         let now = self.now;
         let idle = self.active.insert(dest_id);
@@ -416,6 +417,7 @@
             return;
         };
         route.wait_until = route.wait_until.max(now + s.wait);
+        self.next_end = now;
         route.not_before = route.not_before.max(now + s.pause);
         (route.doubt, route.cold) = (s.doubt, s.cold);
         (route.last_failure, route.next_trial) = (now - s.failed, now + s.trial);
@@ -564,6 +566,8 @@
                 // Members of one call may come back in several batches, and a wait runs from each of these.
                 if e.wait > 0 {
                     route.wait_until = route.wait_until.max(now.saturating_add(e.wait));
+                    // Some of what is held may not outlast it.
+                    self.next_end = now;
                 }
             }
             if let Some(place) = self.endpoints.get_mut(&e.endpoint).filter(|_| last) {
@@ -1058,26 +1062,38 @@
         let held = &self.messages[&id];
         let stuck = held.attempts.first().is_some_and(|first| !self.allows(held, Some(first.endpoint)));
         let at = self.last_call(held);
-        if stuck || at <= self.now {
-            self.give_up(id, out);
+        let late = at <= self.now || self.waits_until(held.message.dest) > at;
+        if stuck || late {
+            self.give_up(id, late, out);
         }
         at
     }
 
-    fn give_up(&mut self, id: MsgId, out: &mut Vec<Action>) {
+    /// Until when every endpoint that takes new work has told to wait. A wait binds all that is sent there, so
+    /// what can't outlast it is over as soon as it is told.
+    fn waits_until(&self, dest: DestId) -> Ns {
+        let places = self.dests.get(&dest).into_iter().flat_map(|d| &d.places);
+        let usable = places.filter(|e| self.endpoints.get(e).is_some_and(|e| e.dest == dest && e.usable));
+        let waits = usable.filter_map(|&e| self.routes.get(&self.route_of(e))).map(|r| r.wait_until);
+        waits.min().unwrap_or(LONG_AGO)
+    }
+
+    /// `late`: for lack of time.
+    fn give_up(&mut self, id: MsgId, late: bool, out: &mut Vec<Action>) {
         let held = &self.messages[&id];
         out.push(if self.allows(held, None) {
-            Action::Refuse { id, backoff: self.backoff(held.message.dest) }
+            Action::Refuse { id, backoff: self.backoff(held.message.dest), late }
         } else {
-            Action::Fail { id }
+            Action::Fail { id, late }
         });
         self.close(id);
     }
 
-    /// When to hand in again what is refused: room comes with the destination's next turn.
+    /// When to hand in again what is refused: room comes with the destination's next turn, once a wait is over.
     pub fn backoff(&self, dest: DestId) -> Ns {
         let turn = self.dests.get(&dest).map_or(0.0, |d| d.turn_every(self.now));
-        (turn as Ns).min(self.cfg.max_retry_after).max(ADMISSION)
+        let wait = self.waits_until(dest).saturating_sub(self.now);
+        (turn as Ns).max(wait).min(self.cfg.max_retry_after).max(ADMISSION)
     }
 
     /// Past a bound on what is held, refuses what waited longer than the admission wait, least worth first.
@@ -1102,7 +1118,7 @@
         }
         order.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
         for (_, id) in order.into_iter().take(over) {
-            self.give_up(id, out);
+            self.give_up(id, false, out);
         }
     }
 }
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -141,7 +141,7 @@
             let mut all = s.end(end(1, 0, place, outcome));
             all.extend(plain(&s.pass(3 * SECOND)));
             let resent = !sends(&all).is_empty();
-            let failed = all.contains(&Action::Fail { id: 1 });
+            let failed = all.contains(&Action::Fail { id: 1, late: false });
             if class == 2 && !outcome.never_ran() {
                 assert!(!resent && failed, "unsafe after {outcome:?} must fail");
             } else {
@@ -177,7 +177,7 @@
     let mut s = Stand::new(settings(), &[entry(1, 1, 0)]);
     s.take(message(2, 1, 2));
     s.now += 16 * SECOND;
-    assert_eq!(common::finals(&s.end(end(2, 0, 1, Outcome::NoAnswer))), [Action::Fail { id: 2 }]);
+    assert_eq!(common::finals(&s.end(end(2, 0, 1, Outcome::NoAnswer))), [Action::Fail { id: 2, late: true }]);
     // Told of the end twice, or of what it does not know, it passes over it.
     assert!(common::finals(&s.end(end(2, 0, 1, Outcome::NoAnswer))).is_empty());
     s.give(vec![Event::Expired { id: 2 }, Event::Expired { id: 99 }]);
@@ -396,7 +396,7 @@
         s.pass(10 * SECOND).into_iter().filter(|(_, a)| matches!(a, Action::Cancel { .. })).collect();
     assert_eq!(cancelled.first().map(|c| c.1), Some(Action::Cancel { id: 0, attempt: 0 }));
     let off = s.end(end(0, 0, 1, Outcome::CalledOff));
-    assert_eq!(finals(&off), [Action::Fail { id: 0 }], "it may have run: failed, never refused");
+    assert_eq!(finals(&off), [Action::Fail { id: 0, late: false }], "it may have run: failed, never refused");
     assert_eq!(sends(&off).len(), 1, "the slot is used");
 }
 
@@ -738,7 +738,7 @@
         s.give(vec![Event::Resumed { message: message(0, 1, class), past }])
     };
     // Unsafe: may have run, so it fails; never ran, so it goes.
-    assert_eq!(finals(&resume(2, vec![past(T0 - SECOND, true)])), [Action::Fail { id: 0 }]);
+    assert_eq!(finals(&resume(2, vec![past(T0 - SECOND, true)])), [Action::Fail { id: 0, late: false }]);
     assert_eq!(sends(&resume(2, vec![past(T0 - SECOND, false)])), [(0, 1)]);
     // Keyed with a window of 4 s.
     let within = resume(0, vec![past(T0 - 3 * SECOND, true), past(T0 - SECOND, false)]);
@@ -969,3 +969,29 @@
     assert!(at(3).is_some_and(|at| at >= 2 * SECOND), "{:?}", at(3));
     assert!(at(2).is_some_and(|at| at >= 500 * MS), "a spaced trial: {:?}", at(2));
 }
+
+#[test]
+fn what_cannot_outlast_a_told_wait_is_ended_at_once_and_told_when_to_come_back() {
+    let cfg = Settings { max_retry_after: 30 * SECOND, ..settings() };
+    let mut s = Stand::new(cfg.clone(), &[entry(1, 1, 0), entry(2, 1, 0), entry(9, 9, 0)]);
+    s.give((1..=2).map(|i| Event::Message(message(i, 1, 0))).collect());
+    s.take(Message { left: 25 * SECOND, ..message(3, 1, 1) });
+    s.now += 100 * MS;
+    let told = AttemptEnd { wait: 20 * SECOND, ..end(1, 0, 1, Outcome::TurnedAway) };
+    let all = s.end(told);
+    let Some(&Action::Refuse { id: 1, backoff, late: true }) = finals(&all).first() else {
+        panic!("{all:?}")
+    };
+    assert_eq!(backoff, 20 * SECOND, "no sooner than the partner system takes work again");
+    let new = s.take(message(4, 1, 2));
+    assert!(matches!(finals(&new)[..], [Action::Refuse { id: 4, late: true, .. }]), "{new:?}");
+    assert_eq!(sends(&s.take(message(5, 9, 0))), [(5, 9)], "no other destination is concerned");
+
+    // A wait that ends in time is waited for.
+    let mut s = Stand::new(cfg, &[entry(1, 1, 0)]);
+    s.take(message(1, 1, 0));
+    s.now += 100 * MS;
+    let told = s.end(AttemptEnd { wait: 10 * SECOND, ..end(1, 0, 1, Outcome::TurnedAway) });
+    assert!(finals(&told).is_empty());
+    assert_eq!(sends(&plain(&s.pass(11 * SECOND))), [(1, 1)]);
+}
