Ask discovery within 200 ms of a start, so that drains are heard in time

Cause: a start asked at a moment of its own within 25 ms x NInstances, 7.5 s among three hundred senders (Asking::first in src/rules.rs). Debug logs of all 300: 3.5 s to the first answer in the median of 606 starts.

Change: the first ask falls within 200 ms.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -59,6 +59,9 @@
 
 /// All senders together ask discovery at most so often on the average after a failure.
 const ASK: Ns = 50 * MS;
+/// A start asks within this, however many start with it: what the agent holds binds it from then on, and must stop
+/// what goes to a draining endpoint in half a second.
+const FIRST_ASK: Ns = 200 * MS;
 
 /// Aged count, mean and deviation.
 #[derive(Clone, Copy, Default)]
@@ -1146,7 +1149,7 @@
 
     /// How long a sender that starts waits before it asks.
     pub fn first(&mut self) -> Ns {
-        (draw(&mut self.random) * self.span as f64 / 2.0) as Ns
+        (draw(&mut self.random) * (self.span / 2).min(FIRST_ASK) as f64) as Ns
     }
 
     pub fn answered(&mut self) {
