Let one Deadline bound every stage of a message, over restarts and set clocks

A body that trickled in did not use up its own time; after the wall clock was set a restart gave messages an hour too much or ended them all; an endpoint could be told more than the attempt before.

Change: `Deadline` counts from a request's first byte and bounds reading, queue, dialling, the attempt and the word to the endpoint (`Allowance`). A call's wait counts from its writing, is kept with the attempt, and never grows. X-Expires-In-Ms given twice is 400, one of 0 is refused. A body holds its part of the memory budget itself. Figures: sender_stage_seconds by class and stage, sender_expired_total by stage.

--- a/src/bin/nickelshed/calls.rs
+++ b/src/bin/nickelshed/calls.rs
@@ -1,6 +1,7 @@
 //! Calls to endpoints: what is checked as one is written, and how each of its messages ended.
 use crate::connections::{request, Connection, Fault, Pool};
 use crate::core::Input;
+use crate::deadline::Allowance;
 use crate::figures::Figures;
 use crate::journal::{Taken, MAX_BODY};
 use crate::wire::{Socket, MAX_HEADERS};
@@ -51,12 +52,17 @@
 pub struct Member {
     pub attempt: u32,
     pub taken: Rc<Taken>,
-    /// When its time is up.
-    pub end: Instant,
-    /// When this attempt is given up; not after `end`.
-    pub limit: Instant,
-    /// Its first byte must be written before this.
-    pub by: Instant,
+    pub time: Allowance,
+    /// When it began to be written, once it does.
+    pub written: Rc<Cell<Option<Instant>>>,
+}
+
+/// When a call is given up that begins to be dialled or written now. A message that could go again is not left out on
+/// an open connection, or its next attempt would be a second copy: the call is closed for all. One whose time is
+/// up leaves alone.
+fn close_at(members: &[Member], now: Instant) -> Option<Instant> {
+    let again = members.iter().filter(|m| m.time.wait.is_some()).map(|m| m.time.until(now)).min();
+    again.or(members.iter().map(|m| m.time.end.instant()).max())
 }
 
 /// What an answer said.
@@ -94,16 +100,13 @@
         started: Instant,
     ) {
         let tell = |outcome| move |m: &Member| end(m, endpoint, outcome, started);
-        // A message that could go again is not left out on an open connection, or its next attempt would be a
-        // second copy: then the call is closed for all. One whose time is up leaves alone.
-        let again = members.iter().filter(|m| m.limit < m.end).map(|m| m.limit).min();
-        let close_at = again.or(members.iter().map(|m| m.end).max()).unwrap_or(started);
+        let dialled_by = close_at(&members, started).unwrap_or(started);
         let (mut link, answer) = loop {
             let found = tokio::select! {
                 biased;
                 () = cancel.wait() => Err(Outcome::NotSent),
                 link = self.pool.connect(endpoint) => link,
-                () = sleep_until(close_at) => Err(Outcome::NoConnection),
+                () = sleep_until(dialled_by) => Err(Outcome::NoConnection),
             };
             let mut link = match found {
                 Ok(link) => link,
@@ -113,13 +116,16 @@
             let now = Instant::now();
             let may = self.pool.may_write(endpoint);
             let (go, stay): (Vec<_>, Vec<_>) =
-                members.into_iter().partition(|m| may && now < m.by && now < m.end.min(close_at));
+                members.into_iter().partition(|m| may && now < dialled_by && m.time.tell(now).is_some());
             members = go;
             self.report(stay.iter().map(tell(Outcome::NotSent)).collect()).await;
-            if members.is_empty() {
+            // Told is the least that any of them may be waited for.
+            let wait = members.iter().filter_map(|m| m.time.tell(now)).min();
+            let (Some(wait), Some(close_at)) = (wait, close_at(&members, now)) else {
                 return self.pool.give_back(endpoint, link);
-            }
-            let request = build(&members, link.at, close_at - now);
+            };
+            members.iter().for_each(|m| m.written.set(Some(now)));
+            let request = build(&members, link.at, wait);
             let several = members.len() > 1;
             let (bytes, count) = (least_length(&request), &self.figures.written);
             link.socket.count_when_written(bytes, count, members.len() as u64);
@@ -129,7 +135,8 @@
             let answer = {
                 let mut answer = pin!(self.answer(&mut link, request, endpoint, several));
                 loop {
-                    let next = members.iter().map(|m| m.end).min().unwrap_or(close_at).min(close_at);
+                    let next = members.iter().map(|m| m.time.end.instant()).min();
+                    let next = next.unwrap_or(close_at).min(close_at);
                     tokio::select! {
                         biased;
                         answer = &mut answer => break Ok(answer),
@@ -138,7 +145,7 @@
                     }
                     let now = Instant::now();
                     let (late, rest): (Vec<_>, Vec<_>) =
-                        members.into_iter().partition(|m| now >= m.end || now >= close_at);
+                        members.into_iter().partition(|m| m.time.end.is_over(now) || now >= close_at);
                     members = rest;
                     if members.is_empty() {
                         break Err((late, Outcome::NoAnswer));
@@ -273,8 +280,8 @@
     parts
 }
 
-fn build(members: &[Member], to: SocketAddr, wait: Duration) -> Request<Full<Bytes>> {
-    let wait = wait.as_millis().max(1).to_string();
+fn build(members: &[Member], to: SocketAddr, wait: u64) -> Request<Full<Bytes>> {
+    let wait = wait.to_string();
     let mut headers = vec![("x-expires-in-ms", wait.as_str())];
     let [only] = members else {
         let list: Vec<Value> = members
--- a/src/bin/nickelshed/classes.rs
+++ b/src/bin/nickelshed/classes.rs
@@ -111,6 +111,10 @@
         self.0[class].open -= 1;
     }
 
+    pub fn deadline(&self, class: usize) -> Ns {
+        self.0[class].class.deadline
+    }
+
     pub fn stored(&self, class: usize) -> Stored {
         store(&self.0[class].class)
     }
--- a/src/bin/nickelshed/core.rs
+++ b/src/bin/nickelshed/core.rs
@@ -3,15 +3,18 @@
 use crate::classes::Classes;
 use crate::config::Config;
 use crate::connections::Turnover;
+use crate::deadline::{left, wall_ms, Allowance, Clock, Deadline, Shift, Stamp};
 use crate::discovery::List;
 use crate::figures::{End, Figures, Gauges};
 use crate::handover::{Elsewhere, Left};
-use crate::journal::{first_id, seen, wall_ms};
+use crate::journal::{first_id, seen};
 use crate::journal::{Begun, Ending, Inheritance, Journal, Live, Record, Release, Taken};
+use crate::life::{Life, Stage};
 use crate::notices::Notice;
 use leadfold::api::*;
 use leadfold::rules::Sender;
 use leadfold::settings::Around;
+use std::cell::Cell;
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::rc::Rc;
 use std::time::Duration;
@@ -34,8 +37,9 @@
 pub enum Input {
     /// A message handed in; `taken.id` is given by the core.
     Offer {
-        taken: Taken,
-        end: Instant,
+        taken: Box<Taken>,
+        end: Deadline,
+        life: Life,
         reply: oneshot::Sender<Reply>,
     },
     List(List),
@@ -74,8 +78,27 @@
 struct Held {
     taken: Rc<Taken>,
     class: usize,
-    end: Ns,
+    end: Deadline,
     attempts: u32,
+    /// The least that endpoints were told of its time, where that was not all that was left.
+    told: Option<Duration>,
+    life: Life,
+}
+
+/// An attempt that is out.
+struct Out {
+    endpoint: EndpointId,
+    cancel: Rc<Cancel>,
+    written: Rc<Cell<Option<Instant>>>,
+}
+
+/// A message that has ended but for its notice.
+struct Noticing {
+    class: String,
+    end: End,
+    life: Life,
+    /// When the platform should know of it at the latest.
+    due: Option<Instant>,
 }
 
 /// An endpoint that a list has named.
@@ -121,6 +144,10 @@
     inbox: mpsc::Receiver<Input>,
     notices: mpsc::UnboundedSender<Notice>,
     start: Instant,
+    /// For what is written down.
+    own: Clock,
+    /// As it was last written.
+    last_stamp: Stamp,
     names: HashMap<String, EndpointId>,
     endpoints: HashMap<EndpointId, Known>,
     /// The version of the list.
@@ -131,10 +158,9 @@
     dests: HashSet<DestId>,
     held: BTreeMap<u64, Held>,
     traces: HashMap<String, u64>,
-    /// Messages that have ended but for their notice, by class and end.
-    noticing: HashMap<u64, (String, End)>,
+    noticing: HashMap<u64, Noticing>,
     figures: Rc<Figures>,
-    calls: HashMap<(u64, u32), (EndpointId, Rc<Cancel>)>,
+    calls: HashMap<(u64, u32), Out>,
     /// Events of the core's own making, for the next round.
     next: Vec<Event>,
     timer: Option<Ns>,
@@ -164,6 +190,8 @@
 const ROUND: usize = 512;
 /// For so long after it was closed an endpoint is remembered, as long as the module does: new ones come all day.
 const FORGET: Duration = Duration::from_secs(60);
+/// How long after a message's time the platform may hear of its end.
+const NOTICE_SLACK: Duration = Duration::from_millis(300);
 const FIRST_LIST: Duration = Duration::from_millis(300);
 /// How often the log is told of work that stands, and for how long it must have stood.
 const LOG_EVERY: Duration = Duration::from_secs(1);
@@ -177,6 +205,8 @@
         inbox: mpsc::Receiver<Input>,
         notices: mpsc::UnboundedSender<Notice>,
     ) -> Core {
+        let (start, wall) = (Instant::now(), wall_ms());
+        let own = Clock::new(start, wall);
         Core {
             sender: Sender::new(config.settings.clone(), config.seed),
             classes: Classes::new(&config.settings, &config.around),
@@ -188,7 +218,9 @@
             client,
             inbox,
             notices,
-            start: Instant::now(),
+            start,
+            own,
+            last_stamp: own.stamp(start, wall),
             names: HashMap::new(),
             dests: HashSet::new(),
             endpoints: HashMap::new(),
@@ -210,12 +242,24 @@
         }
     }
 
+    fn stamp(&self) -> Stamp {
+        self.own.stamp(Instant::now(), wall_ms())
+    }
+
+    /// Says in the journal that the wall clock was set, while that matters to what is held.
+    fn keep_time(&mut self) {
+        if !self.held.is_empty() && self.stamp().is_news_after(self.last_stamp) {
+            tracing::warn!("the wall clock was set");
+            self.write_all(&[]);
+        }
+    }
+
     fn clock(&self, at: Instant) -> Ns {
         CLOCK_START + at.saturating_duration_since(self.start).as_nanos() as Ns
     }
 
     fn instant(&self, at: Ns) -> Instant {
-        self.start + Duration::from_nanos((at - CLOCK_START).max(0) as u64)
+        self.start + since_start(at)
     }
 
     /// Takes up what earlier processes left; false if it could not be written down. `known` may be old, so a fresh
@@ -245,9 +289,12 @@
     fn take_over(&mut self, left: Left, events: &mut Vec<Event>) -> bool {
         let Left { messages: mut left, seen: ended } = left;
         left.retain(|live| !self.journal.has_seen(live.taken.id));
+        let (now, wall) = (Instant::now(), wall_ms());
+        let own = self.own.ms(now);
+        left.iter_mut().for_each(|live| *live = live.shifted(Shift::new(live.stamp, wall, own)));
         let records = left.iter().flat_map(Live::records);
         let records: Vec<Record> = records.chain(seen(ended.into_iter())).collect();
-        if let Err(error) = self.journal.take_over(&records) {
+        if let Err(error) = self.journal.take_over(&records, self.own.stamp(now, wall)) {
             tracing::warn!(%error, "cannot take over what another process left; it is tried again");
             return false;
         }
@@ -255,7 +302,7 @@
         // The module must know their classes before it is told of them.
         let at = events.len();
         for live in left {
-            match self.resumed(live) {
+            match self.resumed(live, now) {
                 Ok(event) => events.push(event),
                 Err(end) => lost.push(end),
             }
@@ -266,7 +313,7 @@
             if decide {
                 records.push(Record::Decided(taken.id, ending));
             }
-            self.notify(&taken, ending);
+            self.notify(&taken, ending, Life::begin(Stage::Notice, now), None);
         }
         self.write(&records);
         true
@@ -274,15 +321,15 @@
 
     /// The event that tells the module of a message, or how it ends without: its notice was under way, or (`true`)
     /// neither the settings nor the journal have its rules, so the module can't be asked.
-    fn resumed(&mut self, live: Live) -> Result<Event, (Rc<Taken>, Ending, bool)> {
-        let (now, wall) = (self.clock(Instant::now()), wall_ms());
+    fn resumed(&mut self, live: Live, at: Instant) -> Result<Event, (Rc<Taken>, Ending, bool)> {
+        let (now, own) = (self.clock(at), self.own.ms(at));
         let taken = live.taken;
         if let Some(ending) = live.ending {
             return Err((taken, ending, false));
         }
         let past = |a: &Begun| PastAttempt {
             endpoint: self.names.get(&a.endpoint).copied(),
-            sent: now - (wall - a.at).max(0).saturating_mul(MS).min(CLOCK_START),
+            sent: now - left(own, a.at).clamp(0, CLOCK_START),
             may_have_run: !a.never_ran,
         };
         let past: Vec<PastAttempt> = live.attempts.iter().map(past).collect();
@@ -292,8 +339,13 @@
             let ran = past.iter().any(|p| p.may_have_run);
             return Err((taken, if ran { Ending::GivenUp } else { Ending::HandedBack(None) }, true));
         };
-        let left = (taken.end - wall).saturating_mul(MS);
-        let message = self.hold(taken, class, left, now + left, attempts);
+        let told = live.attempts.iter().filter_map(|a| a.wait).min().map(Duration::from_millis);
+        // No more than the whole of what its class allows, whatever the clocks showed.
+        let most = self.classes.deadline(class);
+        let left = left(taken.end, own).min(most);
+        let end = Deadline::at(at + Duration::from_nanos(left.max(0) as u64));
+        let life = Life::begin(Stage::Queue, at);
+        let message = self.hold(left, Held { taken, class, end, attempts, told, life });
         Ok(Event::Resumed { message, past })
     }
 
@@ -343,7 +395,7 @@
         let (calls, generation) = (out.len(), self.generation);
         let inheritance = Inheritance { standings: standings.map(named).collect(), generation, closed };
         let kept: HashSet<u64> = out.iter().map(|(id, _)| *id).collect();
-        if let Err(error) = self.journal.give_over(Record::Yielded(out, inheritance)) {
+        if let Err(error) = self.journal.give_over(Record::Yielded(out, inheritance), self.stamp()) {
             tracing::error!(%error, "cannot yield to the next process");
             return false;
         }
@@ -362,7 +414,7 @@
     fn after_yield(&mut self, input: Input) {
         let mut records = Vec::new();
         match input {
-            Input::Offer { taken, reply, .. } => self.pass_on(taken, reply),
+            Input::Offer { taken, end, reply, .. } => self.pass_on(*taken, end, reply),
             Input::Ended(ends) => ends.iter().for_each(|end| self.release(end, &mut records)),
             Input::Noticed(ids) => self.noticed(ids, &mut records),
             Input::Settings(new) => _ = self.reset(*new),
@@ -378,12 +430,12 @@
     }
 
     /// Takes a message on for the next process, which finds it in this one's journal.
-    fn pass_on(&mut self, mut taken: Taken, reply: oneshot::Sender<Reply>) {
+    fn pass_on(&mut self, mut taken: Taken, end: Deadline, reply: oneshot::Sender<Reply>) {
         if !self.dests.contains(&taken.dest) {
             let _ = reply.send(Reply::NoDestination);
             return;
         }
-        taken.id = self.next_id;
+        (taken.id, taken.end) = (self.next_id, self.own.ms(end.instant()));
         let class = self.classes.current(&taken.class);
         let class = class.filter(|_| self.journal.has_room(&taken, 0).is_some());
         let written = class.is_some_and(|class| {
@@ -403,7 +455,7 @@
         if end.done {
             return self.ended(end, records);
         }
-        self.calls.remove(&(end.id, end.attempt));
+        self.came_back(end);
         if !self.held.contains_key(&end.id) {
             return;
         }
@@ -449,9 +501,14 @@
     }
 
     fn noticed(&mut self, ids: Vec<u64>, records: &mut Vec<Record>) {
+        let now = Instant::now();
         for id in ids {
-            if let Some((class, end)) = self.noticing.remove(&id) {
+            if let Some(Noticing { class, end, mut life, due }) = self.noticing.remove(&id) {
+                if due.is_some_and(|due| now > due) {
+                    life.run_out();
+                }
                 self.figures.ended(&class, end);
+                self.figures.lived(&class, life, now);
             }
             records.push(Record::Ended(id));
         }
@@ -513,7 +570,7 @@
 
     fn forget_endpoints(&mut self, now: Instant) {
         let pool = &self.client.pool;
-        let busy: HashSet<EndpointId> = self.calls.values().map(|(endpoint, _)| *endpoint).collect();
+        let busy: HashSet<EndpointId> = self.calls.values().map(|out| out.endpoint).collect();
         self.endpoints.retain(|id, known| {
             let keep = known.closed.is_none_or(|at| now - at < FORGET) || busy.contains(id);
             if keep || !pool.is_done_with(*id) {
@@ -528,7 +585,8 @@
     /// One round: all that has come, the module's answer to it, one write, then the actions.
     fn round(&mut self, inputs: Vec<Input>, events: Vec<Event>) {
         let at = Instant::now();
-        let (now, wall) = (self.clock(at), wall_ms());
+        let now = self.clock(at);
+        self.keep_time();
         if self.has_yielded {
             return inputs.into_iter().for_each(|input| self.after_yield(input));
         }
@@ -536,7 +594,7 @@
         let mut round = Round { at, events, offered: BTreeMap::new(), claimed: 0 };
         for input in inputs {
             match input {
-                Input::Offer { taken, end, reply } => self.offer(taken, end, reply, &mut round),
+                Input::Offer { taken, end, life, reply } => self.offer(*taken, end, life, reply, &mut round),
                 Input::List(list) => {
                     let whole = list.reset;
                     round.events.push(self.list(list, whole));
@@ -595,15 +653,18 @@
                     let known = self.endpoints.get(&endpoint);
                     let (Some(held), Some(known)) = (self.held.get_mut(&id), known) else { continue };
                     let (name, kind) = (known.name.clone(), known.entry.kind);
-                    let attempt = held.attempts;
-                    let record = Begun { number: attempt, at: wall, endpoint: name, never_ran: false };
+                    let (attempt, by) = (held.attempts, self.start + since_start(by));
+                    let time = Allowance::new(held.end, limit, held.told, by);
+                    let wait = time.wait.map(|w| w.as_millis() as u64);
+                    let at_own = self.own.ms(at);
+                    let record =
+                        Begun { number: attempt, at: at_own, endpoint: name, wait, never_ran: false };
                     begun.push(Record::Begun(id, record));
-                    held.attempts += 1;
-                    let (taken, end) = (held.taken.clone(), held.end);
+                    (held.attempts, held.told) = (attempt + 1, time.wait.or(held.told));
+                    held.life.enter(Stage::Dial, at);
+                    let taken = held.taken.clone();
                     tracing::debug!(id, attempt, endpoint, dest = taken.dest, limit = limit / MS, "send");
-                    let limit = if limit > 0 { (now + limit).min(end) } else { end };
-                    let (end, limit, by) = (self.instant(end), self.instant(limit), self.instant(by));
-                    let member = Member { attempt, taken, end, limit, by };
+                    let member = Member { attempt, taken, time, written: Rc::default() };
                     // As the module counts: sends to one endpoint in one round share calls.
                     let batch = self.settings.kinds.get(kind).map_or(1, |k| k.batch.max(1));
                     match calls.iter_mut().rev().find(|(e, _)| *e == endpoint) {
@@ -611,20 +672,24 @@
                         _ => calls.push((endpoint, vec![member])),
                     }
                 }
-                Action::Refuse { id, backoff, .. } => {
+                Action::Refuse { id, backoff, late } => {
                     let backoff = (backoff > 0).then_some((backoff / MS) as u64);
+                    self.is_late(id, late);
                     match offered.remove(&id) {
                         Some(o) => refused.push((o, Reply::Refused(backoff.map(Duration::from_millis)))),
                         None => endings.push((id, Ending::HandedBack(backoff))),
                     }
                 }
-                Action::Fail { id, .. } => match offered.remove(&id) {
-                    Some(o) => refused.push((o, Reply::Failed)),
-                    None => endings.push((id, Ending::GivenUp)),
-                },
+                Action::Fail { id, late } => {
+                    self.is_late(id, late);
+                    match offered.remove(&id) {
+                        Some(o) => refused.push((o, Reply::Failed)),
+                        None => endings.push((id, Ending::GivenUp)),
+                    }
+                }
                 Action::Cancel { id, attempt } => {
-                    if let Some((_, cancel)) = self.calls.get(&(id, attempt)) {
-                        cancel.set();
+                    if let Some(out) = self.calls.get(&(id, attempt)) {
+                        out.cancel.set();
                     }
                 }
                 Action::Probe { endpoint } => {
@@ -635,13 +700,16 @@
             }
         }
         for (o, reply) in refused {
-            self.forget(o.taken.id);
+            if let Some(held) = self.forget(o.taken.id) {
+                self.figures.lived(&held.taken.class, held.life, at);
+            }
             o.answer(reply);
         }
         for &(id, ending) in &endings {
-            if let Some(held) = self.forget(id) {
+            if let Some(Held { taken, mut life, end, .. }) = self.forget(id) {
                 records.push(Record::Decided(id, ending));
-                self.notify(&held.taken, ending);
+                life.enter(Stage::Notice, at);
+                self.notify(&taken, ending, life, Some(end.instant() + NOTICE_SLACK));
             }
         }
         let mut all: Vec<Record> = offered.values().map(|o| Record::Taken(o.taken.clone())).collect();
@@ -666,7 +734,10 @@
             return;
         }
         for (id, o) in offered {
-            if !o.answer(Reply::TakenOn) {
+            // Nothing went out of what was taken on only now. Where its time went while it was written down it is
+            // refused, as at the door.
+            let over = self.held.get(&id).is_some_and(|h| h.attempts == 0 && h.end.is_over(Instant::now()));
+            if over || !o.answer(Reply::TakenOn) {
                 // The client has left without its answer: it may hand the message in again elsewhere.
                 self.next.push(Event::Expired { id });
                 self.forget(id);
@@ -676,13 +747,21 @@
         for (endpoint, members) in calls {
             let cancel = Rc::new(Cancel::default());
             for m in &members {
-                self.calls.insert((m.taken.id, m.attempt), (endpoint, cancel.clone()));
+                let out = Out { endpoint, cancel: cancel.clone(), written: m.written.clone() };
+                self.calls.insert((m.taken.id, m.attempt), out);
             }
             tokio::task::spawn_local(self.client.clone().call(endpoint, members, cancel));
         }
     }
 
-    fn offer(&mut self, mut taken: Taken, end: Instant, reply: oneshot::Sender<Reply>, round: &mut Round) {
+    fn offer(
+        &mut self,
+        mut taken: Taken,
+        end: Deadline,
+        life: Life,
+        reply: oneshot::Sender<Reply>,
+        round: &mut Round,
+    ) {
         if let Some(id) = self.traces.get(&taken.trace) {
             // The same message once more, while it is held: it is taken on already, or shares this round's fate.
             // Another one under its id is told nothing of either.
@@ -715,20 +794,22 @@
         round.claimed += claim;
         self.next_id += 1;
         taken.rules = Some(self.classes.stored(class).into());
+        taken.end = self.own.ms(end.instant());
         let taken = Rc::new(taken);
-        let left = end.saturating_duration_since(round.at).as_nanos() as Ns;
-        let message = self.hold(taken.clone(), class, left, self.clock(end), 0);
+        let left = end.left(round.at).as_nanos() as Ns;
+        let held = Held { taken: taken.clone(), class, end, attempts: 0, told: None, life };
+        let message = self.hold(left, held);
         round.events.push(Event::Message(message));
         round.offered.insert(taken.id, Offered { taken, replies: vec![reply] });
     }
 
     /// Enters a message that the module is about to be told of.
-    fn hold(&mut self, taken: Rc<Taken>, class: usize, left: Ns, end: Ns, attempts: u32) -> Message {
-        let (id, dest) = (taken.id, taken.dest);
-        let tenant = position(&self.around.tenants, &taken.tenant).unwrap_or(0);
-        self.traces.insert(taken.trace.clone(), id);
+    fn hold(&mut self, left: Ns, held: Held) -> Message {
+        let (id, dest, class) = (held.taken.id, held.taken.dest, held.class);
+        let tenant = position(&self.around.tenants, &held.taken.tenant).unwrap_or(0);
+        self.traces.insert(held.taken.trace.clone(), id);
         self.classes.opened(class);
-        self.held.insert(id, Held { taken, class, end, attempts });
+        self.held.insert(id, held);
         Message { id, class, dest, left, cost: 0, key: None, tenant }
     }
 
@@ -755,18 +836,39 @@
         Settings { classes: self.classes.table(), ..self.settings.clone() }
     }
 
-    fn notify(&mut self, taken: &Taken, ending: Ending) {
+    fn notify(&mut self, taken: &Taken, ending: Ending, life: Life, due: Option<Instant>) {
         let end = match ending {
             Ending::GivenUp => End::Failed,
             Ending::HandedBack(_) => End::Rejected,
         };
-        self.noticing.insert(taken.id, (taken.class.clone(), end));
+        self.noticing.insert(taken.id, Noticing { class: taken.class.clone(), end, life, due });
         let _ = self.notices.send(Notice { id: taken.id, trace: taken.trace.clone(), ending });
     }
 
+    /// An attempt is out no more: its message goes on to wait, if it does.
+    fn came_back(&mut self, end: &AttemptEnd) {
+        let out = self.calls.remove(&(end.id, end.attempt));
+        let (Some(out), Some(held)) = (out, self.held.get_mut(&end.id)) else { return };
+        let now = Instant::now();
+        if let Some(written) = out.written.get() {
+            held.life.enter(Stage::Attempt, written);
+        }
+        if held.end.is_over(now) && end.outcome != Outcome::Served {
+            held.life.run_out();
+        }
+        held.life.enter(Stage::Queue, now);
+    }
+
+    /// The module ends a message, and says whether for lack of time.
+    fn is_late(&mut self, id: u64, late: bool) {
+        if let Some(held) = self.held.get_mut(&id).filter(|_| late) {
+            held.life.run_out();
+        }
+    }
+
     /// Books an attempt's end.
     fn ended(&mut self, end: &AttemptEnd, records: &mut Vec<Record>) {
-        self.calls.remove(&(end.id, end.attempt));
+        self.came_back(end);
         if !self.held.contains_key(&end.id) {
             return;
         }
@@ -776,6 +878,7 @@
                 // Withdrawn, by the endpoint's word: not delivered, and not to be handed in again.
                 let served = end.outcome == Outcome::Served;
                 self.figures.ended(&held.taken.class, if served { End::Completed } else { End::Failed });
+                self.figures.lived(&held.taken.class, held.life, Instant::now());
             }
         } else if end.outcome.never_ran() {
             records.push(Record::NeverRan(end.id, end.attempt));
@@ -815,7 +918,14 @@
     }
 
     fn write(&mut self, records: &[Record]) -> bool {
-        let result = self.journal.write(records);
+        records.is_empty() || self.write_all(records)
+    }
+
+    /// Also where there is nothing to be said but the time.
+    fn write_all(&mut self, records: &[Record]) -> bool {
+        let stamp = self.stamp();
+        let result = self.journal.write(records, stamp);
+        self.last_stamp = stamp;
         if let Err(error) = &result {
             if !self.write_failed {
                 tracing::error!(%error, "cannot write the journal; nothing new is taken on");
@@ -826,6 +936,11 @@
     }
 }
 
+/// A time of the module's clock, from the start of the process.
+fn since_start(at: Ns) -> Duration {
+    Duration::from_nanos((at - CLOCK_START).max(0) as u64)
+}
+
 fn position(names: &[String], name: &str) -> Option<usize> {
     names.iter().position(|n| n == name)
 }
--- a/src/bin/nickelshed/handover.rs
+++ b/src/bin/nickelshed/handover.rs
@@ -125,9 +125,10 @@
             let mut reader = Reader::new(&self.path, *number, budget);
             reader.read();
             reader.warn_if_torn();
-            let ledger = reader.ledger;
-            left.messages.extend(ledger.live.into_values().filter(|l| !left.seen.contains(&l.taken.id)));
-            left.seen.extend(ledger.seen);
+            let Ledger { live, stamp, seen, .. } = reader.ledger;
+            let new = live.into_values().filter(|l| !left.seen.contains(&l.taken.id));
+            left.messages.extend(new.map(|l| l.stamped(stamp)));
+            left.seen.extend(seen);
         }
         left.messages.sort_by_key(|live| live.taken.id);
         left.messages.iter().for_each(|live| _ = left.seen.remove(&live.taken.id));
@@ -336,7 +337,9 @@
             self.core.send(Input::EndedElsewhere(releases)).await.ok()?;
         }
         let new = reader.yielded().filter(|live| !self.taken.contains(&live.taken.id));
-        let left = Left { messages: new.cloned().collect(), seen: BTreeSet::new() };
+        let stamp = reader.ledger.stamp;
+        let messages = new.map(|live| live.clone().stamped(stamp)).collect();
+        let left = Left { messages, seen: BTreeSet::new() };
         self.before.insert(number, (reader, told));
         if !left.messages.is_empty() {
             self.take_over(left).await?;
@@ -380,6 +383,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::deadline::Stamp;
     use crate::journal::{Journal, Record};
 
     #[test]
@@ -400,7 +404,7 @@
         let (second, mut journal) = enter();
         assert!(second.has_predecessor() && !second.has_successor(&budget));
         assert!(!first.has_successor(&budget), "clients would find nobody yet");
-        journal.write(&[Record::Listening]).unwrap();
+        journal.write(&[Record::Listening], Stamp { own: 0, wall: 0 }).unwrap();
         assert!(first.has_successor(&budget));
         drop(second);
         assert!(!first.has_successor(&budget), "its lock is let go with it");
--- a/src/bin/nickelshed/server.rs
+++ b/src/bin/nickelshed/server.rs
@@ -1,10 +1,12 @@
 //! Clients in: takes requests, checks their form, and hands them to the core.
 use crate::core::{Input, Reply};
+use crate::deadline::Deadline;
 use crate::drain::{Drain, State};
 use crate::figures::{End, Figures};
 use crate::journal::{Taken, MAX_BODY};
+use crate::life::{Life, Stage};
 use crate::listen;
-use crate::memory::Budget;
+use crate::memory::{self, Budget};
 use crate::wire::{Io, Socket, MAX_HEAD, MAX_HEADERS};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
@@ -214,7 +216,10 @@
             async move {
                 guest.busy.set(true);
                 let class = self.class(request.uri().path());
-                let mut response = self.answer(request, guest.deadline(None)).await;
+                // What a request may take is counted from its first byte; one behind another on its connection
+                // may have come with that.
+                let since = guest.socket.heard().unwrap_or_else(Instant::now);
+                let mut response = self.answer(request, since, guest.deadline(None)).await;
                 self.count(class, response.status());
                 // Clients that come with a new connection for each message would fill all places with idle ones
                 // that are too young to be closed.
@@ -264,8 +269,8 @@
         let _ = timeout(TURN_AWAY, socket.close(DRAIN_BYTES)).await;
     }
 
-    /// `by`: when the whole request must be here.
-    async fn answer(&self, request: Request<Incoming>, by: Instant) -> Response<Full<Bytes>> {
+    /// `since`: when the request began to come; `by`: when the whole of it must be here.
+    async fn answer(&self, request: Request<Incoming>, since: Instant, by: Instant) -> Response<Full<Bytes>> {
         let (head, body) = request.into_parts();
         let path = head.uri.path();
         if path == "/healthz" && matches!(head.method, Method::GET | Method::HEAD) && body.is_end_stream() {
@@ -291,18 +296,23 @@
         if length > MAX_BODY as u64 {
             return bad(StatusCode::PAYLOAD_TOO_LARGE, "the body is over 64 KiB");
         }
-        let (mut taken, left) = match terms.read_head(&head.headers, class) {
+        let (mut taken, end) = match terms.read_head(&head.headers, class, since) {
             Ok(read) => read,
             Err(why) => return bad(StatusCode::BAD_REQUEST, why),
         };
+        let mut life = Life::begin(Stage::Read, since);
         // Held until the message's end, or until it is turned away.
         let Some(share) = self.budget.claim(length as usize) else { return closing(refused(None)) };
-        taken.share = Some(share);
-        let end = Instant::now() + left;
-        taken.end = crate::journal::wall_ms() + left.as_millis() as i64;
-        taken.body = match timeout_at(by, Limited::new(body, MAX_BODY).collect()).await {
+        let read = timeout_at(by.min(end.instant()), Limited::new(body, MAX_BODY).collect()).await;
+        if end.is_over(Instant::now()) {
+            // Its time went while it came in, or was up before: it is not taken on, so it may come again.
+            life.run_out();
+            self.figures.lived(&taken.class, life, Instant::now());
+            return closing(refused(None));
+        }
+        taken.body = match read {
             // Copied: the library's own buffer, of which this is a part, is far larger than most messages.
-            Ok(Ok(body)) => Bytes::copy_from_slice(&body.to_bytes()),
+            Ok(Ok(body)) => memory::body(&body.to_bytes(), share),
             Ok(Err(e)) if e.is::<LengthLimitError>() => {
                 return bad(StatusCode::PAYLOAD_TOO_LARGE, "the body is over 64 KiB")
             }
@@ -310,7 +320,8 @@
             Err(_) => return bad(StatusCode::REQUEST_TIMEOUT, "the body does not come"),
         };
         let (reply, answer) = oneshot::channel();
-        if self.core.try_send(Input::Offer { taken, end, reply }).is_err() {
+        life.enter(Stage::Queue, Instant::now());
+        if self.core.try_send(Input::Offer { taken: Box::new(taken), end, life, reply }).is_err() {
             return refused(None);
         }
         match answer.await {
@@ -331,7 +342,12 @@
     }
 
     /// What a message's headers say, with its body still to come.
-    fn read_head(&self, headers: &HeaderMap, class: usize) -> Result<(Taken, Duration), &'static str> {
+    fn read_head(
+        &self,
+        headers: &HeaderMap,
+        class: usize,
+        since: Instant,
+    ) -> Result<(Taken, Deadline), &'static str> {
         let text = |name: &str| {
             headers.get(name).map(|v| v.to_str().map(str::trim).ok().filter(|t| t.len() <= MAX_NAME))
         };
@@ -348,10 +364,9 @@
             }
             _ => return Err("X-Customer is missing or unknown"),
         };
-        let left = text("x-expires-in-ms").flatten().and_then(|t| t.parse::<u32>().ok());
-        let left = left.ok_or("X-Expires-In-Ms is missing or malformed")?;
+        let values = headers.get_all("x-expires-in-ms").iter().map(HeaderValue::as_bytes);
         // No message has longer than its class: core, journal and module agree on its end, over restarts too.
-        let left = Duration::from_millis(left.into()).min(self.classes[class].deadline);
+        let end = Deadline::read(values, since, self.classes[class].deadline)?;
         let dest = text("x-consignee").flatten().and_then(|t| {
             t.split([',', ';']).find_map(|p| p.trim().strip_prefix("dest=")?.trim().parse::<u64>().ok())
         });
@@ -366,19 +381,8 @@
             return Err("Idempotency-Key is missing");
         }
         let (class, tenant, trace) = (name.clone(), tenant.to_string(), trace.to_string());
-        let taken = Taken {
-            id: 0,
-            class,
-            tenant,
-            dest,
-            trace,
-            key,
-            end: 0,
-            rules: None,
-            body: Bytes::new(),
-            share: None,
-        };
-        Ok((taken, left))
+        let taken = Taken { id: 0, class, tenant, dest, trace, key, end: 0, rules: None, body: Bytes::new() };
+        Ok((taken, end))
     }
 }
 
--- a/tests/operations.rs
+++ b/tests/operations.rs
@@ -418,3 +418,50 @@
     }
     assert!(discovery.notices().is_empty());
 }
+
+/// A line of the figures, by its start.
+fn line(text: &str, start: &str) -> f64 {
+    let line = text.lines().find(|l| l.starts_with(start)).unwrap_or_else(|| panic!("{start}: {text}"));
+    line.rsplit_once(' ').unwrap().1.parse().unwrap()
+}
+
+#[test]
+fn a_body_that_trickles_in_uses_up_its_own_time_and_the_figures_tell_where_time_went() {
+    let endpoint = Peer::new(|r| match r.id() {
+        "hung" => Reply::Hang,
+        _ => ok(),
+    });
+    let (discovery, node) = controlled(&endpoint);
+    // Its body never comes: the time that it was given is over first.
+    let mut slow = TcpStream::connect(node.address).unwrap();
+    let head = "POST /order HTTP/1.1\r\nHost: x\r\nX-Trace-Id: slow\r\nX-Customer: acme\r\n\
+                X-Consignee: dest=7\r\nX-Expires-In-Ms: 250\r\nContent-Length: 5\r\n\r\nab";
+    slow.write_all(head.as_bytes()).unwrap();
+    slow.set_read_timeout(Some(BOUND)).unwrap();
+    let answer = read_message(&mut BufReader::new(slow), 0).expect("an answer");
+    assert!(answer.first.contains(" 503 "), "{}", answer.first);
+    assert!(answer.headers.contains_key("retry-after"));
+
+    assert_eq!(node.hand_in("alert", "well", 7, 16_000, b"x"), 202);
+    endpoint.wait_for("well", 1);
+    assert_eq!(node.hand_in("order", "hung", 7, 500, b"x"), 202);
+    let told: u64 = endpoint.wait_for("hung", 1)[0].headers["x-expires-in-ms"].parse().unwrap();
+    assert!((1..=500).contains(&told), "{told}");
+    assert_eq!(discovery.wait_notice("hung")["outcome"], "given_up");
+    node.until("its notice is booked", || figure(&node, "sender_pending") == 0);
+    let text = node.control("GET", "/v1/metrics").1;
+    let count = |lane: &str, stage: &str| {
+        line(&text, &format!("sender_stage_seconds_count{{lane=\"{lane}\",stage=\"{stage}\"}}"))
+    };
+    let ran_out =
+        |stage: &str| line(&text, &format!("sender_expired_total{{lane=\"order\",stage=\"{stage}\"}}"));
+    let stages = ["read", "queue", "dial", "attempt", "notice"];
+    assert_eq!(stages.map(|s| count("alert", s)), [1.0, 1.0, 1.0, 1.0, 0.0]);
+    assert_eq!(stages.map(|s| count("order", s)), [2.0, 1.0, 1.0, 1.0, 1.0]);
+    assert_eq!(stages.map(ran_out), [1.0, 0.0, 0.0, 1.0, 0.0]);
+    let spent: f64 = stages
+        .iter()
+        .map(|s| line(&text, &format!("sender_stage_seconds_sum{{lane=\"order\",stage=\"{s}\"}}")))
+        .sum();
+    assert!(spent >= 0.75, "250 ms and 500 ms: {spent}");
+}
