--- /dev/null
+++ b/benches/measure.rs
@@ -0,0 +1,179 @@
+//! Figures for docs/journal.md, on real processes over loopback. A run ends by itself, after a minute or so.
+//!
+//!     cargo bench --bench measure -- start [OTHER_PROGRAM]    # from start to ready against the journal's size
+//!     cargo bench --bench measure -- durability               # what `power` costs
+#[path = "../tests/peers/mod.rs"]
+mod peers;
+
+use bytes::Bytes;
+use journal::{encode, encode_groups, first_id, Record, Stamp, Taken};
+use peers::*;
+use serde_json::{json, Value};
+use std::io::{BufReader, Write};
+use std::net::TcpStream;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+const RUNS: usize = 7;
+
+fn main() {
+    let arguments: Vec<String> = std::env::args().skip(1).filter(|a| a != "--bench").collect();
+    match arguments.iter().map(String::as_str).collect::<Vec<_>>()[..] {
+        ["start"] => start(None),
+        ["start", other] => start(Some(other.into())),
+        ["durability"] => durability(),
+        _ => eprintln!("usage: cargo bench --bench measure -- start [OTHER_PROGRAM] | durability"),
+    }
+}
+
+/// Median, least and most.
+fn spread(mut values: Vec<f64>) -> String {
+    values.sort_by(f64::total_cmp);
+    format!("{:.1} ({:.1} to {:.1})", values[values.len() / 2], values[0], values[values.len() - 1])
+}
+
+fn now_ms() -> i64 {
+    std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap().as_millis() as i64
+}
+
+/// A journal of process 3 with messages of 300 bytes, about so long.
+fn journal(bytes: usize, grouped: bool) -> (Vec<u8>, usize) {
+    let (now, mut file, mut count, mut group) = (now_ms(), Vec::new(), 0, 0);
+    let stamp = Stamp { own: now, wall: now };
+    while file.len() < bytes {
+        let records: Vec<Record> = (0..8)
+            .map(|i| {
+                Record::Taken(Arc::new(Taken {
+                    id: first_id(3) + count + i,
+                    class: "order".into(),
+                    tenant: "acme".into(),
+                    dest: 7,
+                    trace: format!("trace-{:08}", count + i),
+                    key: None,
+                    end: now + 15_000,
+                    rules: None,
+                    body: Bytes::from(vec![b'x'; 300]),
+                }))
+            })
+            .collect();
+        count += 8;
+        match grouped {
+            true => encode_groups(&records, 77, &mut group, stamp, &mut file),
+            false => records.iter().for_each(|r| _ = encode(r, &mut file)),
+        }
+    }
+    (file, count as usize)
+}
+
+fn start(other: Option<PathBuf>) {
+    let endpoint = Peer::new(|_| Reply::Hang);
+    println!("milliseconds from start to ready, median of {RUNS} (least to most)");
+    for mb in [0.0, 1.0, 2.0, 4.0, 8.0, 16.0] {
+        let mut rows: Vec<(String, Vec<f64>)> = Vec::new();
+        let mut held = 0;
+        for _ in 0..RUNS {
+            let mut kinds = vec![("version 1", false, None), ("version 2", true, None)];
+            kinds.extend(other.clone().map(|program| ("version 1", false, Some(program))));
+            for (name, grouped, program) in kinds {
+                let closed = instance("e-1", endpoint.address, 7, "plain", "Terminating");
+                let discovery = Discovery::new(json!([closed]));
+                let mut node = Node::new(&discovery, json!([]), |config| {
+                    config["limits"] = json!({"cores": 1.0, "memory_mb": 512, "sockets": 256, "disk_mb": 40});
+                    config["settings"]["Limits"]["MaxOpen"] = 200_000.into();
+                });
+                let by = if program.is_some() { "the other program" } else { "this one" };
+                let label = format!("{name}, read by {by}");
+                if let Some(program) = program {
+                    node.program = program;
+                }
+                let (file, count) = journal((mb * 1e6) as usize, grouped);
+                held = count;
+                if mb > 0.0 {
+                    std::fs::write(node.state().join("journal.3"), file).unwrap();
+                }
+                let begun = Instant::now();
+                node.restart();
+                let took = begun.elapsed().as_secs_f64() * 1e3;
+                match rows.iter_mut().find(|(l, _)| *l == label) {
+                    Some(row) => row.1.push(took),
+                    None => rows.push((label, vec![took])),
+                }
+            }
+        }
+        for (label, times) in rows {
+            println!("{mb:4.0} MB, {held:6} messages, {label}: {}", spread(times));
+        }
+    }
+}
+
+const CLIENTS: usize = 16;
+const EACH: usize = 150;
+
+/// Hands in messages over kept connections; the time to each 202 in microseconds.
+fn hand_in(node: &Node, client: usize) -> Vec<f64> {
+    let mut stream = TcpStream::connect(node.address).unwrap();
+    stream.set_nodelay(true).unwrap();
+    let mut reader = BufReader::new(stream.try_clone().unwrap());
+    let mut times = Vec::new();
+    for i in 0..EACH {
+        let text = format!(
+            "POST /order HTTP/1.1\r\nHost: x\r\nX-Trace-Id: {client}-{i}\r\nX-Customer: acme\r\n\
+             X-Expires-In-Ms: 15000\r\nX-Consignee: dest=7\r\nContent-Length: 200\r\n\r\n{}",
+            "x".repeat(200)
+        );
+        let begun = Instant::now();
+        stream.write_all(text.as_bytes()).unwrap();
+        let answer = read_message(&mut reader, 0).expect("an answer");
+        if answer.first.contains(" 202 ") {
+            times.push(begun.elapsed().as_secs_f64() * 1e6);
+        }
+        std::thread::sleep(Duration::from_millis(2));
+    }
+    times
+}
+
+fn durability() {
+    let names = ["process", "power"];
+    let mut median: [Vec<f64>; 2] = Default::default();
+    let mut tail: [Vec<f64>; 2] = Default::default();
+    let mut per_sync = Vec::new();
+    let mut taken = [0, 0];
+    for _ in 0..RUNS {
+        for (which, name) in names.iter().enumerate() {
+            let endpoint = Peer::new(|_| ok());
+            let discovery = Discovery::new(json!([ready("e-1", endpoint.address, 7)]));
+            let node = Node::with(&discovery, json!([]), |config: &mut Value| {
+                Node::controlled(config);
+                config["durability"] = (*name).into();
+                config["limits"]["disk_mb"] = 20.into();
+                config["settings"]["Limits"]["MaxOpen"] = 5_000.into();
+                config["settings"]["FamilyInfo"]["CallsOut"] = 64.into();
+            });
+            let mut times: Vec<f64> = std::thread::scope(|scope| {
+                let node = &node;
+                let clients: Vec<_> = (0..CLIENTS).map(|c| scope.spawn(move || hand_in(node, c))).collect();
+                clients.into_iter().flat_map(|c| c.join().unwrap()).collect()
+            });
+            times.sort_by(f64::total_cmp);
+            median[which].push(times[times.len() / 2]);
+            tail[which].push(times[times.len() * 99 / 100]);
+            taken[which] += times.len();
+            let text = node.control("GET", "/v1/metrics").1;
+            let line = text.lines().find(|l| l.starts_with("sender_journal_syncs_total ")).unwrap();
+            let syncs: f64 = line.rsplit_once(' ').unwrap().1.parse().unwrap();
+            if *name == "power" {
+                per_sync.push(times.len() as f64 / syncs.max(1.0));
+            }
+        }
+    }
+    println!("{CLIENTS} clients, {RUNS} runs each, alternating; median of the runs (least to most)");
+    for (which, name) in names.iter().enumerate() {
+        let (middle, tail) = (spread(median[which].clone()), spread(tail[which].clone()));
+        println!(
+            "{name}: microseconds to the 202: median {middle}, 99th percentile {tail}; {} taken on",
+            taken[which]
+        );
+    }
+    println!("power: messages taken on for each sync {}", spread(per_sync));
+}
--- a/src/bin/nickelshed/calls.rs
+++ b/src/bin/nickelshed/calls.rs
@@ -3,7 +3,7 @@
 use crate::core::Input;
 use crate::deadline::Allowance;
 use crate::figures::Figures;
-use crate::journal::{Taken, MAX_BODY};
+use crate::wire::MAX_BODY;
 use crate::wire::{Socket, MAX_HEADERS};
 use base64::Engine;
 use bytes::Bytes;
@@ -11,6 +11,7 @@
 use hyper::body::{Body, Incoming};
 use hyper::header::{HeaderMap, CONNECTION, RETRY_AFTER};
 use hyper::Request;
+use journal::Taken;
 use leadfold::api::{AttemptEnd, EndpointId, Ns, Outcome, Report};
 use serde_json::{json, Value};
 use std::cell::Cell;
@@ -18,6 +19,7 @@
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::{mpsc, Notify};
 use tokio::time::{sleep_until, timeout, Instant};
@@ -51,7 +53,7 @@
 /// A message's part in a call.
 pub struct Member {
     pub attempt: u32,
-    pub taken: Rc<Taken>,
+    pub taken: Arc<Taken>,
     pub time: Allowance,
     /// When it began to be written, once it does.
     pub written: Rc<Cell<Option<Instant>>>,
--- a/src/bin/nickelshed/classes.rs
+++ b/src/bin/nickelshed/classes.rs
@@ -2,9 +2,8 @@
 use leadfold::api::{Class, DedupScope, Effect, Ns, Settings};
 use leadfold::settings::Around;
 
-/// A class's rules as the journal keeps them: effect, scope, aim, its stretch, deadline, window, worth, what is left
-/// of it at the deadline, whether it is in order, and attempts.
-pub type Stored = (u8, u8, Ns, f64, Ns, Ns, f64, f64, bool, u32);
+/// A class's rules as the journal keeps them.
+pub use journal::Rules as Stored;
 
 const EFFECTS: [Effect; 3] = [Effect::Safe, Effect::Keyed, Effect::Unsafe];
 const SCOPES: [DedupScope; 3] = [DedupScope::All, DedupScope::Zone, DedupScope::Endpoint];
--- a/src/bin/nickelshed/config.rs
+++ b/src/bin/nickelshed/config.rs
@@ -1,5 +1,6 @@
 //! The environment and config.json: read at the start, and the file whole once more on SIGHUP.
 use crate::discovery::List;
+use journal::Durability;
 use leadfold::api::Settings;
 use leadfold::settings::{self, Around};
 use serde::Deserialize;
@@ -23,6 +24,7 @@
     limits: Limits,
     #[serde(default)]
     known: List,
+    durability: Option<String>,
     settings: Value,
 }
 
@@ -34,6 +36,8 @@
     pub state: PathBuf,
     pub seed: u64,
     pub limits: Limits,
+    /// What the journal outlasts; as it was at the start.
+    pub durability: Durability,
     pub known: List,
     pub settings: Settings,
     pub around: Around,
@@ -64,6 +68,14 @@
     address("EDGE_DISCOVERY", file, var("EDGE_DISCOVERY"))
 }
 
+fn durability(name: Option<&str>) -> Result<Durability, String> {
+    match name {
+        None | Some("process") => Ok(Durability::Process),
+        Some("power") => Ok(Durability::Power),
+        Some(other) => Err(format!("durability is neither process nor power: {other}")),
+    }
+}
+
 fn control(file: Option<String>) -> Result<Option<SocketAddr>, String> {
     let named = var("EDGE_CONTROL").or(file);
     named.map(|text| address("EDGE_CONTROL", Some(text), None)).transpose()
@@ -120,6 +132,7 @@
         state: var("EDGE_STATE").ok_or("EDGE_STATE is not set")?.into(),
         seed: file.seed.as_ref().map_or(0, seed),
         limits: file.limits,
+        durability: durability(file.durability.as_deref()).map_err(|e| format!("{path}: {e}"))?,
         known: file.known,
         settings,
         around,
--- a/src/bin/nickelshed/connections.rs
+++ b/src/bin/nickelshed/connections.rs
@@ -1,6 +1,5 @@
 //! Connections to endpoints, discovery and the platform: the pool, its bounds, and whom nothing may be written.
-use crate::journal::MAX_BODY;
-use crate::wire::{Io, Socket, MAX_HEAD, MAX_HEADERS};
+use crate::wire::{Io, Socket, MAX_BODY, MAX_HEAD, MAX_HEADERS};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
--- a/src/bin/nickelshed/control.rs
+++ b/src/bin/nickelshed/control.rs
@@ -2,7 +2,7 @@
 use crate::core::Input;
 use crate::drain::Drain;
 use crate::figures::Figures;
-use crate::journal::MAX_BODY;
+use crate::wire::MAX_BODY;
 use crate::wire::{MAX_HEAD, MAX_HEADERS};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
@@ -79,7 +79,7 @@
         }
         let method = &head.method;
         match head.uri.path() {
-            "/v1/readyz" if is_read(method) => yes_or_no(self.drain.is_active()),
+            "/v1/readyz" if is_read(method) => yes_or_no(self.drain.is_ready()),
             "/v1/metrics" if is_read(method) => self.figures().await,
             "/v1/readyz" | "/v1/metrics" => wrong_method("GET, HEAD"),
             "/v1/sender/drain" if method == Method::PUT => yes_or_no(self.drain.drain()),
--- a/src/bin/nickelshed/core.rs
+++ b/src/bin/nickelshed/core.rs
@@ -3,20 +3,23 @@
 use crate::classes::Classes;
 use crate::config::Config;
 use crate::connections::Turnover;
-use crate::deadline::{left, wall_ms, Allowance, Clock, Deadline, Shift, Stamp};
+use crate::deadline::{left, wall_ms, was_set, Allowance, Clock, Deadline, Shift};
 use crate::discovery::List;
+use crate::disk::Log;
+use crate::drain::Drain;
 use crate::figures::{End, Figures, Gauges};
-use crate::handover::{Elsewhere, Left};
-use crate::journal::{first_id, seen};
-use crate::journal::{Begun, Ending, Inheritance, Journal, Live, Record, Release, Taken};
+use crate::handover::Elsewhere;
 use crate::life::{Life, Stage};
 use crate::notices::Notice;
+use journal::{first_id, seen, Begun, Ending, Fault, Inheritance, Left, Live, Record, Release, Stamp, Taken};
 use leadfold::api::*;
 use leadfold::rules::Sender;
 use leadfold::settings::Around;
+use serde_json::Value;
 use std::cell::Cell;
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{sleep_until, timeout, Instant};
@@ -76,7 +79,7 @@
 
 /// A message that the module has not ended.
 struct Held {
-    taken: Rc<Taken>,
+    taken: Arc<Taken>,
     class: usize,
     end: Deadline,
     attempts: u32,
@@ -113,7 +116,7 @@
 }
 
 struct Offered {
-    taken: Rc<Taken>,
+    taken: Arc<Taken>,
     /// More than one where the same message came twice in a round.
     replies: Vec<oneshot::Sender<Reply>>,
 }
@@ -139,7 +142,8 @@
     settings: Settings,
     around: Around,
     classes: Classes,
-    journal: Journal,
+    journal: Log,
+    drain: Rc<Drain>,
     client: Rc<Client>,
     inbox: mpsc::Receiver<Input>,
     notices: mpsc::UnboundedSender<Notice>,
@@ -173,6 +177,10 @@
     has_yielded: bool,
     yielding: Option<oneshot::Sender<bool>>,
     write_failed: bool,
+    /// Ends that could not be written down yet.
+    owed: Vec<Record>,
+    /// When a journal that has failed may next be replaced.
+    renew_at: Option<Instant>,
     told: Told,
 }
 
@@ -190,6 +198,8 @@
 const ROUND: usize = 512;
 /// For so long after it was closed an endpoint is remembered, as long as the module does: new ones come all day.
 const FORGET: Duration = Duration::from_secs(60);
+/// How often a journal that has failed may be tried to be replaced.
+const RENEW_EVERY: Duration = Duration::from_secs(1);
 /// How long after a message's time the platform may hear of its end.
 const NOTICE_SLACK: Duration = Duration::from_millis(300);
 const FIRST_LIST: Duration = Duration::from_millis(300);
@@ -200,13 +210,13 @@
 impl Core {
     pub fn new(
         config: Config,
-        (number, journal): (u64, Journal),
+        (number, journal, own): (u64, Log, Clock),
+        drain: Rc<Drain>,
         client: Rc<Client>,
         inbox: mpsc::Receiver<Input>,
         notices: mpsc::UnboundedSender<Notice>,
     ) -> Core {
         let (start, wall) = (Instant::now(), wall_ms());
-        let own = Clock::new(start, wall);
         Core {
             sender: Sender::new(config.settings.clone(), config.seed),
             classes: Classes::new(&config.settings, &config.around),
@@ -214,6 +224,7 @@
             around: config.around,
             next_id: first_id(number),
             journal,
+            drain,
             figures: client.figures.clone(),
             client,
             inbox,
@@ -238,6 +249,8 @@
             has_yielded: false,
             yielding: None,
             write_failed: false,
+            owed: Vec::new(),
+            renew_at: None,
             told: Told { at: Instant::now(), no_room: 0, no_journal: 0, turnover: Turnover::default() },
         }
     }
@@ -247,10 +260,11 @@
     }
 
     /// Says in the journal that the wall clock was set, while that matters to what is held.
-    fn keep_time(&mut self) {
-        if !self.held.is_empty() && self.stamp().is_news_after(self.last_stamp) {
+    async fn keep_time(&mut self) {
+        if !self.held.is_empty() && was_set(self.last_stamp, self.stamp()) {
             tracing::warn!("the wall clock was set");
-            self.write_all(&[]);
+            // A failure is logged, and the next write says it too.
+            let _ = self.commit(Vec::new()).await;
         }
     }
 
@@ -273,7 +287,7 @@
         }
         events.push(Event::Elsewhere { sends, calls: Vec::new() });
         let count = left.messages.len();
-        let written = self.take_over(left, &mut events);
+        let written = self.take_over(left, &mut events).await;
         if count > 0 {
             tracing::info!(
                 messages = self.held.len(),
@@ -281,20 +295,22 @@
                 "resumed from the journal"
             );
         }
-        self.round(Vec::new(), events);
+        self.round(Vec::new(), events).await;
         written
     }
 
     /// Makes messages of an earlier process this one's.
-    fn take_over(&mut self, left: Left, events: &mut Vec<Event>) -> bool {
-        let Left { messages: mut left, seen: ended } = left;
+    async fn take_over(&mut self, left: Left, events: &mut Vec<Event>) -> bool {
+        let Left { messages: mut left, seen: ended, .. } = left;
         left.retain(|live| !self.journal.has_seen(live.taken.id));
         let (now, wall) = (Instant::now(), wall_ms());
         let own = self.own.ms(now);
-        left.iter_mut().for_each(|live| *live = live.shifted(Shift::new(live.stamp, wall, own)));
+        left.iter_mut().for_each(|live| *live = Shift::new(live.stamp, wall, own).apply(live));
         let records = left.iter().flat_map(Live::records);
         let records: Vec<Record> = records.chain(seen(ended.into_iter())).collect();
-        if let Err(error) = self.journal.take_over(&records, self.own.stamp(now, wall)) {
+        let stamp = self.own.stamp(now, wall);
+        let written = self.journal.run(move |journal| journal.take_over(&records, stamp)).await;
+        if let Err(error) = self.settled(written).await {
             tracing::warn!(%error, "cannot take over what another process left; it is tried again");
             return false;
         }
@@ -308,20 +324,19 @@
             }
         }
         events.insert(at, Event::Settings(self.module_settings()));
-        let mut records = Vec::new();
+        let decided = lost.iter().filter(|(.., decide)| *decide);
+        let records: Vec<Record> = decided.map(|(taken, end, _)| Record::Decided(taken.id, *end)).collect();
+        let written = self.write(records).await;
         for (taken, ending, decide) in lost {
-            if decide {
-                records.push(Record::Decided(taken.id, ending));
-            }
+            let ending = if decide && !written { Ending::GivenUp } else { ending };
             self.notify(&taken, ending, Life::begin(Stage::Notice, now), None);
         }
-        self.write(&records);
         true
     }
 
     /// The event that tells the module of a message, or how it ends without: its notice was under way, or (`true`)
     /// neither the settings nor the journal have its rules, so the module can't be asked.
-    fn resumed(&mut self, live: Live, at: Instant) -> Result<Event, (Rc<Taken>, Ending, bool)> {
+    fn resumed(&mut self, live: Live, at: Instant) -> Result<Event, (Arc<Taken>, Ending, bool)> {
         let (now, own) = (self.clock(at), self.own.ms(at));
         let taken = live.taken;
         if let Some(ending) = live.ending {
@@ -357,7 +372,11 @@
             }
             let wake = self.timer.map(|at| self.instant(at));
             let wake = if self.next.is_empty() { wake } else { Some(Instant::now()) };
-            let wake = [wake, self.wind].into_iter().flatten().filter(|&w| self.started_before(w)).min();
+            let wake = [wake, self.wind, self.renew_at]
+                .into_iter()
+                .flatten()
+                .filter(|&w| self.started_before(w))
+                .min();
             tokio::select! {
                 biased;
                 count = self.inbox.recv_many(&mut inputs, ROUND) => if count == 0 { return },
@@ -375,15 +394,15 @@
                 self.timer = None;
                 events.push(Event::Timer);
             }
-            self.round(std::mem::take(&mut inputs), events);
+            self.round(std::mem::take(&mut inputs), events).await;
             if let Some(reply) = self.yielding.take() {
-                let _ = reply.send(self.yield_work());
+                let _ = reply.send(self.yield_work().await);
             }
         }
     }
 
     /// Makes all but the calls out the next process's. False if that could not be written down: then all stays here.
-    fn yield_work(&mut self) -> bool {
+    async fn yield_work(&mut self) -> bool {
         let out: Vec<(u64, u32)> =
             self.calls.keys().copied().filter(|(id, _)| self.held.contains_key(id)).collect();
         let standings = self.sender.standings(self.clock(Instant::now())).into_iter();
@@ -393,9 +412,17 @@
         let closed = self.endpoints.values().filter(|known| known.closed.is_some());
         let closed = closed.map(|known| known.name.clone()).collect();
         let (calls, generation) = (out.len(), self.generation);
-        let inheritance = Inheritance { standings: standings.map(named).collect(), generation, closed };
+        let named = |s: Standing| {
+            let (endpoint, standing) = named(s);
+            // Figures that are no numbers can't be written; none of these is one.
+            Some((endpoint, serde_json::to_value(standing).ok()?))
+        };
+        let inheritance =
+            Inheritance { standings: standings.filter_map(named).collect(), generation, closed };
         let kept: HashSet<u64> = out.iter().map(|(id, _)| *id).collect();
-        if let Err(error) = self.journal.give_over(Record::Yielded(out, inheritance), self.stamp()) {
+        let (record, stamp) = (Record::Yielded(out, inheritance), self.stamp());
+        let written = self.journal.run(move |journal| journal.give_over(record, stamp)).await;
+        if let Err(error) = self.settled(written).await {
             tracing::error!(%error, "cannot yield to the next process");
             return false;
         }
@@ -411,10 +438,10 @@
     }
 
     /// What still comes once all is yielded: clients' last messages, the ends of the calls out, notices.
-    fn after_yield(&mut self, input: Input) {
+    async fn after_yield(&mut self, input: Input) {
         let mut records = Vec::new();
         match input {
-            Input::Offer { taken, end, reply, .. } => self.pass_on(*taken, end, reply),
+            Input::Offer { taken, end, reply, .. } => self.pass_on(*taken, end, reply).await,
             Input::Ended(ends) => ends.iter().for_each(|end| self.release(end, &mut records)),
             Input::Noticed(ids) => self.noticed(ids, &mut records),
             Input::Settings(new) => _ = self.reset(*new),
@@ -426,11 +453,11 @@
             Input::List(_) | Input::Alone | Input::Succeeded | Input::Listening(_) | Input::Probed { .. } => {
             }
         }
-        self.write(&records);
+        self.write(records).await;
     }
 
     /// Takes a message on for the next process, which finds it in this one's journal.
-    fn pass_on(&mut self, mut taken: Taken, end: Deadline, reply: oneshot::Sender<Reply>) {
+    async fn pass_on(&mut self, mut taken: Taken, end: Deadline, reply: oneshot::Sender<Reply>) {
         if !self.dests.contains(&taken.dest) {
             let _ = reply.send(Reply::NoDestination);
             return;
@@ -438,15 +465,19 @@
         (taken.id, taken.end) = (self.next_id, self.own.ms(end.instant()));
         let class = self.classes.current(&taken.class);
         let class = class.filter(|_| self.journal.has_room(&taken, 0).is_some());
-        let written = class.is_some_and(|class| {
-            taken.rules = Some(self.classes.stored(class).into());
-            self.next_id += 1;
-            self.write(&[Record::Taken(Rc::new(taken))])
-        });
-        let answer = if written { Reply::TakenOn } else { Reply::Refused(None) };
-        if reply.send(answer).is_err() && written {
+        let Some(class) = class else {
+            let _ = reply.send(Reply::Refused(None));
+            return;
+        };
+        taken.rules = Some(self.classes.stored(class).into());
+        self.next_id += 1;
+        let answer = match self.commit(vec![Record::Taken(Arc::new(taken))]).await {
+            Ok(()) => Reply::TakenOn,
+            Err(fault) => unheld(&fault),
+        };
+        if reply.send(answer).is_err() && matches!(answer, Reply::TakenOn) {
             // The client has left without its answer: it may hand the message in again elsewhere.
-            self.write(&[Record::Ended(self.next_id - 1)]);
+            self.write(vec![Record::Ended(self.next_id - 1)]).await;
         }
     }
 
@@ -460,7 +491,8 @@
             return;
         }
         let endpoint = self.endpoints.get(&end.endpoint).map_or(String::new(), |known| known.name.clone());
-        let (id, attempt, outcome, took, wait) = (end.id, end.attempt, end.outcome, end.took, end.wait);
+        let (id, attempt, took, wait) = (end.id, end.attempt, end.took, end.wait);
+        let outcome = name(end.outcome);
         records.push(Record::Released(Release { id, attempt, endpoint, outcome, took, wait }));
         if !self.calls.keys().any(|(other, _)| *other == id) {
             self.forget(id);
@@ -473,11 +505,11 @@
             tracing::info!(generation, own = self.generation, "the process before this one has a newer list");
             events.push(self.close(&closed));
         }
-        let named = |(name, standing): (Option<String>, Standing)| {
+        let named = |(name, standing): (Option<String>, Value)| {
             let endpoint = name.and_then(|name| self.names.get(&name).copied());
-            Standing { endpoint, ..standing }
+            Some(Standing { endpoint, ..serde_json::from_value(standing).ok()? })
         };
-        events.push(Event::Inherited(standings.into_iter().map(named).collect()));
+        events.push(Event::Inherited(standings.into_iter().filter_map(named).collect()));
     }
 
     /// Sends nothing new to these endpoints until a list says otherwise.
@@ -494,7 +526,8 @@
 
     fn ended_elsewhere(&self, r: &Release) -> Option<Event> {
         let endpoint = *self.names.get(&r.endpoint)?;
-        let (id, attempt, outcome, took, wait) = (r.id, r.attempt, r.outcome, r.took, r.wait);
+        let outcome = serde_json::from_value(Value::from(r.outcome.as_str())).ok()?;
+        let (id, attempt, took, wait) = (r.id, r.attempt, r.took, r.wait);
         let (done, report, kept) = (false, None, false);
         let end = AttemptEnd { id, attempt, endpoint, outcome, took, done, wait, report, kept };
         Some(Event::EndedElsewhere(end))
@@ -582,13 +615,80 @@
         });
     }
 
+    /// What a write has come to. Where nobody can tell what of it will be found, the file is replaced by one that holds
+    /// only what is certain, before anything else is done.
+    async fn settled(&mut self, written: Result<(), Fault>) -> Result<(), Fault> {
+        let Err(fault) = written else {
+            if std::mem::take(&mut self.write_failed) {
+                tracing::info!("the journal can be written again");
+            }
+            return Ok(());
+        };
+        if !std::mem::replace(&mut self.write_failed, true) {
+            tracing::error!(%fault, "cannot write the journal; nothing new is taken on");
+        }
+        match fault {
+            Fault::Unknown(error) if self.renew().await => Err(Fault::Clean(error)),
+            fault => Err(fault),
+        }
+    }
+
+    /// Replaces a journal that has failed; if that fails too it is tried again after a while.
+    async fn renew(&mut self) -> bool {
+        let stamp = self.stamp();
+        let renewed = self.journal.run(move |journal| journal.renew(stamp)).await;
+        self.drain.set_unfit(renewed.is_err());
+        self.renew_at = renewed.is_err().then(|| Instant::now() + RENEW_EVERY);
+        match renewed {
+            Ok(()) => tracing::warn!("the journal has failed and was replaced by a new file"),
+            Err(error) => tracing::error!(%error, "the journal has failed and can't be replaced; not ready"),
+        }
+        self.renew_at.is_none()
+    }
+
+    /// Writes down all of these or none.
+    async fn commit(&mut self, records: Vec<Record>) -> Result<(), Fault> {
+        let stamp = self.stamp();
+        let written = self.journal.run(move |journal| journal.write(&records, stamp)).await;
+        if written.is_ok() {
+            self.last_stamp = stamp;
+        }
+        self.settled(written).await
+    }
+
+    /// Writes down what has ended. What can't be written is kept for the next time: it is so all the same.
+    async fn write(&mut self, mut records: Vec<Record>) -> bool {
+        if !self.owed.is_empty() {
+            records.splice(0..0, std::mem::take(&mut self.owed));
+        }
+        if records.is_empty() {
+            return true;
+        }
+        let written = self.commit(records.clone()).await.is_ok();
+        if !written {
+            // The platform was told no more than that of it (`notify`).
+            let said = |record| match record {
+                Record::Decided(id, _) => Record::Decided(id, Ending::GivenUp),
+                record => record,
+            };
+            self.owed = records.into_iter().map(said).collect();
+        }
+        written
+    }
+
     /// One round: all that has come, the module's answer to it, one write, then the actions.
-    fn round(&mut self, inputs: Vec<Input>, events: Vec<Event>) {
+    async fn round(&mut self, inputs: Vec<Input>, events: Vec<Event>) {
         let at = Instant::now();
         let now = self.clock(at);
-        self.keep_time();
+        if self.renew_at.is_some_and(|due| due <= at) {
+            self.renew().await;
+        }
+        self.keep_time().await;
         if self.has_yielded {
-            return inputs.into_iter().for_each(|input| self.after_yield(input));
+            for input in inputs {
+                self.after_yield(input).await;
+            }
+            return;
         }
         let mut records = Vec::new();
         let mut round = Round { at, events, offered: BTreeMap::new(), claimed: 0 };
@@ -613,7 +713,10 @@
                     round.events.push(Event::Probed { endpoint, outcome, report })
                 }
                 Input::Noticed(ids) => self.noticed(ids, &mut records),
-                Input::TakeOver(left, reply) => _ = reply.send(self.take_over(left, &mut round.events)),
+                Input::TakeOver(left, reply) => {
+                    let written = self.take_over(left, &mut round.events).await;
+                    let _ = reply.send(written);
+                }
                 Input::Elsewhere(Elsewhere { sends, calls, held, bytes }) => {
                     self.held_elsewhere = held;
                     self.journal.set_others(bytes);
@@ -630,7 +733,10 @@
                     records.push(Record::Shared);
                 }
                 Input::Succeeded => {}
-                Input::Listening(reply) => _ = reply.send(self.write(&[Record::Listening])),
+                Input::Listening(reply) => {
+                    let written = self.commit(vec![Record::Listening]).await;
+                    let _ = reply.send(written.is_ok());
+                }
                 Input::Yield(reply) => self.yielding = Some(reply),
                 Input::Gauges(reply) => _ = reply.send(self.gauges(now)),
                 Input::Settings(new) => round.events.push(self.reset(*new)),
@@ -705,25 +811,39 @@
             }
             o.answer(reply);
         }
+        let mut ended = Vec::new();
         for &(id, ending) in &endings {
             if let Some(Held { taken, mut life, end, .. }) = self.forget(id) {
                 records.push(Record::Decided(id, ending));
                 life.enter(Stage::Notice, at);
-                self.notify(&taken, ending, life, Some(end.instant() + NOTICE_SLACK));
+                ended.push((taken, ending, life, end.instant() + NOTICE_SLACK));
             }
         }
         let mut all: Vec<Record> = offered.values().map(|o| Record::Taken(o.taken.clone())).collect();
-        all.append(&mut records);
-        let settled = all.len() - offered.len();
-        all.append(&mut begun);
-        if !self.write(&all) {
-            // Without its record nothing new is begun or taken on; what ended is tried by itself.
-            let ended = all.split_off(offered.len());
-            self.write(&ended[..settled]);
+        // What has ended is written down also where nothing new can be.
+        let new = !(all.is_empty() && begun.is_empty());
+        let settled = std::mem::take(&mut self.owed).into_iter().chain(records).collect::<Vec<_>>();
+        let mut decided = true;
+        let mut fault = None;
+        if new {
+            all.extend(settled.iter().cloned());
+            all.append(&mut begun);
+            fault = self.commit(all).await.err();
+        }
+        if !new || fault.is_some() {
+            decided = self.write(settled).await;
+        }
+        for (taken, ending, life, due) in ended {
+            // A message that is handed back comes again: that is only said once no start can find it open.
+            let ending = if decided { ending } else { Ending::GivenUp };
+            self.notify(&taken, ending, life, Some(due));
+        }
+        if let Some(fault) = fault {
+            // Without its record nothing new is begun or taken on.
             for (id, o) in offered {
                 self.forget(id);
                 self.next.push(Event::Expired { id });
-                o.answer(Reply::Refused(Some(Duration::from_secs(1))));
+                o.answer(unheld(&fault));
             }
             for (endpoint, members) in calls {
                 for m in members {
@@ -741,7 +861,7 @@
                 // The client has left without its answer: it may hand the message in again elsewhere.
                 self.next.push(Event::Expired { id });
                 self.forget(id);
-                self.write(&[Record::Ended(id)]);
+                self.write(vec![Record::Ended(id)]).await;
             }
         }
         for (endpoint, members) in calls {
@@ -795,7 +915,7 @@
         self.next_id += 1;
         taken.rules = Some(self.classes.stored(class).into());
         taken.end = self.own.ms(end.instant());
-        let taken = Rc::new(taken);
+        let taken = Arc::new(taken);
         let left = end.left(round.at).as_nanos() as Ns;
         let held = Held { taken: taken.clone(), class, end, attempts: 0, told: None, life };
         let message = self.hold(left, held);
@@ -828,6 +948,8 @@
             pending: self.held.len() + self.noticing.len(),
             members: listed().count(),
             unavailable: listed().filter(|(id, k)| k.closed.is_some() || avoided.contains(id)).count(),
+            journal: self.journal.figures,
+            journal_bytes: self.journal.size(),
         }
     }
 
@@ -916,24 +1038,20 @@
         self.classes.ended(held.class);
         Some(held)
     }
+}
 
-    fn write(&mut self, records: &[Record]) -> bool {
-        records.is_empty() || self.write_all(records)
+/// What a client is told whose message is not held. Where a next process may find it all the same it may yet be
+/// delivered, so it must not be handed in again.
+fn unheld(fault: &Fault) -> Reply {
+    match fault {
+        Fault::Clean(_) => Reply::Refused(Some(Duration::from_secs(1))),
+        Fault::Unknown(_) => Reply::Failed,
     }
+}
 
-    /// Also where there is nothing to be said but the time.
-    fn write_all(&mut self, records: &[Record]) -> bool {
-        let stamp = self.stamp();
-        let result = self.journal.write(records, stamp);
-        self.last_stamp = stamp;
-        if let Err(error) = &result {
-            if !self.write_failed {
-                tracing::error!(%error, "cannot write the journal; nothing new is taken on");
-            }
-        }
-        self.write_failed = result.is_err();
-        result.is_ok()
-    }
+/// An outcome's name in the journal.
+fn name(outcome: Outcome) -> String {
+    serde_json::to_value(outcome).ok().and_then(|v| Some(v.as_str()?.to_string())).unwrap_or_default()
 }
 
 /// A time of the module's clock, from the start of the process.
@@ -944,3 +1062,219 @@
 fn position(names: &[String], name: &str) -> Option<usize> {
     names.iter().position(|n| n == name)
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::connections::Pool;
+    use crate::disk::Disk;
+    use crate::life::Life;
+    use journal::storage::Storage;
+    use journal::{Durability, Journal, Names};
+    use serde_json::json;
+    use std::fs::File;
+    use std::io;
+    use std::path::{Path, PathBuf};
+    use std::sync::Mutex;
+    use tokio::task::{spawn_local, LocalSet};
+
+    /// How many of the next operations of each kind fail.
+    #[derive(Default)]
+    struct Plan {
+        syncs: usize,
+        writes: usize,
+    }
+
+    struct Failing(Disk, Arc<Mutex<Plan>>);
+
+    impl Failing {
+        fn may(&self, of: impl Fn(&mut Plan) -> &mut usize) -> io::Result<()> {
+            let mut plan = self.1.lock().unwrap();
+            let left = of(&mut plan);
+            match *left {
+                0 => Ok(()),
+                _ => {
+                    *left -= 1;
+                    Err(io::Error::other("injected"))
+                }
+            }
+        }
+    }
+
+    impl Storage for Failing {
+        type File = File;
+        fn create(&mut self, name: &str) -> io::Result<File> {
+            self.0.create(name)
+        }
+        fn write_at(&mut self, file: &File, bytes: &[u8], at: u64) -> io::Result<()> {
+            self.may(|p| &mut p.writes)?;
+            self.0.write_at(file, bytes, at)
+        }
+        fn truncate(&mut self, file: &File, length: u64) -> io::Result<()> {
+            self.0.truncate(file, length)
+        }
+        fn sync(&mut self, file: &File) -> io::Result<()> {
+            self.may(|p| &mut p.syncs)?;
+            self.0.sync(file)
+        }
+        fn rename(&mut self, from: &str, to: &str) -> io::Result<()> {
+            self.0.rename(from, to)
+        }
+        fn remove(&mut self, name: &str) -> io::Result<()> {
+            self.0.remove(name)
+        }
+        fn sync_folder(&mut self) -> io::Result<()> {
+            self.0.sync_folder()
+        }
+    }
+
+    struct Stand {
+        core: mpsc::Sender<Input>,
+        drain: Rc<Drain>,
+        plan: Arc<Mutex<Plan>>,
+        notices: mpsc::UnboundedReceiver<Notice>,
+        folder: PathBuf,
+    }
+
+    /// A core whose one endpoint nobody can connect to.
+    async fn stand(name: &str) -> Stand {
+        let folder = std::env::temp_dir().join(format!("leadfold-core-{name}-{}", std::process::id()));
+        let _ = std::fs::remove_dir_all(&folder);
+        std::fs::create_dir_all(&folder).unwrap();
+        let class = json!({"Name": "order", "PromiseNs": 1_000_000_000, "DeadlineNs": 4_000_000_000u64,
+            "Effect": "unsafe", "DedupScope": "all", "WindowNs": 1_000_000_000, "Worth": 1, "LateWorth": 0.3});
+        let value = json!({"NInstances": 1, "TickNs": 5_000_000, "Kinds": ["plain"], "Localities": ["z"],
+            "Weights": "silent", "FamilyInfo": {"CallsOut": 4, "KindBatch": [1], "SeparateRoutes": [false]},
+            "Limits": {"MaxOpen": 20, "MaxAttempts": 8, "IdleCloseNs": 1_000_000_000,
+                "DialTimeoutNs": 1_000_000_000, "MaxRetryAfterNs": 1_000_000_000},
+            "Safety": {"StartCapacity": 0.3, "ColdNs": 1_000_000_000, "FallMultiple": 2,
+                "OverloadForNs": 1_000_000_000},
+            "Services": [class]});
+        let (settings, around) = leadfold::settings::read(&value).unwrap();
+        let known = serde_json::from_value(json!({"generation": 1, "reset": true, "instances": [{
+            "instanceId": "e-1", "hostPort": "127.0.0.1:9", "zone": "z", "machineType": "plain", "cell": 7,
+            "lifecycle": "Terminating", "weight": 1.0, "startedAtMs": 0}]}));
+        let nowhere = "127.0.0.1:9".parse().unwrap();
+        let config = Config {
+            listen: nowhere,
+            discovery: nowhere,
+            control: None,
+            state: folder.clone(),
+            seed: 1,
+            limits: crate::config::Limits { memory_mb: 32.0, sockets: 256, disk_mb: 1.0 },
+            durability: Durability::Power,
+            known: List::default(),
+            settings: settings.clone(),
+            around,
+            file: Value::Null,
+        };
+        let plan = Arc::new(Mutex::new(Plan::default()));
+        let clock = Clock::new(Instant::now(), wall_ms());
+        let keeper: crate::disk::Keeper = Box::new(Failing(Disk::new(&folder), plan.clone()));
+        let names = Names { file: "journal.1".into(), rewrite: "rewrite.1".into() };
+        let stamp = clock.stamp(Instant::now(), wall_ms());
+        let journal = Journal::create(keeper, names, 1, 1.0, Durability::Power, 7, stamp).unwrap();
+        let (core_in, inbox) = mpsc::channel(64);
+        let (notices_in, notices) = mpsc::unbounded_channel();
+        let pool = Rc::new(Pool::new(settings.dial_timeout, settings.idle_close, 8));
+        let client = Rc::new(Client { core: core_in.clone(), figures: Rc::default(), pool });
+        let drain = Rc::new(Drain::new());
+        drain.listening();
+        let journal = (1, Log::new(journal), clock);
+        let mut core = Core::new(config, journal, drain.clone(), client, inbox, notices_in);
+        core.resume(known.unwrap(), Left::default(), false).await;
+        spawn_local(core.run());
+        Stand { core: core_in, drain, plan, notices, folder }
+    }
+
+    impl Stand {
+        async fn offer(&self, trace: &str, ms: u64) -> Reply {
+            let (reply, answer) = oneshot::channel();
+            let now = Instant::now();
+            let taken = Taken {
+                id: 0,
+                class: "order".into(),
+                tenant: String::new(),
+                dest: 7,
+                trace: trace.into(),
+                key: None,
+                end: 0,
+                rules: None,
+                body: Default::default(),
+            };
+            let (end, life) = (Deadline::at(now + Duration::from_millis(ms)), Life::begin(Stage::Queue, now));
+            let input = Input::Offer { taken: Box::new(taken), end, life, reply };
+            assert!(self.core.send(input).await.is_ok());
+            answer.await.unwrap()
+        }
+
+        /// What a start would find now.
+        fn found(&self) -> Vec<String> {
+            let bytes = std::fs::read(Path::new(&self.folder).join("journal.1")).unwrap();
+            let whole = journal::Whole::new(1, &journal::read(&bytes).unwrap());
+            whole.ledger.live.values().map(|l| l.taken.trace.clone()).collect()
+        }
+    }
+
+    async fn until(what: &str, so: impl Fn() -> bool) {
+        let bound = Instant::now() + Duration::from_secs(30);
+        while !so() {
+            assert!(Instant::now() < bound, "waited in vain until {what}");
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    }
+
+    #[tokio::test]
+    async fn after_a_failed_sync_a_new_file_takes_the_place_of_the_old_before_anything_is_said() {
+        let run = async {
+            let stand = stand("once").await;
+            assert!(matches!(stand.offer("first", 4_000).await, Reply::TakenOn));
+            stand.plan.lock().unwrap().syncs = 1;
+            assert!(matches!(stand.offer("second", 4_000).await, Reply::Refused(_)));
+            assert_eq!(stand.found(), ["first"], "a start must not find what may be handed in elsewhere");
+            assert!(stand.drain.is_ready());
+            assert!(matches!(stand.offer("third", 4_000).await, Reply::TakenOn));
+            assert_eq!(stand.found(), ["first", "third"]);
+        };
+        LocalSet::new().run_until(run).await;
+    }
+
+    #[tokio::test]
+    async fn a_journal_that_cannot_be_replaced_is_not_ready_and_says_nothing_that_it_cannot_keep() {
+        let run = async {
+            let stand = stand("long").await;
+            stand.plan.lock().unwrap().syncs = usize::MAX;
+            // It may be found, so it must not be handed in elsewhere.
+            assert!(matches!(stand.offer("first", 4_000).await, Reply::Failed));
+            assert!(!stand.drain.is_ready() && stand.drain.is_active());
+            assert!(matches!(stand.offer("second", 4_000).await, Reply::Refused(_)));
+            stand.plan.lock().unwrap().syncs = 0;
+            until("it is ready again", || stand.drain.is_ready()).await;
+            assert!(stand.found().is_empty());
+            assert!(matches!(stand.offer("third", 4_000).await, Reply::TakenOn));
+        };
+        LocalSet::new().run_until(run).await;
+    }
+
+    #[tokio::test]
+    async fn a_message_is_handed_back_only_where_no_start_can_find_it_open() {
+        let run = async {
+            let mut stand = stand("back").await;
+            assert!(matches!(stand.offer("well", 300).await, Reply::TakenOn));
+            let notice = stand.notices.recv().await.unwrap();
+            assert!(matches!(notice.ending, Ending::HandedBack(Some(_))), "{:?}", notice.ending);
+            assert!(matches!(stand.offer("hurt", 300).await, Reply::TakenOn));
+            stand.plan.lock().unwrap().writes = usize::MAX;
+            let notice = stand.notices.recv().await.unwrap();
+            assert_eq!((notice.trace.as_str(), notice.ending), ("hurt", Ending::GivenUp));
+            // Once it can be written it says the same.
+            stand.plan.lock().unwrap().writes = 0;
+            assert!(matches!(stand.offer("next", 4_000).await, Reply::TakenOn));
+            let bytes = std::fs::read(stand.folder.join("journal.1")).unwrap();
+            let whole = journal::Whole::new(1, &journal::read(&bytes).unwrap());
+            let hurt = whole.ledger.live.values().find(|l| l.taken.trace == "hurt").unwrap();
+            assert_eq!(hurt.ending, Some(Ending::GivenUp));
+        };
+        LocalSet::new().run_until(run).await;
+    }
+}
--- a/src/bin/nickelshed/deadline.rs
+++ b/src/bin/nickelshed/deadline.rs
@@ -3,8 +3,9 @@
 //! Within a process all of it is on the monotonic clock. Between processes only the wall clock is shared, and that
 //! one may be set: each write to the journal says what both showed, so that the next process can tell how much time
 //! has passed whatever was done to the wall clock before.
+use journal::{Live, Stamp};
 use leadfold::api::{Ns, MS};
-use serde::{Deserialize, Serialize};
+use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::time::Instant;
 
@@ -115,40 +116,18 @@
 /// The wall clock has been set, not just corrected, if it went so many milliseconds off.
 const SET_BY: u64 = 50;
 
-/// What a process's own clock and the wall clock showed at one moment, in milliseconds.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Stamp {
-    pub own: i64,
-    pub wall: i64,
+/// Whether the wall clock was set between two stamps of a process: one that ends before it says so leaves the next
+/// one to guess.
+pub fn was_set(last: Stamp, now: Stamp) -> bool {
+    let ahead = |s: Stamp| s.wall.saturating_sub(s.own);
+    ahead(now).abs_diff(ahead(last)) > SET_BY
 }
 
-impl Stamp {
-    pub fn to_bytes(self) -> [u8; 16] {
-        let mut bytes = [0; 16];
-        bytes[..8].copy_from_slice(&self.own.to_le_bytes());
-        bytes[8..].copy_from_slice(&self.wall.to_le_bytes());
-        bytes
-    }
-
-    pub fn from_bytes(bytes: &[u8]) -> Option<Stamp> {
-        let (own, wall) = bytes.split_at_checked(8)?;
-        let figure = |part: &[u8]| part.try_into().ok().map(i64::from_le_bytes);
-        Some(Stamp { own: figure(own)?, wall: figure(wall)? })
-    }
-
-    /// Whether the wall clock was set since the other was written: a process that ends before it says so leaves the
-    /// next one to guess.
-    pub fn is_news_after(&self, last: Stamp) -> bool {
-        let ahead = |s: &Stamp| s.wall.saturating_sub(s.own);
-        ahead(self).abs_diff(ahead(&last)) > SET_BY
-    }
-
-    /// What the clock of the process that wrote this shows now; None if the wall clock was set back meanwhile, as
-    /// then nothing tells how much time has passed.
-    fn now(&self, wall: i64) -> Option<i64> {
-        let passed = wall.saturating_sub(self.wall);
-        (passed >= -(SET_BY as i64)).then_some(self.own.saturating_add(passed.max(0)))
-    }
+/// What the clock of the process that wrote a stamp shows now; None if the wall clock was set back meanwhile, as then
+/// nothing tells how much time has passed.
+fn now_there(stamp: Stamp, wall: i64) -> Option<i64> {
+    let passed = wall.saturating_sub(stamp.wall);
+    (passed >= -(SET_BY as i64)).then_some(stamp.own.saturating_add(passed.max(0)))
 }
 
 /// From the clock of a process that wrote something down to this one's.
@@ -163,7 +142,7 @@
 impl Shift {
     /// `wall` and `own`: what the clocks here show. Files of before there were stamps are by the wall clock.
     pub fn new(stamp: Option<Stamp>, wall: i64, own: i64) -> Shift {
-        let now = stamp.map_or(Some(wall), |s| s.now(wall));
+        let now = stamp.map_or(Some(wall), |s| now_there(s, wall));
         let theirs = now.or(stamp.map(|s| s.own)).unwrap_or(wall);
         Shift { by: own.saturating_sub(theirs), over_by: now.is_none().then_some(own) }
     }
@@ -176,6 +155,15 @@
     pub fn past(&self, at: i64) -> i64 {
         at.saturating_add(self.by)
     }
+
+    /// A message as this process writes it down.
+    pub fn apply(&self, live: &Live) -> Live {
+        let mut live = live.clone().stamped(None);
+        let end = self.end(live.taken.end);
+        Arc::make_mut(&mut live.taken).end = end;
+        live.attempts.iter_mut().for_each(|a| a.at = self.past(a.at));
+        live
+    }
 }
 
 /// Time left by a process's own clock.
@@ -186,13 +174,11 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::journal::{decode, encode, Begun, Ending, Ledger, Record, Taken};
-    use crate::memory::Budget;
     use bytes::Bytes;
+    use journal::{encode_groups, read, Begun, Ending, Record, Taken, Whole};
     use leadfold::api::*;
     use leadfold::rules::Sender;
     use std::collections::{BTreeMap, BTreeSet};
-    use std::rc::Rc;
 
     const HOUR: i64 = 3_600_000;
 
@@ -271,8 +257,6 @@
         assert_eq!(left(Shift::new(Some(odd), i64::MAX, 0).end(i64::MIN), 0), Ns::MIN);
         // A file without stamps is by the wall clock.
         assert_eq!(left(Shift::new(None, noon, 50).end(noon + 1_000), 50), SECOND);
-        assert_eq!(Stamp::from_bytes(&stamp.to_bytes()), Some(stamp));
-        assert_eq!(Stamp::from_bytes(b"short"), None);
     }
 
     struct Dice(u64);
@@ -321,6 +305,7 @@
         flights: Vec<Flight>,
         truth: BTreeMap<u64, Truth>,
         stamp: Stamp,
+        group: u64,
         trace: Vec<String>,
     }
 
@@ -372,6 +357,7 @@
                 flights: Vec::new(),
                 truth: BTreeMap::new(),
                 stamp: Clock::new(now, wall).stamp(now, wall),
+                group: 0,
                 trace: Vec::new(),
             };
             world.list();
@@ -385,8 +371,7 @@
         fn write(&mut self, records: &[Record]) {
             let stamp = self.own.stamp(self.now, self.wall);
             self.stamp = stamp;
-            encode(&Record::Stamp(stamp), &mut self.file);
-            records.iter().for_each(|r| encode(r, &mut self.file));
+            encode_groups(records, 1, &mut self.group, stamp, &mut self.file);
         }
 
         fn list(&mut self) {
@@ -425,7 +410,7 @@
                 rules: None,
                 body: Bytes::new(),
             };
-            self.write(&[Record::Taken(Rc::new(taken))]);
+            self.write(&[Record::Taken(Arc::new(taken))]);
             self.truth.insert(
                 id,
                 Truth { class, end: end.instant(), ends: 0, told: u64::MAX, may_have_run: false },
@@ -448,7 +433,7 @@
         }
 
         fn round(&mut self, events: Vec<Event>) {
-            if self.own.stamp(self.now, self.wall).is_news_after(self.stamp) {
+            if was_set(self.stamp, self.own.stamp(self.now, self.wall)) {
                 self.write(&[]);
             }
             let mut actions = Vec::new();
@@ -549,19 +534,17 @@
             self.trace.push(format!("restart at {:?}, down {down:?}, set by {step}", self.now - self.start));
             self.flights.clear();
             self.held.clear();
-            let (budget, mut ledger, mut rest) = (Budget::new(10.0), Ledger::new(1), &self.file[..]);
-            while let Some((record, length)) = decode(rest, &budget) {
-                ledger.note(&record);
-                rest = &rest[length..];
-            }
-            assert!(rest.is_empty());
+            let file = read(&self.file).unwrap();
+            assert!(file.is_sound());
+            let ledger = Whole::new(0, &file).ledger;
             (self.start, self.own) = (self.now, Clock::new(self.now, self.wall));
             self.sender = Sender::new(self.settings.clone(), self.dice.0);
             self.list();
             let own = self.own.ms(self.now);
             let shift = Shift::new(ledger.stamp, self.wall, own);
-            let lives: Vec<_> = ledger.live.values().map(|l| l.shifted(shift)).collect();
+            let lives: Vec<_> = ledger.live.values().map(|l| shift.apply(l)).collect();
             self.file.clear();
+            self.group = 0;
             let records: Vec<Record> = lives.iter().flat_map(|l| l.records()).collect();
             self.write(&records);
             for live in lives.into_iter().filter(|l| l.ending.is_none()) {
--- a/src/bin/nickelshed/discovery.rs
+++ b/src/bin/nickelshed/discovery.rs
@@ -1,7 +1,7 @@
 //! The list of endpoints: what has changed since the one held, or the whole; then a watch that goes out again at once.
 use crate::connections::{self, Connection};
 use crate::core::Input;
-use crate::journal::MAX_NAME;
+use crate::wire::MAX_NAME;
 use leadfold::rules::Asking;
 use serde::Deserialize;
 use serde_json::Value;
--- a/src/bin/nickelshed/drain.rs
+++ b/src/bin/nickelshed/drain.rs
@@ -18,11 +18,17 @@
 pub struct Drain {
     state: watch::Sender<State>,
     since: Cell<Instant>,
+    /// Nothing can be taken on.
+    is_unfit: Cell<bool>,
 }
 
 impl Drain {
     pub fn new() -> Drain {
-        Drain { state: watch::Sender::new(State::Starting), since: Cell::new(Instant::now()) }
+        Drain {
+            state: watch::Sender::new(State::Starting),
+            since: Cell::new(Instant::now()),
+            is_unfit: Cell::new(false),
+        }
     }
 
     pub fn state(&self) -> State {
@@ -38,6 +44,15 @@
         self.state() == State::Active
     }
 
+    /// Whether clients should come: also not while nothing can be taken on.
+    pub fn is_ready(&self) -> bool {
+        self.is_active() && !self.is_unfit.get()
+    }
+
+    pub fn set_unfit(&self, unfit: bool) {
+        self.is_unfit.set(unfit);
+    }
+
     pub fn follow(&self) -> watch::Receiver<State> {
         self.state.subscribe()
     }
--- a/src/bin/nickelshed/figures.rs
+++ b/src/bin/nickelshed/figures.rs
@@ -47,10 +47,13 @@
 }
 
 /// What stands at this moment; the core knows.
+#[derive(Default)]
 pub struct Gauges {
     pub pending: usize,
     pub members: usize,
     pub unavailable: usize,
+    pub journal: journal::Figures,
+    pub journal_bytes: u64,
 }
 
 /// All counts are since the start of the process.
@@ -120,12 +123,21 @@
             ("config_reloads", self.reloads.get(), "Configurations taken at SIGHUP."),
             ("config_reload_errors", self.reload_errors.get(), "Configurations turned down at SIGHUP."),
         ];
+        let journal = &gauges.journal;
+        let totals = [
+            ("journal_writes_total", journal.writes, "Writes to the journal."),
+            ("journal_syncs_total", journal.syncs, "Writes that were synced to stable storage."),
+            ("journal_rewrites_total", journal.rewrites, "Rewrites of the journal with what still lives."),
+            ("journal_faults_total", journal.faults, "Writes, syncs and rewrites that failed."),
+        ];
+        let bytes = gauges.journal_bytes as usize;
         let gauges = [
             ("pending", gauges.pending, "Messages taken on that have not ended."),
             ("members", gauges.members, "Endpoints in discovery's list."),
             ("members_unavailable", gauges.unavailable, "Listed endpoints that get nothing for now."),
+            ("journal_bytes", bytes, "Size of the journal's file."),
         ];
-        for (name, count, help) in counters {
+        for (name, count, help) in counters.into_iter().chain(totals) {
             single(&mut text, name, "counter", help, count);
         }
         for (name, value, help) in gauges {
@@ -189,7 +201,9 @@
         figures.ended("o\"d\\d\n", End::Rejected);
         figures.written.set(5);
         bump(&figures.reload_errors);
-        let text = figures.text(&Gauges { pending: 14, members: 3, unavailable: 1 });
+        let journal = journal::Figures { writes: 9, syncs: 4, rewrites: 1, faults: 0 };
+        let text =
+            figures.text(&Gauges { pending: 14, members: 3, unavailable: 1, journal, journal_bytes: 640 });
         let lines: Vec<&str> = text.lines().filter(|l| !l.starts_with('#')).collect();
         let odd = r#"sender_downstream_requests{lane="o\"d\\d\n",result="#;
         let expected = [
@@ -202,13 +216,18 @@
             "sender_upstream_requests 5".into(),
             "sender_config_reloads 0".into(),
             "sender_config_reload_errors 1".into(),
+            "sender_journal_writes_total 9".into(),
+            "sender_journal_syncs_total 4".into(),
+            "sender_journal_rewrites_total 1".into(),
+            "sender_journal_faults_total 0".into(),
             "sender_pending 14".into(),
             "sender_members 3".into(),
             "sender_members_unavailable 1".into(),
+            "sender_journal_bytes 640".into(),
         ];
         assert_eq!(lines, expected);
         let families = text.lines().filter(|l| l.starts_with("# TYPE sender_")).count();
-        assert_eq!(families, 9);
+        assert_eq!(families, 14);
     }
 
     #[test]
@@ -221,7 +240,7 @@
         }
         life.run_out();
         figures.lived("plain", life, born + Duration::from_millis(9_000));
-        let text = figures.text(&Gauges { pending: 0, members: 0, unavailable: 0 });
+        let text = figures.text(&Gauges::default());
         let figure = |name: &str| {
             let line = text.lines().find(|l| l.starts_with(name)).unwrap_or_else(|| panic!("{name}: {text}"));
             line.rsplit_once(' ').unwrap().1.parse::<f64>().unwrap()
--- a/src/bin/nickelshed/handover.rs
+++ b/src/bin/nickelshed/handover.rs
@@ -3,15 +3,18 @@
 //! Process N keeps `journal.N` and holds a lock on `owner.N`, which the kernel lets go when it dies. Only then is the
 //! file taken over and deleted. A process that lives is followed by reading its file; nobody writes another's.
 use crate::core::Input;
-use crate::journal::{decode, Ledger, Live, Release};
-use crate::memory::Budget;
+use crate::disk::sync_folder;
+use crate::memory::{self, Budget};
+use journal::{decode, Durability, Ledger, Left, Live, Names, Release, Whole};
 use leadfold::api::DestId;
+use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet, HashSet};
 use std::fs::{self, File, OpenOptions};
 use std::io;
 use std::os::unix::fs::{FileExt, MetadataExt};
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::sleep;
@@ -29,25 +32,21 @@
 /// Numbers of ended processes, in order, with their locks.
 pub type Dead = Vec<(u64, File)>;
 
-/// What ended processes have left.
-#[derive(Default)]
-pub struct Left {
-    pub messages: Vec<Live>,
-    /// What they had taken over from others and ended: the file that it came from may outlast theirs.
-    pub seen: BTreeSet<u64>,
-}
-
 /// The folder, and this process's number in it.
 pub struct Folder {
     path: PathBuf,
     pub own: u64,
+    /// What is deleted must be gone for good before its messages are forgotten.
+    lasts: bool,
+    /// Something was deleted since that was made sure of.
+    is_open: Cell<bool>,
     /// Held as long as the process lives.
     _lock: File,
 }
 
 impl Folder {
     /// Takes the next number. The lock is held before its name is there, so nobody finds it without its owner.
-    pub fn enter(path: &Path) -> io::Result<Folder> {
+    pub fn enter(path: &Path, durability: Durability) -> io::Result<Folder> {
         for stale in fs::read_dir(path)?.flatten() {
             let unnumbered = stale.file_name().to_string_lossy().starts_with(UNNUMBERED);
             if unnumbered && File::open(stale.path()).is_ok_and(|lock| lock.try_lock().is_ok()) {
@@ -72,12 +71,18 @@
                 fs::remove_file(owner(path, *number))?;
             }
         }
-        Ok(Folder { path: path.to_path_buf(), own, _lock: lock })
+        let lasts = durability == Durability::Power;
+        if lasts {
+            sync_folder(path)?;
+        }
+        Ok(Folder { path: path.to_path_buf(), own, lasts, is_open: Cell::new(false), _lock: lock })
     }
 
-    /// The paths of its own journal and of that file's rewrite.
-    pub fn paths(&self) -> (PathBuf, PathBuf) {
-        (journal(&self.path, self.own), rewrite(&self.path, self.own))
+    /// The names of its own journal and of that file's rewrite.
+    pub fn names(&self) -> Names {
+        let name = |path: PathBuf| path.file_name().unwrap_or_default().to_string_lossy().into_owned();
+        let (file, rewrite) = (journal(&self.path, self.own), rewrite(&self.path, self.own));
+        Names { file: name(file), rewrite: name(rewrite) }
     }
 
     fn others(&self) -> BTreeSet<u64> {
@@ -92,9 +97,9 @@
     }
 
     /// Whether a process that was started later lives and clients can connect to it.
-    pub fn has_successor(&self, budget: &Budget) -> bool {
+    pub fn has_successor(&self) -> bool {
         let listens = |number| {
-            let mut reader = Reader::new(&self.path, number, budget);
+            let mut reader = Reader::new(&self.path, number);
             reader.read();
             reader.ledger.listening
         };
@@ -107,7 +112,7 @@
     }
 
     /// Bytes in the files of the others, in whole blocks.
-    fn bytes(&self) -> u64 {
+    pub fn bytes(&self) -> u64 {
         let files = self.others().into_iter().flat_map(|n| [journal(&self.path, n), rewrite(&self.path, n)]);
         files.filter_map(|f| fs::metadata(f).ok()).map(|m| m.len().div_ceil(512) * 512).sum()
     }
@@ -117,39 +122,64 @@
         self.others().into_iter().filter_map(|n| Some((n, self.inherit(n)?))).collect()
     }
 
-    /// What the dead have left, each message once.
-    pub fn left(&self, dead: &Dead, budget: &Budget) -> Left {
-        let mut left = Left::default();
-        // The newest first: what it had taken over, and perhaps ended, is in the older one's file still.
-        for (number, _) in dead.iter().rev() {
-            let mut reader = Reader::new(&self.path, *number, budget);
-            reader.read();
-            reader.warn_if_torn();
-            let Ledger { live, stamp, seen, .. } = reader.ledger;
-            let new = live.into_values().filter(|l| !left.seen.contains(&l.taken.id));
-            left.messages.extend(new.map(|l| l.stamped(stamp)));
-            left.seen.extend(seen);
+    /// What the dead have left, each message once. A file that can't be read, or not by this version, is named and
+    /// nothing is taken over: what it holds must not be lost, and what others hold may be known there to be over.
+    pub fn left(&self, dead: &Dead, budget: &Budget) -> Result<Left, String> {
+        let mut files = BTreeMap::new();
+        for (number, _) in dead {
+            let path = journal(&self.path, *number);
+            let bytes = match fs::read(&path) {
+                Err(error) if error.kind() == io::ErrorKind::NotFound => continue,
+                read => read.map_err(|e| format!("{} can't be read: {e}", path.display()))?,
+            };
+            let file = journal::read(&bytes).map_err(|newer| format!("{}: {newer}", path.display()))?;
+            // What was torn by a process's end had not been answered for yet.
+            if let Some((kept, cut)) = file.torn {
+                tracing::warn!(number, kept, cut, "a journal's tail is torn");
+            }
+            for damage in &file.damage {
+                tracing::error!(number, %damage, "a journal is damaged");
+            }
+            files.insert(*number, Whole::new(*number, &file));
+        }
+        let mut left = journal::recover(files);
+        for live in &mut left.messages {
+            live.taken = Arc::new(memory::owed(&live.taken, budget));
         }
-        left.messages.sort_by_key(|live| live.taken.id);
-        left.messages.iter().for_each(|live| _ = left.seen.remove(&live.taken.id));
-        left
+        Ok(left)
     }
 
     /// Deletes what was taken over, the oldest first: a newer file tells what of an older one is over. The lock file
     /// of a later process stays, as its number must not be used again while its messages are known by it.
-    pub fn discard(&self, dead: Dead) {
+    /// False where a file may still be found.
+    pub fn discard(&self, dead: Dead) -> bool {
+        let mut done = true;
         for (number, _lock) in dead {
             let lock = (number < self.own).then(|| owner(&self.path, number));
             let files = [rewrite(&self.path, number), journal(&self.path, number)];
             for file in files.into_iter().chain(lock) {
                 match fs::remove_file(&file) {
                     Err(error) if error.kind() != io::ErrorKind::NotFound => {
-                        tracing::warn!(%error, file = %file.display(), "cannot delete what was taken over")
+                        tracing::warn!(%error, file = %file.display(), "cannot delete what was taken over");
+                        done = false;
                     }
                     _ => {}
                 }
             }
         }
+        self.is_open.set(self.lasts);
+        self.is_settled() && done
+    }
+
+    /// Whether what was deleted can't come back.
+    fn is_settled(&self) -> bool {
+        if self.is_open.get() {
+            match sync_folder(&self.path) {
+                Ok(()) => self.is_open.set(false),
+                Err(error) => tracing::warn!(%error, "what was deleted may come back after a loss of power"),
+            }
+        }
+        !self.is_open.get()
     }
 }
 
@@ -189,15 +219,12 @@
     number: u64,
     file: Option<File>,
     at: u64,
-    length: u64,
     ledger: Ledger,
-    budget: Budget,
 }
 
 impl Reader {
-    fn new(folder: &Path, number: u64, budget: &Budget) -> Reader {
-        let (path, ledger) = (journal(folder, number), Ledger::new(number));
-        Reader { path, number, file: None, at: 0, length: 0, ledger, budget: budget.clone() }
+    fn new(folder: &Path, number: u64) -> Reader {
+        Reader { path: journal(folder, number), number, file: None, at: 0, ledger: Ledger::new(number) }
     }
 
     /// Reads on; from the start where the file was rewritten.
@@ -209,27 +236,19 @@
             (self.file, self.at, self.ledger) = (Some(file), 0, Ledger::new(self.number));
         }
         let Some(file) = &self.file else { return };
-        self.length = file.metadata().map_or(self.at, |m| m.len());
-        let mut bytes = vec![0; self.length.saturating_sub(self.at) as usize];
+        let length = file.metadata().map_or(self.at, |m| m.len());
+        let mut bytes = vec![0; length.saturating_sub(self.at) as usize];
         if bytes.is_empty() || file.read_exact_at(&mut bytes, self.at).is_err() {
             return;
         }
         let mut rest = &bytes[..];
-        while let Some((record, length)) = decode(rest, &self.budget) {
+        while let Some((record, length)) = decode(rest) {
             self.ledger.note(&record);
             self.at += length as u64;
             rest = &rest[length..];
         }
     }
 
-    /// What was torn by a process's end had not been answered for yet.
-    fn warn_if_torn(&self) {
-        if self.at < self.length {
-            let (number, kept, cut) = (self.number, self.at, self.length - self.at);
-            tracing::warn!(number, kept, cut, "a journal's tail is torn");
-        }
-    }
-
     /// Whether it begins calls by itself.
     fn sends(&self) -> bool {
         self.ledger.out.is_none()
@@ -269,13 +288,15 @@
     has_successor: bool,
     /// What the dead left could not be written down: it is tried again.
     is_stuck: bool,
+    /// Why it can't be read, as was logged.
+    refused: Option<String>,
 }
 
 impl Handover {
     pub fn new(folder: Rc<Folder>, budget: Budget, core: mpsc::Sender<Input>) -> Handover {
         let (before, taken) = Default::default();
-        let (told, alone, has_successor, is_stuck) = (None, false, false, false);
-        Handover { folder, budget, core, before, taken, told, alone, has_successor, is_stuck }
+        let (told, alone, has_successor, is_stuck, refused) = (None, false, false, false, None);
+        Handover { folder, budget, core, before, taken, told, alone, has_successor, is_stuck, refused }
     }
 
     /// Until the core has gone. `share` is told whether descriptors are shared with another process, `clear` once
@@ -294,17 +315,29 @@
         for &number in others.range(..self.folder.own) {
             self.follow(number).await?;
         }
-        let mut left = self.folder.left(&dead, &self.budget);
-        left.messages.retain(|live| !self.taken.contains(&live.taken.id));
-        self.is_stuck = !dead.is_empty() && !self.take_over(left).await?;
+        self.is_stuck = !dead.is_empty()
+            && match self.folder.left(&dead, &self.budget) {
+                Ok(mut left) => {
+                    left.messages.retain(|live| !self.taken.contains(&live.taken.id));
+                    !self.take_over(left).await?
+                }
+                Err(reason) => {
+                    if self.refused.as_ref() != Some(&reason) {
+                        tracing::error!(%reason, "what an ended process left is not taken over");
+                        self.refused = Some(reason);
+                    }
+                    true
+                }
+            };
         if !dead.is_empty() && !self.is_stuck {
             let numbers: Vec<u64> = dead.iter().map(|(n, _)| *n).collect();
             tracing::info!(?numbers, "what ended processes left is taken over");
             self.before.retain(|n, _| !numbers.contains(n));
-            self.folder.discard(dead);
+            self.is_stuck = !self.folder.discard(dead);
         }
         let others = self.folder.others();
-        if std::mem::replace(&mut self.alone, others.is_empty()) != self.alone {
+        let alone = others.is_empty() && self.folder.is_settled();
+        if std::mem::replace(&mut self.alone, alone) != self.alone {
             share(!self.alone);
             if self.alone {
                 self.taken.clear();
@@ -323,7 +356,7 @@
 
     /// Reads on what a process that was started before has written, and passes on what concerns this one.
     async fn follow(&mut self, number: u64) -> Option<()> {
-        let new = || (Reader::new(&self.folder.path, number, &self.budget), 0);
+        let new = || (Reader::new(&self.folder.path, number), 0);
         let (mut reader, told) = self.before.remove(&number).unwrap_or_else(new);
         let sent = reader.sends();
         reader.read();
@@ -338,8 +371,12 @@
         }
         let new = reader.yielded().filter(|live| !self.taken.contains(&live.taken.id));
         let stamp = reader.ledger.stamp;
-        let messages = new.map(|live| live.clone().stamped(stamp)).collect();
-        let left = Left { messages, seen: BTreeSet::new() };
+        let owed = |live: &Live| {
+            let mut live = live.clone().stamped(stamp);
+            live.taken = Arc::new(memory::owed(&live.taken, &self.budget));
+            live
+        };
+        let left = Left { messages: new.map(owed).collect(), ..Left::default() };
         self.before.insert(number, (reader, told));
         if !left.messages.is_empty() {
             self.take_over(left).await?;
@@ -353,7 +390,7 @@
             let messages: Vec<Live> = left.messages.drain(..left.messages.len().min(AT_ONCE)).collect();
             let ids: Vec<u64> = messages.iter().map(|live| live.taken.id).collect();
             let (reply, written) = oneshot::channel();
-            let part = Left { messages, seen: std::mem::take(&mut left.seen) };
+            let part = Left { messages, seen: std::mem::take(&mut left.seen), ..Left::default() };
             self.core.send(Input::TakeOver(part, reply)).await.ok()?;
             if !written.await.ok()? {
                 return Some(false);
@@ -383,8 +420,8 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::deadline::Stamp;
-    use crate::journal::{Journal, Record};
+    use crate::disk::Disk;
+    use journal::{Journal, Record, Stamp};
 
     #[test]
     fn a_number_is_never_used_twice_and_a_folder_does_not_fill_up() {
@@ -392,27 +429,27 @@
         let path = std::env::temp_dir().join(name);
         let _ = fs::remove_dir_all(&path);
         fs::create_dir_all(&path).unwrap();
-        let budget = Budget::new(1.0);
+        let stamp = Stamp { own: 0, wall: 0 };
         let enter = || {
-            let folder = Folder::enter(&path).unwrap();
-            let (path, rewrite) = folder.paths();
-            let journal = Journal::create(path, rewrite, folder.own, 1.0).unwrap();
+            let folder = Folder::enter(&path, Durability::Power).unwrap();
+            let (disk, names) = (Disk::new(&path), folder.names());
+            let journal = Journal::create(disk, names, folder.own, 1.0, Durability::Power, 7, stamp).unwrap();
             (folder, journal)
         };
         let (first, _) = enter();
-        assert!(!first.has_successor(&budget) && !first.has_predecessor());
+        assert!(!first.has_successor() && !first.has_predecessor());
         let (second, mut journal) = enter();
-        assert!(second.has_predecessor() && !second.has_successor(&budget));
-        assert!(!first.has_successor(&budget), "clients would find nobody yet");
-        journal.write(&[Record::Listening], Stamp { own: 0, wall: 0 }).unwrap();
-        assert!(first.has_successor(&budget));
+        assert!(second.has_predecessor() && !second.has_successor());
+        assert!(!first.has_successor(), "clients would find nobody yet");
+        journal.write(&[Record::Listening], stamp).unwrap();
+        assert!(first.has_successor());
         drop(second);
-        assert!(!first.has_successor(&budget), "its lock is let go with it");
-        first.discard(first.dead());
+        assert!(!first.has_successor(), "its lock is let go with it");
+        assert!(first.discard(first.dead()));
         let (third, _) = enter();
         assert_eq!((first.own, third.own), (1, 3));
         drop(first);
-        third.discard(third.dead());
+        assert!(third.discard(third.dead()));
         let files = fs::read_dir(&path).unwrap().flatten().map(|f| f.file_name().into_string().unwrap());
         assert_eq!(files.collect::<BTreeSet<_>>(), ["journal.3", "owner.3"].map(String::from).into());
         fs::remove_dir_all(&path).unwrap();
--- a/src/bin/nickelshed/main.rs
+++ b/src/bin/nickelshed/main.rs
@@ -7,10 +7,10 @@
 mod core;
 mod deadline;
 mod discovery;
+mod disk;
 mod drain;
 mod figures;
 mod handover;
-mod journal;
 mod life;
 mod listen;
 mod memory;
@@ -19,6 +19,8 @@
 mod server;
 mod wire;
 
+use deadline::{wall_ms, Clock};
+use journal::Journal;
 use leadfold::rules::Asking;
 use std::process::ExitCode;
 use std::rc::Rc;
@@ -95,11 +97,21 @@
     let limits = &config.limits;
     let budget = memory::Budget::new(limits.memory_mb);
     let state = |e| format!("journal in {}: {e}", config.state.display());
-    let folder = Rc::new(handover::Folder::enter(&config.state).map_err(state)?);
-    let (path, rewrite) = folder.paths();
-    let journal = journal::Journal::create(path, rewrite, folder.own, limits.disk_mb).map_err(state)?;
+    let durability = config.durability;
+    let folder = Rc::new(handover::Folder::enter(&config.state, durability).map_err(state)?);
     let dead = folder.dead();
-    let left = folder.left(&dead, &budget);
+    let left = folder.left(&dead, &budget)?;
+    // Of starts that were cut short: many of them would fill the disk.
+    let (redundant, dead) = dead.into_iter().partition(|(number, _)| left.redundant.contains(number));
+    folder.discard(redundant);
+    let clock = Clock::new(Instant::now(), wall_ms());
+    let stamp = clock.stamp(Instant::now(), wall_ms());
+    let (disk, names): (disk::Keeper, _) = (Box::new(disk::Disk::new(&config.state)), folder.names());
+    // Clients don't know the seed, so no body can hold what looks like a part of the file.
+    let nonce = config.seed.rotate_left(32) ^ folder.own;
+    let journal = Journal::create(disk, names, folder.own, limits.disk_mb, durability, nonce, stamp);
+    let mut journal = journal.map_err(state)?;
+    journal.set_others(folder.bytes());
     let has_predecessor = folder.has_predecessor();
     let (core_in, inbox) = mpsc::channel(INBOX);
     let (notices_in, notices) = mpsc::unbounded_channel();
@@ -123,7 +135,8 @@
     let terms = server::Terms::new(&config.settings, config.around.clone());
     let operators = config.control;
     let in_force = std::mem::take(&mut config.file);
-    let mut core = core::Core::new(config, (folder.own, journal), client, inbox, notices_in);
+    let journal = (folder.own, disk::Log::new(journal), clock);
+    let mut core = core::Core::new(config, journal, drain.clone(), client, inbox, notices_in);
     if core.resume(known, left, has_predecessor).await {
         folder.discard(dead);
     }
@@ -186,7 +199,7 @@
     let told = Instant::now();
     drain.end();
     // With a process to go on, clients find that one: nothing more need be taken here but what is on its way.
-    if !(folder.has_successor(&budget) && asked(&core_in, core::Input::Yield).await) {
+    if !(folder.has_successor() && asked(&core_in, core::Input::Yield).await) {
         sleep(ACCEPT_ON).await;
     }
     let _ = close.send(true);
--- a/src/bin/nickelshed/memory.rs
+++ b/src/bin/nickelshed/memory.rs
@@ -1,5 +1,6 @@
 //! One budget of bytes for messages, from their first byte to their end.
 use bytes::Bytes;
+use journal::Taken;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
 
@@ -57,6 +58,11 @@
     Bytes::from_owner(Body(bytes.into(), share))
 }
 
+/// The same message with its body in the budget.
+pub fn owed(taken: &Taken, budget: &Budget) -> Taken {
+    Taken { body: body(&taken.body, budget.owe(taken.body.len())), ..taken.clone() }
+}
+
 impl Drop for Share {
     fn drop(&mut self) {
         self.left.fetch_add(self.bytes, Ordering::Relaxed);
--- a/src/bin/nickelshed/notices.rs
+++ b/src/bin/nickelshed/notices.rs
@@ -1,8 +1,9 @@
 //! Notices to the platform: each is posted until it has been answered, to whatever address discovery has now.
 use crate::connections::{request, Connection};
 use crate::core::Input;
-use crate::journal::{Ending, MAX_BODY};
+use crate::wire::MAX_BODY;
 use bytes::Bytes;
+use journal::Ending;
 use serde_json::json;
 use std::net::SocketAddr;
 use std::time::Duration;
--- a/src/bin/nickelshed/server.rs
+++ b/src/bin/nickelshed/server.rs
@@ -3,10 +3,10 @@
 use crate::deadline::Deadline;
 use crate::drain::{Drain, State};
 use crate::figures::{End, Figures};
-use crate::journal::{Taken, MAX_BODY};
 use crate::life::{Life, Stage};
 use crate::listen;
 use crate::memory::{self, Budget};
+use crate::wire::MAX_BODY;
 use crate::wire::{Io, Socket, MAX_HEAD, MAX_HEADERS};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
@@ -16,6 +16,7 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
+use journal::Taken;
 use leadfold::api::{self, Effect, Settings};
 use leadfold::settings::Around;
 use std::cell::{Cell, RefCell};
@@ -274,7 +275,7 @@
         let (head, body) = request.into_parts();
         let path = head.uri.path();
         if path == "/healthz" && matches!(head.method, Method::GET | Method::HEAD) && body.is_end_stream() {
-            let up = self.drain.is_active();
+            let up = self.drain.is_ready();
             return plain(if up { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, "");
         }
         // The library keeps one of two lengths and hides the other, so a request with both can't be told from
--- a/src/bin/nickelshed/wire.rs
+++ b/src/bin/nickelshed/wire.rs
@@ -14,6 +14,10 @@
 
 /// Longest head, in either direction; the least that the library allows is half of it.
 pub const MAX_HEAD: usize = 16 << 10;
+/// Bodies hold at most so much.
+pub const MAX_BODY: usize = 64 << 10;
+/// Names of endpoints longer than this would break the journal's bounds.
+pub const MAX_NAME: usize = 64;
 /// Most lines of a head.
 pub const MAX_HEADERS: usize = 64;
 
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -287,6 +287,7 @@
     /// The process that an upgrade replaces.
     older: Option<Child>,
     pub config: Value,
+    pub program: PathBuf,
 }
 
 impl Node {
@@ -295,6 +296,13 @@
     }
 
     pub fn with(discovery: &Discovery, known: Value, change: impl Fn(&mut Value)) -> Node {
+        let mut node = Node::new(discovery, known, change);
+        node.restart();
+        node
+    }
+
+    /// One that is not started yet.
+    pub fn new(discovery: &Discovery, known: Value, change: impl Fn(&mut Value)) -> Node {
         let number = FOLDERS.fetch_add(1, Ordering::SeqCst);
         let folder =
             Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("node-{}-{number}", std::process::id()));
@@ -318,10 +326,16 @@
                     "OverloadForNs": 2_000_000_000},
                 "Services": [class("alert", "keyed"), class("order", "unsafe")]}});
         change(&mut config);
-        let mut node =
-            Node { folder, address, discovery: discovery.peer.address, child: None, older: None, config };
-        node.restart();
-        node
+        let program = env!("CARGO_BIN_EXE_nickelshed").into();
+        Node { folder, address, discovery: discovery.peer.address, child: None, older: None, config, program }
+    }
+
+    /// A start that must fail.
+    pub fn fails_to_start(&mut self) -> String {
+        self.spawn();
+        let status = self.wait_exit();
+        assert_eq!(status.code(), Some(1), "{}", self.log());
+        self.log()
     }
 
     pub fn state(&self) -> PathBuf {
@@ -412,7 +426,7 @@
         std::fs::write(&config, self.config.to_string()).unwrap();
         let log =
             std::fs::OpenOptions::new().create(true).append(true).open(self.folder.join("log")).unwrap();
-        let child = Command::new(env!("CARGO_BIN_EXE_nickelshed"))
+        let child = Command::new(&self.program)
             .env("EDGE_NAME", "n0")
             .env("EDGE_LISTEN", self.address.to_string())
             .env("EDGE_DISCOVERY", self.discovery.to_string())
