Keep a wait in an answer that breaks off, or comes as its call is given up

Cause: an answer whose connection broke before the library handed it over was only asked for a first line with 200 (Client::exchange in src/bin/nickelshed/calls.rs, the Err(fault) branch, and the branch for a call that is given up); a Retry-After in it was dropped, and the next call went to a partner system that had told to wait.

Change: a head is heard line by line as far as it has come, with what still waits in the socket; a wait in it binds the pool and the module, and a whole answer counts as one when its call is given up.

A test with an answer that breaks off behind its head fails without: the next call comes after 10 ms in place of 1.2 s.

--- a/src/bin/nickelshed/calls.rs
+++ b/src/bin/nickelshed/calls.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Body, Incoming};
-use hyper::header::{HeaderMap, CONNECTION, RETRY_AFTER};
+use hyper::header::{HeaderMap, HeaderName, HeaderValue, CONNECTION, RETRY_AFTER};
 use hyper::Request;
 use journal::Taken;
 use leadfold::api::{AttemptEnd, EndpointId, Ns, Outcome, Report};
@@ -158,6 +158,19 @@
             let answer = match answer {
                 Ok(answer) => answer,
                 Err((left, outcome)) => {
+                    // An answer that is here is true, though nobody has looked at it yet; above all a wait binds
+                    // from when it was written.
+                    let came = self.hear_rest(&link, endpoint);
+                    if let Some(Heard { status, headers, .. }) = came.filter(|heard| heard.whole && !several)
+                    {
+                        tracing::debug!(endpoint, status, "answer as the call was given up");
+                        let answer =
+                            Answer { fresh: idle.is_none(), status, headers, ends: None, rest: None };
+                        let ends = read_ends(&left, &answer, endpoint, started);
+                        link.close().await;
+                        self.pool.count(|t| t.spoilt += 1);
+                        return self.report(ends).await;
+                    }
                     let outcome = if served(&link) { Outcome::Served } else { outcome };
                     // Closed before it is told: the next attempt of a message that is still out on an open
                     // connection would be a second copy, and the call would still hold its slot.
@@ -170,6 +183,10 @@
                 // The pooled connection had ended: nothing was written, so another one may carry it.
                 Err(Fault::Unsent) => drop(link),
                 Err(fault) => {
+                    // Its body or the connection may be spoilt: the wait in its head is true.
+                    let came = self.hear_rest(&link, endpoint);
+                    let wait =
+                        came.and_then(|heard| wait_told(&heard.headers)).map_or(0, |w| w.as_nanos() as Ns);
                     let served = served(&link);
                     let kept = idle.filter(|_| link.socket.head().is_empty());
                     link.close().await;
@@ -183,7 +200,8 @@
                     if let Some(idle) = kept.filter(|_| outcome == Outcome::ConnectionLost) {
                         self.pool.distrust(endpoint, idle);
                     }
-                    let lost = |m| AttemptEnd { kept: kept.is_some(), ..end(m, endpoint, outcome, started) };
+                    let lost =
+                        |m| AttemptEnd { wait, kept: kept.is_some(), ..end(m, endpoint, outcome, started) };
                     return self.report(members.iter().map(lost).collect()).await;
                 }
                 Ok(answer) => break (link, answer),
@@ -230,6 +248,15 @@
         Ok(Answer { fresh, status, headers, ends: None, rest: Some(body) })
     }
 
+    /// Looks at what of an answer is here though the library has not told of it. A wait in it binds.
+    fn hear_rest(&self, link: &Connection, endpoint: EndpointId) -> Option<Heard> {
+        link.socket.hear_rest();
+        let came = heard(&link.socket.head());
+        let wait = came.as_ref().and_then(|heard| wait_told(&heard.headers));
+        wait.into_iter().for_each(|wait| self.pool.heed_wait(endpoint, wait));
+        came
+    }
+
     async fn report(&self, ends: Vec<AttemptEnd>) {
         if !ends.is_empty() {
             let _ = self.core.send(Input::Ended(ends)).await;
@@ -374,6 +401,34 @@
     }
 }
 
+/// What of an answer's head has come, line by line.
+struct Heard {
+    status: u16,
+    headers: HeaderMap,
+    whole: bool,
+}
+
+fn heard(bytes: &[u8]) -> Option<Heard> {
+    let bytes = final_head(bytes);
+    let read = |bytes: &[u8]| {
+        let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+        let mut head = httparse::Response::new(&mut headers);
+        let whole = head.parse(bytes).is_ok_and(|status| status.is_complete());
+        let status = head.code.filter(|_| whole)?;
+        let line = |h: &httparse::Header| {
+            Some((HeaderName::from_bytes(h.name.as_bytes()).ok()?, HeaderValue::from_bytes(h.value).ok()?))
+        };
+        Some((status, head.headers.iter().filter_map(line).collect()))
+    };
+    if let Some((status, headers)) = read(bytes) {
+        return Some(Heard { status, headers, whole: true });
+    }
+    // A line that has come to its end is true, whatever was to follow.
+    let lines = bytes.iter().rposition(|&b| b == b'\n')? + 1;
+    let (status, headers) = read(&[&bytes[..lines], b"\r\n"].concat())?;
+    Some(Heard { status, headers, whole: false })
+}
+
 /// Whether the first line of an answer has come whole and says 200.
 fn says_200(bytes: &[u8]) -> bool {
     let head = final_head(bytes);
@@ -424,6 +479,20 @@
 mod tests {
     use super::*;
 
+    #[test]
+    fn a_head_is_heard_line_by_line_whatever_comes_before_and_after() {
+        let answer =
+            b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 429 Wait\r\nRetry-After: 1.5\r\nX-More: y\r\n\r\nrest";
+        let (told, end) = (answer.len() - 4 - 2 - 11, answer.len() - 4);
+        for cut in 0..=answer.len() {
+            let heard = heard(&answer[..cut]);
+            let wait = heard.as_ref().and_then(|h| wait_told(&h.headers));
+            assert_eq!(wait, (cut >= told).then_some(Duration::from_millis(1_500)), "cut at {cut}");
+            assert_eq!(heard.is_some_and(|h| h.whole && h.status == 429), cut >= end, "cut at {cut}");
+        }
+        assert!(heard(b"garbage\r\n\r\n").is_none());
+    }
+
     #[test]
     fn a_connection_that_is_turned_away_as_a_whole_is_no_word_of_the_limit() {
         let headers = |pairs: &[(&'static str, &str)]| -> HeaderMap {
--- a/src/bin/nickelshed/wire.rs
+++ b/src/bin/nickelshed/wire.rs
@@ -99,6 +99,17 @@
         self.head.borrow().clone().unwrap_or_default()
     }
 
+    /// Takes what waits in the socket into the head that is kept, as far as one may go: the library reads only when it
+    /// has its turn, and before that a call may be given up.
+    pub fn hear_rest(&self) {
+        let mut buffer = [MaybeUninit::uninit(); 4096];
+        while let Some(head) = self.head.borrow_mut().as_mut().filter(|head| head.len() < MAX_HEAD) {
+            let Ok(n @ 1..) = SockRef::from(&self.stream).recv(&mut buffer) else { return };
+            // SAFETY: the system has written the first `n` bytes.
+            head.extend(buffer[..n].iter().map(|byte| unsafe { byte.assume_init() }));
+        }
+    }
+
     /// Whether bytes wait in the socket, or its end: asked of the system, as the runtime may not know yet.
     pub fn has_news(&self) -> bool {
         let mut byte = [MaybeUninit::uninit()];
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -61,6 +61,8 @@
 /// What a peer does with a request.
 pub enum Reply {
     Bytes(String),
+    /// Ends the connection behind these bytes.
+    Cut(String),
     /// Ends the connection without an answer.
     Close,
     /// Never answers, and keeps the connection.
@@ -159,7 +161,7 @@
     let mut writer = stream;
     while let Some(request) = read_message(&mut reader, number) {
         let reply = shared.script.lock().unwrap()(&request);
-        if let Reply::Bytes(bytes) = &reply {
+        if let Reply::Bytes(bytes) | Reply::Cut(bytes) = &reply {
             if writer.write_all(bytes.as_bytes()).is_err() {
                 break;
             }
@@ -167,7 +169,7 @@
         // Only now, so that whoever waits for a request knows that its answer is on the way.
         shared.seen.lock().unwrap().push(request);
         shared.news.notify_all();
-        if matches!(reply, Reply::Close) {
+        if matches!(reply, Reply::Close | Reply::Cut(_)) {
             return;
         }
     }
@@ -365,7 +367,7 @@
         self.signal("-HUP");
     }
 
-    fn signal(&self, signal: &str) {
+    pub fn signal(&self, signal: &str) {
         let id = self.child.as_ref().unwrap().id().to_string();
         assert!(Command::new("kill").args([signal, &id]).status().unwrap().success());
     }
@@ -384,13 +386,39 @@
         });
     }
 
-    /// Starts a second process beside the one that runs, and waits until it takes clients.
-    pub fn upgrade(&mut self) {
+    /// A start that need not take clients: its control address answers.
+    pub fn start_unready(&mut self) {
+        assert!(self.child.is_none(), "still running");
+        self.spawn();
+        self.until_controlled();
+        // Its drain stands once it listens.
+        self.until("it listens", || TcpStream::connect(self.address).is_ok());
+        self.until("its stage is known", || !self.control("GET", "/v1/sender/drain").1.contains("starting"));
+    }
+
+    pub fn with_unready(discovery: &Discovery, change: impl Fn(&mut Value)) -> Node {
+        let mut node = Node::new(discovery, json!([]), change);
+        node.start_unready();
+        node
+    }
+
+    fn until_controlled(&self) {
+        let address: SocketAddr = self.config["control"].as_str().unwrap().parse().unwrap();
+        self.until("the process answers on its control address", || TcpStream::connect(address).is_ok());
+    }
+
+    /// Starts a second process beside the one that runs; it need not take clients.
+    pub fn upgrade_unready(&mut self) {
         self.older = self.child.take();
         Node::controlled(&mut self.config);
         self.spawn();
-        let address: SocketAddr = self.config["control"].as_str().unwrap().parse().unwrap();
-        self.until("the new process listens", || TcpStream::connect(address).is_ok());
+        self.until_controlled();
+        self.until("its stage is known", || !self.control("GET", "/v1/sender/drain").1.contains("starting"));
+    }
+
+    /// Starts a second process beside the one that runs, and waits until it takes clients.
+    pub fn upgrade(&mut self) {
+        self.upgrade_unready();
         self.until("the new process is ready", || self.control("GET", "/v1/readyz").0 == 200);
     }
 
@@ -427,7 +455,7 @@
         let log =
             std::fs::OpenOptions::new().create(true).append(true).open(self.folder.join("log")).unwrap();
         let child = Command::new(&self.program)
-            .env("EDGE_NAME", "n0")
+            .env("EDGE_NAME", self.config["name"].as_str().unwrap_or("n0"))
             .env("EDGE_LISTEN", self.address.to_string())
             .env("EDGE_DISCOVERY", self.discovery.to_string())
             .env("EDGE_STATE", self.state())
--- a/tests/sender.rs
+++ b/tests/sender.rs
@@ -1011,3 +1011,16 @@
     }
     assert!(discovery.notices().is_empty());
 }
+
+/// The head of an answer that is cut short tells how long to wait all the same.
+#[test]
+fn a_wait_in_an_answer_that_breaks_off_is_kept() {
+    let endpoint = first_then_ok(|| {
+        Reply::Cut("HTTP/1.1 429 Wait\r\nRetry-After: 1.2\r\nContent-Length: many\r\n\r\n".to_string())
+    });
+    let (_discovery, node) = one_endpoint(&endpoint);
+    assert_eq!(node.hand_in("alert", "told", 7, 16_000, b"x"), 202);
+    let told = endpoint.wait_for("told", 1).remove(0).at;
+    let again = endpoint.wait_for("told", 2).remove(1).at;
+    assert!(again - told >= Duration::from_millis(1_100), "{:?}", again - told);
+}
