Drain by stages, evacuate a machine for good, and let nickelctl drain all of it

Need: there was a drain of clients per process, and nobody could tell whether a machine may be switched off: a machine that goes for good takes its folder with it.

Change: `Drain` is a state machine with its stages in the open (lame duck, finishing, empty), time and counts passed in; GET /v1/sender/drain tells the stage and what is left by kind. PUT /v1/sender/evacuate?within=30s ends what can't be delivered by then, in time for the notices; how each ends is the module's (`Event::Evacuate`): never ran, or repeatable, is handed back, else given up. A drain is noted in $EDGE_STATE: an evacuation outlasts its process, a plain drain passes to a process beside it.

--- a/benches/measure.rs
+++ b/benches/measure.rs
@@ -2,6 +2,7 @@
 //!
 //!     cargo bench --bench measure -- start [OTHER_PROGRAM]    # from start to ready against the journal's size
 //!     cargo bench --bench measure -- durability               # what `power` costs
+//!     cargo bench --bench measure -- evacuate                 # time to empty against what is held
 #[path = "../tests/peers/mod.rs"]
 mod peers;
 
@@ -23,6 +24,7 @@
         ["start"] => start(None),
         ["start", other] => start(Some(other.into())),
         ["durability"] => durability(),
+        ["evacuate"] => evacuate(),
         _ => eprintln!("usage: cargo bench --bench measure -- start [OTHER_PROGRAM] | durability"),
     }
 }
@@ -177,3 +179,46 @@
     }
     println!("power: messages taken on for each sync {}", spread(per_sync));
 }
+
+/// An evacuation within 2 s of as many messages, a third each delivered at once, waiting for an endpoint that takes
+/// nothing, and out at one that never answers (as far as slots allow).
+fn evacuate() {
+    println!("milliseconds from the call to empty, median of {RUNS} (least to most)");
+    for count in [30, 300, 3_000] {
+        let mut times = Vec::new();
+        let mut ends = [0; 3];
+        for _ in 0..RUNS {
+            let hung = Peer::new(|_| Reply::Hang);
+            let well = Peer::new(|_| ok());
+            let closed = instance("e-3", well.address, 9, "plain", "Terminating");
+            let list = json!([ready("e-1", hung.address, 7), ready("e-2", well.address, 8), closed]);
+            let discovery = Discovery::new(list);
+            let node = Node::with(&discovery, json!([]), |config: &mut Value| {
+                Node::controlled(config);
+                config["limits"]["disk_mb"] = 20.into();
+                config["settings"]["Limits"]["MaxOpen"] = 10_000.into();
+                config["settings"]["FamilyInfo"]["CallsOut"] = 64.into();
+            });
+            for i in 0..count {
+                let class = if i % 2 == 0 { "order" } else { "alert" };
+                assert_eq!(node.hand_in(class, &format!("m{i}"), 7 + i % 3, 16_000, b"x"), 202);
+            }
+            let begun = Instant::now();
+            assert_eq!(node.control("PUT", "/v1/sender/evacuate?within=2s").0, 200);
+            node.until("it is empty", || {
+                node.control("GET", "/v1/sender/drain").1.contains("\"stage\":\"empty\"")
+            });
+            times.push(begun.elapsed().as_secs_f64() * 1e3);
+            let text = node.control("GET", "/v1/metrics").1;
+            for (end, name) in ends.iter_mut().zip(["completed", "rejected", "failed"]) {
+                let counts = text.lines().filter(|l| l.contains(&format!("result=\"{name}\"")));
+                *end += counts.map(|l| l.rsplit_once(' ').unwrap().1.parse::<u64>().unwrap()).sum::<u64>();
+            }
+        }
+        let [delivered, back, given_up] = ends.map(|e| e / RUNS as u64);
+        println!(
+            "{count:5} held: {}; delivered {delivered}, handed back {back}, given up {given_up}",
+            spread(times)
+        );
+    }
+}
--- a/src/api.rs
+++ b/src/api.rs
@@ -252,6 +252,8 @@
         outcome: Outcome,
         report: Option<Report>,
     },
+    /// The machine goes for good (or, false, stays): every message ends now, and so does each that still comes.
+    Evacuate(bool),
     Timer,
 }
 
--- a/src/bin/nickelctl/journals.rs
+++ b/src/bin/nickelctl/journals.rs
@@ -97,6 +97,28 @@
     damage.chain(torn).collect()
 }
 
+/// How many messages the journals of a folder hold; none where there are none.
+pub fn count(folder: &Path) -> Result<usize, String> {
+    let is_missing = |e: io::Error| e.kind() == io::ErrorKind::NotFound;
+    let Ok(names) = fs::read_dir(folder) else {
+        return if fs::metadata(folder).err().is_some_and(is_missing) {
+            Ok(0)
+        } else {
+            Err(format!("{} can't be read", folder.display()))
+        };
+    };
+    if !names.flatten().any(|f| number(&f.file_name().to_string_lossy()).is_some()) {
+        return Ok(0);
+    }
+    let files = files(folder)?;
+    let unread = files.iter().find_map(|f| Some((f, f.state.as_ref().err()?)));
+    if let Some((file, reason)) = unread {
+        return Err(format!("{} can't be read: {reason}", folder.join(&file.name).display()));
+    }
+    let whole = |f: &File| Some((f.number, Whole::new(f.number, f.state.as_ref().ok()?)));
+    Ok(recover(files.iter().filter_map(whole).collect()).messages.len())
+}
+
 pub fn verify(folder: &Path, json: bool) -> Verdict {
     let files = match files(folder) {
         Ok(files) => files,
--- a/src/bin/nickelctl/main.rs
+++ b/src/bin/nickelctl/main.rs
@@ -1,9 +1,14 @@
 //! nickelctl: the operators' tool. It asks control addresses and reads files; it never writes one.
+mod calls;
+mod drains;
 mod journals;
 
 use clap::{Parser, Subcommand};
+use std::future::Future;
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::time::Duration;
 
 /// How a command has ended. Bad usage is 2 too, by the library.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -30,6 +35,42 @@
     /// What senders have taken on, as it is kept in their folder ($EDGE_STATE).
     #[command(subcommand)]
     Journal(Journal),
+    /// Sends clients away from senders and waits until nothing is left in them: exit code 0 if all are empty, 1 if the
+    /// time is up first, with what is left by process. The senders go on draining when this ends.
+    #[command(group(clap::ArgGroup::new("which").required(true).multiple(false)))]
+    Drain {
+        /// Every sender of this machine: the folder that their configurations name as registry.
+        #[arg(long, value_name = "DIR", group = "which")]
+        all: Option<PathBuf>,
+        /// Control addresses.
+        #[arg(value_name = "ADDRESS", group = "which")]
+        addresses: Vec<SocketAddr>,
+        /// How long to wait; with --evacuate that time and five seconds if it is not given, else a minute.
+        #[arg(long, value_name = "TIME", value_parser = span)]
+        wait: Option<Duration>,
+        /// The machine goes for good: what can't be delivered within this time is handed back or given up.
+        #[arg(long, value_name = "TIME", value_parser = span)]
+        evacuate: Option<Duration>,
+        /// Ends the drain: clients are taken again.
+        #[arg(long, conflicts_with_all = ["evacuate", "wait", "status"])]
+        cancel: bool,
+        /// Only shows how far it is.
+        #[arg(long, conflicts_with_all = ["evacuate", "wait"])]
+        status: bool,
+    },
+}
+
+/// `30s`, `1500ms` or `2m`.
+fn span(text: &str) -> Result<Duration, String> {
+    let digits = text.len() - text.trim_start_matches(|c: char| c.is_ascii_digit()).len();
+    let (number, unit) = text.split_at(digits);
+    let number: u64 = number.parse().map_err(|_| "a time like 30s, 1500ms or 2m is needed")?;
+    match unit {
+        "ms" => Ok(Duration::from_millis(number)),
+        "s" => Ok(Duration::from_secs(number)),
+        "m" => Ok(Duration::from_secs(number.saturating_mul(60))),
+        _ => Err("the unit is ms, s or m".to_string()),
+    }
 }
 
 #[derive(Subcommand)]
@@ -42,11 +83,32 @@
     Show { folder: PathBuf },
 }
 
+/// Runs what asks senders.
+fn asking(work: impl Future<Output = Verdict>) -> Verdict {
+    match tokio::runtime::Builder::new_current_thread().enable_all().build() {
+        Ok(runtime) => runtime.block_on(work),
+        Err(error) => {
+            eprintln!("nickelctl: cannot start: {error}");
+            Verdict::Unknown
+        }
+    }
+}
+
 fn main() -> ExitCode {
     let Arguments { json, command } = Arguments::parse();
     let verdict = match command {
         Command::Journal(Journal::Verify { folder }) => journals::verify(&folder, json),
         Command::Journal(Journal::Show { folder }) => journals::show(&folder, json),
+        Command::Drain { all, addresses, wait, evacuate, cancel, status } => {
+            let usual = evacuate.map_or(Duration::from_secs(60), |e| e + Duration::from_secs(5));
+            let act = match (cancel, status) {
+                (true, _) => drains::Act::Cancel,
+                (_, true) => drains::Act::Status,
+                _ => drains::Act::Drain,
+            };
+            let wait = wait.unwrap_or(usual);
+            asking(drains::run(drains::Plan { all, addresses, wait, evacuate, act, json }))
+        }
     };
     ExitCode::from(verdict as u8)
 }
--- a/src/bin/nickelshed/config.rs
+++ b/src/bin/nickelshed/config.rs
@@ -25,6 +25,8 @@
     #[serde(default)]
     known: List,
     durability: Option<String>,
+    name: Option<String>,
+    registry: Option<PathBuf>,
     settings: Value,
 }
 
@@ -34,6 +36,9 @@
     /// The operators' address, if they gave one.
     pub control: Option<SocketAddr>,
     pub state: PathBuf,
+    pub name: String,
+    /// Where the operators' tool finds the control addresses of the machine's senders.
+    pub registry: Option<PathBuf>,
     pub seed: u64,
     pub limits: Limits,
     /// What the journal outlasts; as it was at the start.
@@ -125,10 +130,16 @@
     if classes.iter().enumerate().any(|(i, name)| name.is_empty() || classes[..i].contains(name)) {
         return Err(format!("{path}: settings: a class has no name of its own"));
     }
+    let control = control(file.control)?;
+    if file.registry.is_some() && control.is_none() {
+        return Err(format!("{path}: registry needs control: there is no address to enter"));
+    }
     Ok(Config {
         listen: address("EDGE_LISTEN", var("EDGE_LISTEN"), file.listen)?,
         discovery: discovery(file.discovery)?,
-        control: control(file.control)?,
+        control,
+        name: var("EDGE_NAME").or(file.name).unwrap_or_else(|| "sender".to_string()),
+        registry: file.registry,
         state: var("EDGE_STATE").ok_or("EDGE_STATE is not set")?.into(),
         seed: file.seed.as_ref().map_or(0, seed),
         limits: file.limits,
--- a/src/bin/nickelshed/control.rs
+++ b/src/bin/nickelshed/control.rs
@@ -1,7 +1,9 @@
 //! The second address, for the operators: one call to a connection, answered under any load.
 use crate::core::Input;
-use crate::drain::Drain;
+use crate::drain::{Drain, Evacuation, Rest, Stage};
 use crate::figures::Figures;
+use crate::handover::Folder;
+use crate::server::Server;
 use crate::wire::MAX_BODY;
 use crate::wire::{MAX_HEAD, MAX_HEADERS};
 use bytes::Bytes;
@@ -12,7 +14,8 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
-use std::cell::RefCell;
+use serde_json::json;
+use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::convert::Infallible;
 use std::rc::Rc;
@@ -20,7 +23,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::AbortHandle;
-use tokio::time::{sleep, timeout};
+use tokio::time::{sleep, timeout, Instant};
 
 /// Callers at a time; their descriptors are reserved. At the bound the one that came first makes room: a call
 /// takes milliseconds, so it is one that holds its connection without a whole call.
@@ -35,9 +38,112 @@
     pub drain: Rc<Drain>,
     pub figures: Rc<Figures>,
     pub core: mpsc::Sender<Input>,
+    pub server: Rc<Server>,
+    pub folder: Rc<Folder>,
+    /// The core was told to end all.
+    pub evacuates: Cell<bool>,
+}
+
+/// How often the drain is looked after.
+const STEP: Duration = Duration::from_millis(50);
+
+/// `30s`, `1500ms` or `2m`.
+fn span(text: &str) -> Option<Duration> {
+    let digits = text.len() - text.trim_start_matches(|c: char| c.is_ascii_digit()).len();
+    let (number, unit) = text.split_at(digits);
+    let ms = match unit {
+        "ms" => 1,
+        "s" => 1_000,
+        "m" => 60_000,
+        _ => return None,
+    };
+    let span = number.parse::<u64>().ok()?.checked_mul(ms).filter(|ms| (1..=86_400_000).contains(ms))?;
+    Some(Duration::from_millis(span))
 }
 
 impl Control {
+    /// What is left; None once the core has ended.
+    async fn rest(&self) -> Option<Rest> {
+        let (reply, rest) = oneshot::channel();
+        let _ = self.core.send(Input::Rest(reply)).await;
+        Some(Rest { clients: self.server.open.get(), ..rest.await.ok()? })
+    }
+
+    /// Leads a drain from stage to stage. Ends with the core.
+    pub async fn lead(self: Rc<Self>) {
+        let mut stage = self.drain.follow();
+        loop {
+            if self.drain.sends_away() && self.drain.stage() != Stage::Ending {
+                let Some(rest) = self.rest().await else { return };
+                let over = self.drain.go_on(Instant::now(), &rest);
+                self.tell(over).await;
+                sleep(STEP).await;
+                continue;
+            }
+            tokio::select! {
+                changed = stage.changed() => if changed.is_err() { return },
+                () = self.core.closed() => return,
+            }
+        }
+    }
+
+    /// Tells the core whether all must end now, where it does not know.
+    async fn tell(&self, evacuates: bool) {
+        if self.evacuates.replace(evacuates) != evacuates {
+            let _ = self.core.send(Input::Evacuate(evacuates)).await;
+        }
+    }
+
+    /// A drain that begins is noted for the process that comes after this one, first.
+    fn begin(&self, evacuation: Option<Evacuation>) -> Response<Full<Bytes>> {
+        let now = Instant::now();
+        if !matches!(self.drain.stage(), Stage::Starting | Stage::Ending) {
+            let sooner = self.drain.evacuation().into_iter().chain(evacuation).min_by_key(|e| e.by);
+            if let Err(error) = self.folder.note_drain(sooner, now) {
+                tracing::error!(%error, "the drain can't be noted for a restart");
+                return text(StatusCode::INTERNAL_SERVER_ERROR, "it can't be noted in the folder\n");
+            }
+        }
+        yes_or_no(match evacuation {
+            Some(evacuation) => self.drain.evacuate(now, evacuation),
+            None => self.drain.drain(now),
+        })
+    }
+
+    async fn activate(&self) -> Response<Full<Bytes>> {
+        if self.drain.stage() != Stage::Ending {
+            if let Err(error) = self.folder.forget_drain() {
+                tracing::error!(%error, "the end of the drain can't be noted for a restart");
+                return text(StatusCode::INTERNAL_SERVER_ERROR, "it can't be noted in the folder\n");
+            }
+        }
+        let yes = self.drain.activate(Instant::now());
+        if yes {
+            // Before it is said: what comes after the answer is taken on.
+            self.tell(false).await;
+        }
+        yes_or_no(yes)
+    }
+
+    async fn status(&self) -> Response<Full<Bytes>> {
+        let Some(rest) = self.rest().await else {
+            return text(StatusCode::SERVICE_UNAVAILABLE, "the core has ended\n");
+        };
+        let now = Instant::now();
+        let ms = |span: Duration| span.as_millis() as u64;
+        let stage = self.drain.stage();
+        let status = json!({
+            "stage": stage,
+            "for_ms": ms(now.saturating_duration_since(self.drain.since())),
+            "evacuates_within_ms": self.drain.evacuation().map(|e| ms(e.by.saturating_duration_since(now))),
+            "left": rest,
+            "safe_to_switch_off": stage == Stage::Empty,
+        });
+        let mut response = Response::new(Full::new(format!("{status}\n").into()));
+        response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        response
+    }
+
     /// Never ends. No caller waits for another: each is served by a task of its own.
     pub async fn serve(self: Rc<Self>, listener: TcpListener) {
         let callers: RefCell<VecDeque<AbortHandle>> = RefCell::default();
@@ -82,9 +188,21 @@
             "/v1/readyz" if is_read(method) => yes_or_no(self.drain.is_ready()),
             "/v1/metrics" if is_read(method) => self.figures().await,
             "/v1/readyz" | "/v1/metrics" => wrong_method("GET, HEAD"),
-            "/v1/sender/drain" if method == Method::PUT => yes_or_no(self.drain.drain()),
-            "/v1/sender/activate" if method == Method::PUT => yes_or_no(self.drain.activate()),
-            "/v1/sender/drain" | "/v1/sender/activate" => wrong_method("PUT"),
+            "/v1/sender/drain" if method == Method::PUT => self.begin(None),
+            "/v1/sender/drain" if is_read(method) => self.status().await,
+            "/v1/sender/evacuate" if method == Method::PUT => {
+                let within =
+                    head.uri.query().and_then(|q| q.split('&').find_map(|p| p.strip_prefix("within=")));
+                match within.and_then(span) {
+                    Some(within) => self.begin(Some(Evacuation::new(Instant::now(), within))),
+                    None => {
+                        text(StatusCode::BAD_REQUEST, "within=30s (ms, s or m, a day at most) is needed\n")
+                    }
+                }
+            }
+            "/v1/sender/activate" if method == Method::PUT => self.activate().await,
+            "/v1/sender/drain" => wrong_method("GET, HEAD, PUT"),
+            "/v1/sender/evacuate" | "/v1/sender/activate" => wrong_method("PUT"),
             _ => text(StatusCode::NOT_FOUND, "no such call\n"),
         }
     }
--- a/src/bin/nickelshed/core.rs
+++ b/src/bin/nickelshed/core.rs
@@ -6,7 +6,7 @@
 use crate::deadline::{left, wall_ms, was_set, Allowance, Clock, Deadline, Shift};
 use crate::discovery::List;
 use crate::disk::Log;
-use crate::drain::Drain;
+use crate::drain::{Drain, Rest};
 use crate::figures::{End, Figures, Gauges};
 use crate::handover::Elsewhere;
 use crate::life::{Life, Stage};
@@ -71,6 +71,10 @@
     Yield(oneshot::Sender<bool>),
     /// What stands now, for the figures.
     Gauges(oneshot::Sender<Gauges>),
+    /// What is left here, as the drain goes on.
+    Rest(oneshot::Sender<Rest>),
+    /// The machine goes for good, or stays.
+    Evacuate(bool),
     /// The file of the configuration was read again.
     Settings(Box<(Settings, Around)>),
     /// No client can come any more: end once nothing is left to do, and start nothing new after this time.
@@ -448,6 +452,9 @@
             Input::TakeOver(_, reply) => _ = reply.send(false),
             Input::Yield(reply) => _ = reply.send(true),
             Input::Gauges(reply) => _ = reply.send(self.gauges(self.clock(Instant::now()))),
+            Input::Rest(reply) => _ = reply.send(self.rest()),
+            // All that could be ended is the next process's.
+            Input::Evacuate(_) => {}
             Input::Wind(until) => self.wind = Some(until),
             Input::Elsewhere(_) | Input::EndedElsewhere(_) | Input::Inherited(_) => {}
             Input::List(_) | Input::Alone | Input::Succeeded | Input::Listening(_) | Input::Probed { .. } => {
@@ -739,6 +746,8 @@
                 }
                 Input::Yield(reply) => self.yielding = Some(reply),
                 Input::Gauges(reply) => _ = reply.send(self.gauges(now)),
+                Input::Rest(reply) => _ = reply.send(self.rest()),
+                Input::Evacuate(goes) => round.events.push(Event::Evacuate(goes)),
                 Input::Settings(new) => round.events.push(self.reset(*new)),
                 Input::Wind(until) => self.wind = Some(until),
             }
@@ -953,6 +962,14 @@
         }
     }
 
+    /// What is left, but for clients.
+    fn rest(&self) -> Rest {
+        let out: HashSet<u64> = self.calls.keys().map(|(id, _)| *id).collect();
+        let waiting = self.held.keys().filter(|id| !out.contains(id)).count();
+        let (held, out, notices) = (waiting + self.held_elsewhere, out.len(), self.noticing.len());
+        Rest { clients: 0, held, out, notices, kept: self.journal.ledger().live.len() + self.owed.len() }
+    }
+
     /// The settings in force with all classes that messages have.
     fn module_settings(&self) -> Settings {
         Settings { classes: self.classes.table(), ..self.settings.clone() }
@@ -1160,6 +1177,8 @@
             discovery: nowhere,
             control: None,
             state: folder.clone(),
+            name: "n0".into(),
+            registry: None,
             seed: 1,
             limits: crate::config::Limits { memory_mb: 32.0, sockets: 256, disk_mb: 1.0 },
             durability: Durability::Power,
@@ -1178,8 +1197,8 @@
         let (notices_in, notices) = mpsc::unbounded_channel();
         let pool = Rc::new(Pool::new(settings.dial_timeout, settings.idle_close, 8));
         let client = Rc::new(Client { core: core_in.clone(), figures: Rc::default(), pool });
-        let drain = Rc::new(Drain::new());
-        drain.listening();
+        let drain = Rc::new(Drain::new(Instant::now()));
+        drain.listening(Instant::now());
         let journal = (1, Log::new(journal), clock);
         let mut core = Core::new(config, journal, drain.clone(), client, inbox, notices_in);
         core.resume(known.unwrap(), Left::default(), false).await;
--- a/src/bin/nickelshed/handover.rs
+++ b/src/bin/nickelshed/handover.rs
@@ -3,10 +3,13 @@
 //! Process N keeps `journal.N` and holds a lock on `owner.N`, which the kernel lets go when it dies. Only then is the
 //! file taken over and deleted. A process that lives is followed by reading its file; nobody writes another's.
 use crate::core::Input;
+use crate::deadline::wall_ms;
 use crate::disk::sync_folder;
+use crate::drain::Evacuation;
 use crate::memory::{self, Budget};
 use journal::{decode, Durability, Ledger, Left, Live, Names, Release, Whole};
 use leadfold::api::DestId;
+use serde::{Deserialize, Serialize};
 use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet, HashSet};
 use std::fs::{self, File, OpenOptions};
@@ -17,7 +20,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot, watch};
-use tokio::time::sleep;
+use tokio::time::{sleep, Instant};
 
 /// How often the folder is looked at: while another process is there, and else.
 const FOLLOW: Duration = Duration::from_millis(15);
@@ -26,6 +29,8 @@
 const AT_ONCE: usize = 64;
 const JOURNAL: &str = "journal";
 const OWNER: &str = "owner";
+/// Says that its process sends its clients away.
+const DRAIN: &str = "drain";
 /// A lock file before it has its number.
 const UNNUMBERED: &str = "owner.new";
 
@@ -111,6 +116,69 @@
         self.others().range(..self.own).any(|&n| self.inherit(n).is_none())
     }
 
+    /// Notes that this process sends its clients away, for those that come after it.
+    pub fn note_drain(&self, evacuation: Option<Evacuation>, now: Instant) -> io::Result<()> {
+        let within = evacuation.map(|e| e.by.saturating_duration_since(now).as_millis() as i64);
+        let note = Note { by: within.map(|ms| wall_ms().saturating_add(ms)), within };
+        let (new, path) = (self.path.join(format!("new-{DRAIN}.{}", self.own)), self.drain_path(self.own));
+        let file = File::create(&new)?;
+        file.write_all_at(&serde_json::to_vec(&note)?, 0)?;
+        if self.lasts {
+            file.sync_all()?;
+        }
+        fs::rename(new, path)?;
+        if self.lasts {
+            sync_folder(&self.path)
+        } else {
+            Ok(())
+        }
+    }
+
+    /// The drain has ended.
+    pub fn forget_drain(&self) -> io::Result<()> {
+        match fs::remove_file(self.drain_path(self.own)) {
+            Err(error) if error.kind() != io::ErrorKind::NotFound => Err(error),
+            _ if self.lasts => sync_folder(&self.path),
+            _ => Ok(()),
+        }
+    }
+
+    fn drain_path(&self, number: u64) -> PathBuf {
+        self.path.join(format!("{DRAIN}.{number}"))
+    }
+
+    /// Whether this process must go on with a drain: that of one beside it, or an evacuation, which outlasts its process.
+    /// What is over is deleted.
+    pub fn inherited_drain(&self, now: Instant) -> io::Result<Option<Option<Evacuation>>> {
+        let mut found: Option<Option<Evacuation>> = None;
+        let mut stale = Vec::new();
+        for number in numbers(&self.path, &[DRAIN]).into_iter().filter(|&n| n != self.own) {
+            let path = self.drain_path(number);
+            let note: Option<Note> = fs::read(&path).ok().and_then(|b| serde_json::from_slice(&b).ok());
+            let lock = self.inherit(number);
+            let is_dead = lock.is_some();
+            let note = note.unwrap_or_default();
+            if !is_dead || note.by.is_some() {
+                let evacuation = note.evacuation(now);
+                let sooner = found.flatten().into_iter().chain(evacuation).min_by_key(|e| e.by);
+                found = Some(sooner);
+            }
+            if is_dead {
+                stale.push((path, lock, number));
+            }
+        }
+        if let Some(evacuation) = found {
+            self.note_drain(evacuation, now)?;
+        }
+        for (path, _lock, number) in stale {
+            fs::remove_file(path)?;
+            if !numbers(&self.path, &[JOURNAL]).contains(&number) && number < self.own {
+                let _ = fs::remove_file(owner(&self.path, number));
+            }
+        }
+        Ok(found)
+    }
+
     /// Bytes in the files of the others, in whole blocks.
     pub fn bytes(&self) -> u64 {
         let files = self.others().into_iter().flat_map(|n| [journal(&self.path, n), rewrite(&self.path, n)]);
@@ -183,6 +251,21 @@
     }
 }
 
+/// What a process says of its drain.
+#[derive(Default, Serialize, Deserialize)]
+struct Note {
+    /// An evacuation: until when, by the wall clock, and how long that was then, in milliseconds.
+    by: Option<i64>,
+    within: Option<i64>,
+}
+
+impl Note {
+    fn evacuation(&self, now: Instant) -> Option<Evacuation> {
+        let left = self.by?.saturating_sub(wall_ms()).clamp(0, self.within.unwrap_or(0).max(0));
+        Some(Evacuation::new(now, Duration::from_millis(left as u64)))
+    }
+}
+
 fn owner(folder: &Path, number: u64) -> PathBuf {
     folder.join(format!("{OWNER}.{number}"))
 }
--- a/src/bin/nickelshed/main.rs
+++ b/src/bin/nickelshed/main.rs
@@ -15,6 +15,7 @@
 mod listen;
 mod memory;
 mod notices;
+mod registry;
 mod reload;
 mod server;
 mod wire;
@@ -99,6 +100,8 @@
     let state = |e| format!("journal in {}: {e}", config.state.display());
     let durability = config.durability;
     let folder = Rc::new(handover::Folder::enter(&config.state, durability).map_err(state)?);
+    // Before their locks are taken: they tell who lives.
+    let inherited = folder.inherited_drain(Instant::now()).map_err(state)?;
     let dead = folder.dead();
     let left = folder.left(&dead, &budget)?;
     // Of starts that were cut short: many of them would fill the disk.
@@ -126,7 +129,11 @@
     spawn_local(pool.clone().keep());
     let client =
         Rc::new(calls::Client { core: core_in.clone(), figures: figures.clone(), pool: pool.clone() });
-    let drain = Rc::new(drain::Drain::new());
+    let drain = Rc::new(drain::Drain::new(Instant::now()));
+    if let Some(evacuation) = inherited {
+        tracing::info!(evacuates = evacuation.is_some(), "going on with the drain of the process before");
+        drain.inherit(evacuation);
+    }
     let (place, discovery) = watch::channel(config.discovery);
     let asking = Asking::new(&config.settings, config.seed);
     spawn_local(discovery::follow(discovery.clone(), core_in.clone(), config.known.version(), asking));
@@ -134,6 +141,7 @@
     let (listen, known) = (config.listen, std::mem::take(&mut config.known));
     let terms = server::Terms::new(&config.settings, config.around.clone());
     let operators = config.control;
+    let entry = (config.registry.clone(), config.name.clone(), config.state.clone());
     let in_force = std::mem::take(&mut config.file);
     let journal = (folder.own, disk::Log::new(journal), clock);
     let mut core = core::Core::new(config, journal, drain.clone(), client, inbox, notices_in);
@@ -141,11 +149,6 @@
         folder.discard(dead);
     }
     let core = spawn_local(core.run());
-    if let Some(at) = operators {
-        let listener = TcpListener::bind(at).await.map_err(|e| format!("cannot listen on {at}: {e}"))?;
-        let (drain, figures, core) = (drain.clone(), figures.clone(), core_in.clone());
-        spawn_local(Rc::new(control::Control { drain, figures, core }).serve(listener));
-    }
 
     let (close, closing) = watch::channel(false);
     let server = Rc::new(server::Server {
@@ -160,6 +163,25 @@
         number: Default::default(),
         guests: Default::default(),
     });
+    let (keeper, watched) = (folder.clone(), server.clone());
+    let control = Rc::new(control::Control {
+        drain: drain.clone(),
+        figures: figures.clone(),
+        core: core_in.clone(),
+        server: watched,
+        folder: keeper,
+        evacuates: Default::default(),
+    });
+    spawn_local(control.clone().lead());
+    let mut _entry = None;
+    if let Some(at) = operators {
+        let listener = TcpListener::bind(at).await.map_err(|e| format!("cannot listen on {at}: {e}"))?;
+        spawn_local(control.serve(listener));
+        if let (Some(registry), name, state) = entry {
+            let cannot = |e| format!("cannot enter {}: {e}", registry.display());
+            _entry = Some(registry::Entry::enter(&registry, &name, at, &state).map_err(cannot)?);
+        }
+    }
     let reload = reload::Reload {
         in_force,
         discovery: place,
@@ -188,7 +210,7 @@
     let accepting = spawn_local(server.clone().accept(listener, closing));
     // Written down before it is said: from now on the process before this one may be told to end.
     asked(&core_in, core::Input::Listening).await;
-    drain.listening();
+    drain.listening(Instant::now());
 
     tokio::select! {
         _ = terminate.recv() => {}
@@ -197,7 +219,7 @@
         ended = core => return Err(format!("the core ended: {ended:?}")),
     }
     let told = Instant::now();
-    drain.end();
+    drain.end(Instant::now());
     // With a process to go on, clients find that one: nothing more need be taken here but what is on its way.
     if !(folder.has_successor() && asked(&core_in, core::Input::Yield).await) {
         sleep(ACCEPT_ON).await;
--- a/src/bin/nickelshed/server.rs
+++ b/src/bin/nickelshed/server.rs
@@ -1,7 +1,7 @@
 //! Clients in: takes requests, checks their form, and hands them to the core.
 use crate::core::{Input, Reply};
 use crate::deadline::Deadline;
-use crate::drain::{Drain, State};
+use crate::drain::Drain;
 use crate::figures::{End, Figures};
 use crate::life::{Life, Stage};
 use crate::listen;
@@ -206,7 +206,7 @@
 
     /// Since when clients are sent away, if they are.
     fn sent_away(&self) -> Option<Instant> {
-        matches!(self.drain.state(), State::Draining | State::Ending).then(|| self.drain.since())
+        self.drain.away_since()
     }
 
     async fn serve(&self, guest: Rc<Guest>) {
@@ -293,6 +293,9 @@
         if head.method != Method::POST {
             return wrong_method("POST");
         }
+        if !self.drain.takes_on() {
+            return closing(refused(None));
+        }
         let length = body.size_hint().lower();
         if length > MAX_BODY as u64 {
             return bad(StatusCode::PAYLOAD_TOO_LARGE, "the body is over 64 KiB");
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -137,6 +137,8 @@
     ended: BTreeSet<EndpointId>,
     idle: BTreeSet<EndpointId>,
     next_end: Ns,
+    /// The machine goes for good: nothing is held any more.
+    evacuates: bool,
     forgot_at: Ns,
     decided_at: Ns,
     timer_at: Option<Ns>,
@@ -162,6 +164,7 @@
                 Event::Settings(new) => self.settings(new),
                 Event::Expired { id } => self.close(*id),
                 Event::Probed { .. } => {}
+                Event::Evacuate(goes) => self.evacuate(*goes, out),
                 // The caller may round a time down: one that is due within the tick has come.
                 Event::Timer => self.timer_at = self.timer_at.filter(|&at| at > self.now + self.cfg.tick),
             }
@@ -315,7 +318,8 @@
     fn hold(&mut self, id: MsgId) {
         let held = &self.messages[&id];
         let (dest_id, end) = (held.message.dest, self.last_call(held));
-        let end = if self.waits_until(dest_id) > end { LONG_AGO } else { end };
+        let over = self.evacuates || self.waits_until(dest_id) > end;
+        let end = if over { LONG_AGO } else { end };
         self.next_end = self.next_end.min(end);
         let now = self.now;
         let idle = self.active.insert(dest_id);
@@ -1054,6 +1058,19 @@
         held.end - (latency / 2).min(aim / 4).max(2 * self.cfg.tick)
     }
 
+    /// Ends all that is held, and calls off what is out: it ends as its outcome comes.
+    fn evacuate(&mut self, goes: bool, out: &mut Vec<Action>) {
+        self.evacuates = goes;
+        if goes {
+            self.next_end = self.now;
+            for (&id, held) in &self.messages {
+                let attempts = held.attempts.iter().enumerate().filter(|(_, a)| a.out);
+                out.extend(attempts.map(|(n, _)| Action::Cancel { id, attempt: n as u32 }));
+            }
+            self.calls.values_mut().for_each(|c| c.cancelled = true);
+        }
+    }
+
     /// Looks through all held work for what has no time left.
     fn end_hopeless(&mut self, out: &mut Vec<Action>) {
         let held = self.active.iter().flat_map(|d| self.dests[d].held.iter().copied()).collect::<Vec<_>>();
@@ -1066,7 +1083,7 @@
         let stuck = held.attempts.first().is_some_and(|first| !self.allows(held, Some(first.endpoint)));
         let at = self.last_call(held);
         let late = at <= self.now || self.waits_until(held.message.dest) > at;
-        if stuck || late {
+        if stuck || late || self.evacuates {
             self.give_up(id, late, out);
         }
         at
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -999,3 +999,30 @@
     assert!(finals(&told).is_empty());
     assert_eq!(sends(&plain(&s.pass(11 * SECOND))), [(1, 1)]);
 }
+
+#[test]
+fn an_evacuation_ends_all_that_is_held_and_out_by_what_may_have_run() {
+    let mut s = Stand::new(Settings { slots: 4, ..settings() }, &[entry(1, 1, 0)]);
+    // Keyed, safe and unsafe: one of each is out, the others wait.
+    s.give((0..6).map(|i| Event::Message(message(i, 1, i as usize % 3))).collect());
+    let gone = s.give(vec![Event::Evacuate(true)]);
+    let ended = finals(&gone);
+    let back = |id| {
+        ended.iter().any(|a| matches!(a, Action::Refuse { id: i, backoff, .. } if *i == id && *backoff > 0))
+    };
+    assert!(ended.len() == 3 && (3..6).all(back), "what never ran is handed back: {ended:?}");
+    let off: Vec<_> = gone.iter().filter(|a| matches!(a, Action::Cancel { .. })).collect();
+    assert_eq!(off.len(), 3, "{gone:?}");
+    for (id, outcome) in [(0, Outcome::CalledOff), (1, Outcome::CalledOff), (2, Outcome::CalledOff)] {
+        let end = finals(&s.end(end(id, 0, 1, outcome)));
+        let expected = matches!(end[..], [Action::Refuse { .. }]) != (id == 2);
+        assert!(end.len() == 1 && expected, "{id} after {outcome:?}: {end:?}");
+    }
+    assert!(
+        matches!(finals(&s.take(message(9, 1, 0)))[..], [Action::Refuse { id: 9, .. }]),
+        "nothing is held"
+    );
+    assert!(sends(&s.pass(SECOND).into_iter().map(|x| x.1).collect::<Vec<_>>()).is_empty());
+    s.give(vec![Event::Evacuate(false)]);
+    assert_eq!(sends(&s.take(message(10, 1, 0))), [(10, 1)], "the machine stays");
+}
