Make the pool one state machine, with waiting calls, bounded dials and spares kept

Change: `pool.rs` is the book of all connections, without I/O and with time passed in; `connections.rs` drives it. Figures by endpoint state and reason. A message whose time goes while it is written down now gets its refusal in words. Warm-up is not built: by the protocol the first request pays for a connection whenever it was opened.

--- a/src/bin/nickelshed/calls.rs
+++ b/src/bin/nickelshed/calls.rs
@@ -3,6 +3,7 @@
 use crate::core::Input;
 use crate::deadline::Allowance;
 use crate::figures::Figures;
+use crate::pool::Reason;
 use crate::wire::MAX_BODY;
 use crate::wire::{Socket, MAX_HEADERS};
 use base64::Engine;
@@ -168,14 +169,14 @@
                             Answer { fresh: idle.is_none(), status, headers, ends: None, rest: None };
                         let ends = read_ends(&left, &answer, endpoint, started);
                         link.close().await;
-                        self.pool.count(|t| t.spoilt += 1);
+                        self.pool.count_closed(Reason::Spoilt, 1);
                         return self.report(ends).await;
                     }
                     let outcome = if served(&link) { Outcome::Served } else { outcome };
                     // Closed before it is told: the next attempt of a message that is still out on an open
                     // connection would be a second copy, and the call would still hold its slot.
                     link.close().await;
-                    self.pool.count(|t| t.spoilt += 1);
+                    self.pool.count_closed(Reason::Spoilt, 1);
                     return self.report(left.iter().map(tell(outcome)).collect()).await;
                 }
             };
@@ -190,7 +191,7 @@
                     let served = served(&link);
                     let kept = idle.filter(|_| link.socket.head().is_empty());
                     link.close().await;
-                    self.pool.count(|t| t.spoilt += 1);
+                    self.pool.count_closed(Reason::Spoilt, 1);
                     tracing::debug!(%fault, served, "no answer that can be read");
                     let outcome = match fault {
                         _ if served => Outcome::Served,
@@ -214,7 +215,7 @@
         if at_rest && !closes {
             self.pool.give_back(endpoint, link);
         } else {
-            self.pool.count(|t| if closes { t.told_to_close += 1 } else { t.not_at_rest += 1 });
+            self.pool.count_closed(if closes { Reason::ToldToClose } else { Reason::NotAtRest }, 1);
             link.close().await;
         }
         self.report(ends).await;
--- a/src/bin/nickelshed/connections.rs
+++ b/src/bin/nickelshed/connections.rs
@@ -1,4 +1,5 @@
 //! Connections to endpoints, discovery and the platform: the pool, its bounds, and whom nothing may be written.
+use crate::pool::{Book, Bounds, Choice, Count, LinkId, Reason, REASONS};
 use crate::wire::{Io, Socket, MAX_BODY, MAX_HEAD, MAX_HEADERS};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
@@ -15,6 +16,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
+use tokio::sync::oneshot;
 use tokio::task::JoinHandle;
 use tokio::time::{timeout, Instant};
 
@@ -49,7 +51,9 @@
     idle_since: Instant,
     /// It has carried an exchange.
     used: bool,
-    _counted: Option<Counted>,
+    /// It has stood idle, so the other side may have closed it.
+    stood: bool,
+    counted: Option<Counted>,
 }
 
 impl Drop for Connection {
@@ -74,7 +78,7 @@
             }
         });
         let idle_since = Instant::now();
-        Ok(Connection { at, sender, task, socket, idle_since, used: false, _counted: None })
+        Ok(Connection { at, sender, task, socket, idle_since, used: false, stood: false, counted: None })
     }
 
     /// The connection that was kept from the exchange before, if it still stands and leads to that address.
@@ -112,7 +116,7 @@
         self.sender.try_send_request(request).await.map_err(|mut e| match e.take_message() {
             Some(_) => Fault::Unsent,
             None if self.socket.written() > before => Fault::Broken(e.into_error().to_string()),
-            None if used => Fault::Unsent,
+            None if used || self.stood => Fault::Unsent,
             None => Fault::NeverRan(e.into_error().to_string()),
         })
     }
@@ -169,53 +173,61 @@
     address: SocketAddr,
     route: (DestId, Option<EndpointId>),
     usable: bool,
-    /// Connections idle for so long are not used there, until then.
-    brief: Option<(Duration, Instant)>,
 }
 
-/// Some endpoints close idle connections earlier than the settings say, and a request shows it as a reset. What
-/// was learned of that holds for so long; a reset after less idle time than this tells nothing of it.
-const DISTRUST: Duration = Duration::from_secs(30);
-const LEAST_IDLE: Duration = Duration::from_millis(50);
+/// Connections that may be made at a time, in all and to one endpoint: what wants more waits for these or for one that
+/// comes back.
+const DIALS: usize = 32;
+const DIALS_EACH: usize = 8;
 
-/// Why connections come and go, for the log. Each is a count since the start.
+/// Why connections come and go, for the log and the figures. Each is a count since the start.
 #[derive(Default, Debug, Clone, Copy, PartialEq)]
 pub struct Turnover {
     pub opened: u64,
     pub refused: u64,
     pub reused: u64,
-    /// Closed when the endpoint said so, when the end of an answer did not come, and after a call without one.
-    pub told_to_close: u64,
-    pub not_at_rest: u64,
-    pub spoilt: u64,
-    /// Closed while idle: by the other side, for its age, as the list or the module had it, for another's place.
-    pub closed_there: u64,
-    pub idle_too_long: u64,
-    pub withdrawn: u64,
-    pub displaced: u64,
+    /// Calls that had to wait, and connections that were made for a call that had got another or had gone.
+    pub waited: u64,
+    pub spare: u64,
+    /// By reason, as `REASONS` has them.
+    pub closed: [u64; REASONS.len()],
+    pub dial_time: Duration,
 }
 
+/// The connections to endpoints.
 pub struct Pool {
-    pub turnover: Cell<Turnover>,
+    turnover: Cell<Turnover>,
     pub dial: Cell<Duration>,
-    idle: Cell<Duration>,
-    /// Most connections to endpoints at a time.
-    pub most: Cell<usize>,
-    open: Rc<Cell<usize>>,
-    links: RefCell<HashMap<EndpointId, Vec<Connection>>>,
+    book: Rc<RefCell<Book>>,
+    idle: RefCell<HashMap<LinkId, Connection>>,
+    waiters: RefCell<HashMap<u64, oneshot::Sender<Result<Connection, Outcome>>>>,
+    ticket: Cell<u64>,
     places: RefCell<HashMap<EndpointId, Place>>,
     waits: RefCell<HashMap<(DestId, Option<EndpointId>), Instant>>,
 }
 
+impl std::fmt::Display for Turnover {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let Turnover { opened, refused, reused, waited, spare, .. } = self;
+        write!(
+            f,
+            "opened {opened}, refused {refused}, reused {reused}, waited {waited}, spare {spare}; closed"
+        )?;
+        let closed = REASONS.iter().map(|&(reason, name)| (self.closed[reason as usize], name));
+        closed.filter(|(count, _)| *count > 0).try_for_each(|(count, name)| write!(f, " {name} {count}"))
+    }
+}
+
 impl Pool {
     pub fn new(dial: Ns, idle: Ns, most: usize) -> Pool {
+        let bounds = Bounds { most, dials: DIALS, dials_each: DIALS_EACH, idle: Duration::ZERO };
         let pool = Pool {
             turnover: Cell::default(),
             dial: Cell::default(),
-            idle: Cell::default(),
-            most: Cell::new(most),
-            open: Rc::default(),
-            links: RefCell::default(),
+            book: Rc::new(RefCell::new(Book::new(bounds))),
+            idle: RefCell::default(),
+            waiters: RefCell::default(),
+            ticket: Cell::default(),
             places: RefCell::default(),
             waits: RefCell::default(),
         };
@@ -226,24 +238,44 @@
     pub fn set_times(&self, dial: Ns, idle: Ns) {
         self.dial.set(Duration::from_nanos(dial.max(MS) as u64));
         // Closed well before the endpoint would: what is written to a connection that it has closed is a reset.
-        self.idle.set(Duration::from_nanos((idle.max(0) as f64 * 0.9) as u64));
+        self.book.borrow_mut().bounds.idle = Duration::from_nanos((idle.max(0) as f64 * 0.9) as u64);
+    }
+
+    /// Most connections to endpoints at a time.
+    pub fn set_most(&self, most: usize) {
+        self.book.borrow_mut().bounds.most = most;
+    }
+
+    pub fn turnover(&self) -> Turnover {
+        self.turnover.get()
     }
 
-    pub fn count(&self, what: impl FnOnce(&mut Turnover)) {
+    /// Connections by state, to endpoints that take work and to others.
+    pub fn counts(&self) -> [Count; 2] {
+        self.book.borrow().counts()
+    }
+
+    fn count(&self, what: impl FnOnce(&mut Turnover)) {
         let mut turnover = self.turnover.get();
         what(&mut turnover);
         self.turnover.set(turnover);
     }
 
-    /// Whether an idle connection may still be used, given how long it may have stood.
-    fn is_fit(&self, link: &Connection, most: Duration) -> bool {
-        let (open, young) = (link.is_open(), link.idle_since.elapsed() < most);
-        self.count(|t| match (open, young) {
-            (false, _) => t.closed_there += 1,
-            (true, false) => t.idle_too_long += 1,
-            (true, true) => {}
-        });
-        open && young
+    pub fn count_closed(&self, reason: Reason, by: usize) {
+        self.count(|t| t.closed[reason as usize] += by as u64);
+    }
+
+    /// Closes what stands idle under these numbers.
+    fn close(&self, links: impl IntoIterator<Item = (LinkId, Reason)>) {
+        for (id, reason) in links {
+            self.count_closed(reason, 1);
+            let link = self.idle.borrow_mut().remove(&id);
+            drop(link);
+        }
+    }
+
+    fn withdraw_idle(&self, links: Vec<LinkId>) {
+        self.close(links.into_iter().map(|id| (id, Reason::Withdrawn)));
     }
 
     /// Follows the list; what it no longer names as ready gets nothing more, from now on.
@@ -255,12 +287,21 @@
         separate: bool,
         usable: bool,
     ) {
-        let mut places = self.places.borrow_mut();
-        let brief = places.get(&endpoint).filter(|p| p.address == address).and_then(|p| p.brief);
-        let place = Place { address, route: (dest, separate.then_some(endpoint)), usable, brief };
-        let old = places.insert(endpoint, place);
-        if !usable || old.is_some_and(|old| old.address != address) {
-            self.close_idle(endpoint);
+        let place = Place { address, route: (dest, separate.then_some(endpoint)), usable };
+        let old = self.places.borrow_mut().insert(endpoint, place);
+        if old.is_some_and(|old| old.address != address) {
+            let links = self.book.borrow_mut().moved(endpoint);
+            self.withdraw_idle(links);
+        }
+        self.set_usable(endpoint, usable);
+    }
+
+    fn set_usable(&self, endpoint: EndpointId, usable: bool) {
+        let links = self.book.borrow_mut().set_usable(endpoint, usable);
+        self.withdraw_idle(links);
+        if !usable {
+            let told = self.book.borrow_mut().abandon(endpoint);
+            self.tell(told, Outcome::NotSent);
         }
     }
 
@@ -272,7 +313,7 @@
     /// Nothing more is written to an endpoint until a list names it as ready.
     pub fn withdraw(&self, endpoint: EndpointId) {
         self.places.borrow_mut().get_mut(&endpoint).into_iter().for_each(|place| place.usable = false);
-        self.close_idle(endpoint);
+        self.set_usable(endpoint, false);
     }
 
     /// Whether nothing more may be written to an endpoint, and no wait is kept under its number.
@@ -285,16 +326,18 @@
     /// The list has not named it for so long that its number means nothing any more.
     pub fn forget(&self, endpoint: EndpointId) {
         self.places.borrow_mut().remove(&endpoint);
-        self.close_idle(endpoint);
+        self.set_usable(endpoint, false);
+        let links = self.book.borrow_mut().forget(endpoint);
+        self.withdraw_idle(links);
     }
 
     pub fn close_idle(&self, endpoint: EndpointId) {
-        let closed = self.links.borrow_mut().remove(&endpoint).map_or(0, |links| links.len());
-        self.count(|t| t.withdrawn += closed as u64);
+        let links = self.book.borrow_mut().clear(endpoint);
+        self.withdraw_idle(links);
     }
 
     pub fn close_all_idle(&self) {
-        let endpoints: Vec<EndpointId> = self.links.borrow().keys().copied().collect();
+        let endpoints: Vec<EndpointId> = self.places.borrow().keys().copied().collect();
         endpoints.into_iter().for_each(|endpoint| self.close_idle(endpoint));
     }
 
@@ -304,10 +347,16 @@
         loop {
             every.tick().await;
             let now = Instant::now();
-            self.links.borrow_mut().retain(|_, links| {
-                links.retain(|l| self.is_fit(l, self.idle.get()));
-                !links.is_empty()
-            });
+            let gone: Vec<EndpointId> =
+                self.places.borrow().iter().filter(|(_, p)| !p.usable).map(|(&e, _)| e).collect();
+            gone.into_iter().for_each(|endpoint| self.set_usable(endpoint, false));
+            let expired = self.book.borrow_mut().expire(now);
+            self.close(expired);
+            let idle = self.idle.borrow();
+            let ended: Vec<LinkId> = idle.iter().filter(|(_, l)| !l.is_open()).map(|(&id, _)| id).collect();
+            drop(idle);
+            // Dropped, it leaves the book by itself.
+            self.close(ended.into_iter().map(|id| (id, Reason::There)));
             self.waits.borrow_mut().retain(|_, until| *until > now);
         }
     }
@@ -329,80 +378,192 @@
 
     /// A kept connection there was reset at a request after so long: those idle for longer are no better.
     pub fn distrust(&self, endpoint: EndpointId, idle: Duration) {
-        self.close_idle(endpoint);
-        if let Some(place) = self.places.borrow_mut().get_mut(&endpoint).filter(|_| idle >= LEAST_IDLE) {
-            place.brief = Some(((idle * 3 / 4).max(LEAST_IDLE), Instant::now() + DISTRUST));
-        }
+        let links = self.book.borrow_mut().distrust(endpoint, idle, Instant::now());
+        self.withdraw_idle(links);
     }
 
-    fn take_idle(&self, endpoint: EndpointId) -> Option<Connection> {
-        let now = Instant::now();
-        let brief =
-            self.places.borrow().get(&endpoint).and_then(|p| p.brief).filter(|(_, until)| now < *until);
-        let most = brief.map_or(self.idle.get(), |(idle, _)| idle.min(self.idle.get()));
-        let mut pool = self.links.borrow_mut();
-        let links = pool.get_mut(&endpoint)?;
-        std::iter::from_fn(|| links.pop()).find(|l| self.is_fit(l, most))
-    }
-
-    /// Frees the place of the connection that has stood idle longest.
-    fn make_place(&self) -> bool {
-        if self.open.get() < self.most.get() {
-            return true;
-        }
-        let mut pool = self.links.borrow_mut();
-        let oldest = pool.iter().filter_map(|(&e, links)| Some((links.first()?.idle_since, e))).min();
-        let Some((_, endpoint)) = oldest else { return false };
-        self.count(|t| t.displaced += 1);
-        pool.get_mut(&endpoint).map(|links| links.remove(0)).is_some()
+    fn address(&self, endpoint: EndpointId) -> Option<SocketAddr> {
+        self.places.borrow().get(&endpoint).filter(|p| p.usable).map(|p| p.address)
     }
 
-    pub async fn connect(&self, endpoint: EndpointId) -> Result<Connection, Outcome> {
-        if let Some(link) = self.take_idle(endpoint) {
-            self.count(|t| t.reused += 1);
-            return Ok(link);
+    /// A connection for a call: an idle one, else the first of those that are being made or come back.
+    pub async fn connect(self: &Rc<Self>, endpoint: EndpointId) -> Result<Connection, Outcome> {
+        loop {
+            if self.address(endpoint).is_none() {
+                return Err(Outcome::NotSent);
+            }
+            let (choice, closed) = self.book.borrow_mut().want(endpoint, Instant::now());
+            self.close(closed);
+            match choice {
+                Choice::None => return Err(Outcome::NotSent),
+                Choice::Dial(id) => break self.start(endpoint, id),
+                Choice::Wait => break self.count(|t| t.waited += 1),
+                Choice::Reuse(id) => {
+                    let link = self.idle.borrow_mut().remove(&id);
+                    match link.filter(Connection::is_open) {
+                        Some(link) => {
+                            self.count(|t| t.reused += 1);
+                            return Ok(link);
+                        }
+                        None => {
+                            self.book.borrow_mut().gone(id);
+                            self.count_closed(Reason::There, 1);
+                        }
+                    }
+                }
+            }
         }
-        let address = self.places.borrow().get(&endpoint).filter(|p| p.usable).map(|p| p.address);
-        let Some(address) = address.filter(|_| self.make_place()) else {
-            return Err(Outcome::NotSent);
+        let ticket = self.ticket.replace(self.ticket.get() + 1);
+        let (give, got) = oneshot::channel();
+        self.waiters.borrow_mut().insert(ticket, give);
+        self.book.borrow_mut().wait(endpoint, ticket);
+        let mut waiting = Waiting { pool: self.clone(), endpoint, ticket, got };
+        (&mut waiting.got).await.unwrap_or(Err(Outcome::NoConnection))
+    }
+
+    /// Makes a connection; by a task of its own, as the call that it was begun for may leave or get another.
+    fn start(self: &Rc<Self>, endpoint: EndpointId, id: LinkId) {
+        let Some(address) = self.address(endpoint) else {
+            let told = self.book.borrow_mut().refused(id);
+            return self.tell(told, Outcome::NotSent);
         };
-        // Counted from before it is made, so that many at once stay under the limit too.
-        let counted = Counted::new(&self.open);
-        match Connection::open(address, self.dial.get()).await {
-            Ok(mut link) => {
-                link._counted = Some(counted);
-                self.count(|t| t.opened += 1);
-                Ok(link)
+        let (pool, begun) = (self.clone(), Instant::now());
+        tokio::task::spawn_local(async move {
+            match Connection::open(address, pool.dial.get()).await {
+                Ok(mut link) => {
+                    link.counted = Some(Counted { book: pool.book.clone(), id });
+                    pool.count(|t| {
+                        t.opened += 1;
+                        t.dial_time += begun.elapsed();
+                    });
+                    pool.offer(endpoint, link, true);
+                }
+                Err(error) => {
+                    tracing::debug!(%address, %error, "no connection");
+                    pool.count(|t| t.refused += 1);
+                    let told = pool.book.borrow_mut().refused(id);
+                    pool.tell(told, Outcome::NoConnection);
+                }
             }
-            Err(error) => {
-                tracing::debug!(%address, %error, "no connection");
-                self.count(|t| t.refused += 1);
-                Err(Outcome::NoConnection)
+            pool.start_due();
+        });
+    }
+
+    fn start_due(self: &Rc<Self>) {
+        let due = self.book.borrow_mut().due(Instant::now());
+        due.into_iter().for_each(|(endpoint, id)| self.start(endpoint, id));
+    }
+
+    fn tell(&self, tickets: Vec<u64>, outcome: Outcome) {
+        for ticket in tickets {
+            if let Some(waiter) = self.waiters.borrow_mut().remove(&ticket) {
+                let _ = waiter.send(Err(outcome));
             }
         }
     }
 
-    /// Keeps a connection that is at rest.
-    pub fn give_back(&self, endpoint: EndpointId, mut link: Connection) {
-        if self.places.borrow().get(&endpoint).is_some_and(|p| p.usable && p.address == link.at) {
-            link.idle_since = Instant::now();
-            self.links.borrow_mut().entry(endpoint).or_default().push(link);
+    /// Gives a connection to whoever waits for one there, or keeps it.
+    fn offer(&self, endpoint: EndpointId, mut link: Connection, is_new: bool) {
+        let Some(id) = link.counted.as_ref().map(|c| c.id) else { return };
+        let now = Instant::now();
+        // It may have moved while the connection was made or used.
+        if self.address(endpoint) != Some(link.at) {
+            return self.count_closed(Reason::Withdrawn, 1);
         }
+        loop {
+            let to = self.book.borrow_mut().ready(id, now);
+            match to {
+                None => return self.count_closed(Reason::Withdrawn, 1),
+                Some(None) => {
+                    self.count(|t| t.spare += u64::from(is_new));
+                    (link.idle_since, link.stood) = (now, true);
+                    self.idle.borrow_mut().insert(id, link);
+                    return;
+                }
+                Some(Some(ticket)) => {
+                    let Some(waiter) = self.waiters.borrow_mut().remove(&ticket) else { continue };
+                    match waiter.send(Ok(link)) {
+                        Err(Ok(back)) => link = back,
+                        _ => return,
+                    }
+                }
+            }
+        }
+    }
+
+    /// Keeps a connection that is at rest.
+    pub fn give_back(self: &Rc<Self>, endpoint: EndpointId, link: Connection) {
+        self.offer(endpoint, link, false);
+        self.start_due();
     }
 }
 
-/// One of the connections to endpoints, from before it is made until it is closed.
-struct Counted(Rc<Cell<usize>>);
+/// A call that waits for a connection. If it leaves, what it was given meanwhile is for the next.
+struct Waiting {
+    pool: Rc<Pool>,
+    endpoint: EndpointId,
+    ticket: u64,
+    got: oneshot::Receiver<Result<Connection, Outcome>>,
+}
 
-impl Counted {
-    fn new(open: &Rc<Cell<usize>>) -> Counted {
-        open.set(open.get() + 1);
-        Counted(open.clone())
+impl Drop for Waiting {
+    fn drop(&mut self) {
+        self.pool.waiters.borrow_mut().remove(&self.ticket);
+        self.pool.book.borrow_mut().leave(self.endpoint, self.ticket);
+        if let Ok(Ok(link)) = self.got.try_recv() {
+            self.pool.offer(self.endpoint, link, false);
+        }
     }
 }
 
+/// A connection's place in the book, until it is closed.
+struct Counted {
+    book: Rc<RefCell<Book>>,
+    id: LinkId,
+}
+
 impl Drop for Counted {
     fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
+        self.book.borrow_mut().gone(self.id);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::io::{Read, Write};
+    use std::task::Poll;
+    use tokio::task::LocalSet;
+
+    #[tokio::test]
+    async fn an_answer_that_waits_in_the_socket_is_heard_before_the_library_has_its_turn() {
+        let run = async {
+            let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+            let at = listener.local_addr().unwrap();
+            let mut link = Connection::open(at, Duration::from_secs(5)).await.unwrap();
+            let (mut there, _) = listener.accept().unwrap();
+            let socket = link.socket.clone();
+            let asked = request("POST", "/v1/messages", at, &[], Bytes::from_static(b"x"));
+            let mut answer = std::pin::pin!(link.send(asked));
+            // Until the request is written; nothing comes back before the peer has read it.
+            while socket.written() == 0 {
+                assert!(matches!(futures_poll(answer.as_mut()).await, Poll::Pending));
+                tokio::task::yield_now().await;
+            }
+            let _ = there.read(&mut [0; 1024]).unwrap();
+            there.write_all(b"HTTP/1.1 429 Wait\r\nRetry-After: 1.5\r\nContent-Length: 0\r\n\r\n").unwrap();
+            // No other task has a turn from here on.
+            while !socket.has_news() {
+                std::hint::spin_loop();
+            }
+            assert!(socket.head().is_empty());
+            socket.hear_rest();
+            assert!(socket.head().starts_with(b"HTTP/1.1 429 Wait") && socket.head().ends_with(b"\r\n\r\n"));
+        };
+        LocalSet::new().run_until(run).await;
+    }
+
+    async fn futures_poll<F: std::future::Future + Unpin>(mut future: F) -> Poll<F::Output> {
+        std::future::poll_fn(|cx| Poll::Ready(std::pin::Pin::new(&mut future).poll(cx))).await
     }
 }
--- a/src/bin/nickelshed/core.rs
+++ b/src/bin/nickelshed/core.rs
@@ -866,7 +866,8 @@
             // Nothing went out of what was taken on only now. Where its time went while it was written down it is
             // refused, as at the door.
             let over = self.held.get(&id).is_some_and(|h| h.attempts == 0 && h.end.is_over(Instant::now()));
-            if over || !o.answer(Reply::TakenOn) {
+            let heard = o.answer(if over { Reply::Refused(None) } else { Reply::TakenOn });
+            if over || !heard {
                 // The client has left without its answer: it may hand the message in again elsewhere.
                 self.next.push(Event::Expired { id });
                 self.forget(id);
@@ -959,6 +960,8 @@
             unavailable: listed().filter(|(id, k)| k.closed.is_some() || avoided.contains(id)).count(),
             journal: self.journal.figures,
             journal_bytes: self.journal.size(),
+            links: self.client.pool.counts(),
+            turnover: self.client.pool.turnover(),
         }
     }
 
@@ -1042,9 +1045,9 @@
                 tracing::info!(dest, held, ms, out, cap, ?gate, served, limit, share, "destination stands");
             }
         }
-        let turnover = self.client.pool.turnover.get();
+        let turnover = self.client.pool.turnover();
         if turnover != self.told.turnover {
-            tracing::info!(?turnover, "connections");
+            tracing::info!(%turnover, "connections");
         }
         self.told = Told { at: now, no_room: 0, no_journal: 0, turnover };
     }
@@ -1100,6 +1103,8 @@
     struct Plan {
         syncs: usize,
         writes: usize,
+        /// The next sync takes so long.
+        slow: Duration,
     }
 
     struct Failing(Disk, Arc<Mutex<Plan>>);
@@ -1131,6 +1136,8 @@
             self.0.truncate(file, length)
         }
         fn sync(&mut self, file: &File) -> io::Result<()> {
+            let slow = std::mem::take(&mut self.1.lock().unwrap().slow);
+            std::thread::sleep(slow);
             self.may(|p| &mut p.syncs)?;
             self.0.sync(file)
         }
@@ -1275,6 +1282,20 @@
         LocalSet::new().run_until(run).await;
     }
 
+    #[tokio::test]
+    async fn a_message_whose_time_goes_while_it_is_written_down_is_refused_and_not_kept() {
+        let run = async {
+            let stand = stand("slow").await;
+            stand.plan.lock().unwrap().slow = Duration::from_millis(120);
+            // The rest goes on meanwhile, and what comes is gathered for the next write.
+            let (slow, other) = tokio::join!(stand.offer("slow", 60), stand.offer("other", 4_000));
+            assert!(matches!(slow, Reply::Refused(_)), "{slow:?}");
+            assert!(matches!(other, Reply::TakenOn), "{other:?}");
+            until("only the other is kept", || stand.found() == ["other"]).await;
+        };
+        LocalSet::new().run_until(run).await;
+    }
+
     #[tokio::test]
     async fn a_message_is_handed_back_only_where_no_start_can_find_it_open() {
         let run = async {
--- a/src/bin/nickelshed/figures.rs
+++ b/src/bin/nickelshed/figures.rs
@@ -1,5 +1,7 @@
 //! The figures that operators read: the counters, each bumped at the one place where its thing happens, and the text.
+use crate::connections::Turnover;
 use crate::life::{Life, STAGES};
+use crate::pool::{Count, REASONS};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::fmt::Write;
@@ -54,6 +56,8 @@
     pub unavailable: usize,
     pub journal: journal::Figures,
     pub journal_bytes: u64,
+    pub links: [Count; 2],
+    pub turnover: Turnover,
 }
 
 /// All counts are since the start of the process.
@@ -130,6 +134,19 @@
             ("journal_rewrites_total", journal.rewrites, "Rewrites of the journal with what still lives."),
             ("journal_faults_total", journal.faults, "Writes, syncs and rewrites that failed."),
         ];
+        let turnover = &gauges.turnover;
+        let connections = [
+            ("connections_opened_total", turnover.opened, "Connections made to endpoints."),
+            ("connections_refused_total", turnover.refused, "Connections that could not be made."),
+            ("connections_reused_total", turnover.reused, "Calls that found one standing idle."),
+            (
+                "connection_waits_total",
+                turnover.waited,
+                "Calls that waited for one, as enough were being made.",
+            ),
+            ("connections_spare_total", turnover.spare, "Connections made that nobody waited for any more."),
+        ];
+        let links = gauges.links;
         let bytes = gauges.journal_bytes as usize;
         let gauges = [
             ("pending", gauges.pending, "Messages taken on that have not ended."),
@@ -137,12 +154,27 @@
             ("members_unavailable", gauges.unavailable, "Listed endpoints that get nothing for now."),
             ("journal_bytes", bytes, "Size of the journal's file."),
         ];
-        for (name, count, help) in counters.into_iter().chain(totals) {
+        for (name, count, help) in counters.into_iter().chain(totals).chain(connections) {
             single(&mut text, name, "counter", help, count);
         }
         for (name, value, help) in gauges {
             single(&mut text, name, "gauge", help, value as u64);
         }
+        let text_ref = &mut text;
+        family(text_ref, "connections", "gauge", "Connections to endpoints that take work, and to others.");
+        for (count, endpoint) in links.iter().zip(["usable", "other"]) {
+            for (state, n) in [("idle", count.idle), ("busy", count.busy), ("dialling", count.dialling)] {
+                let labels = format!("endpoint=\"{endpoint}\",state=\"{state}\"");
+                let _ = writeln!(text_ref, "sender_connections{{{labels}}} {n}");
+            }
+        }
+        family(text_ref, "connections_closed_total", "counter", "Connections closed, by reason.");
+        for (reason, name) in REASONS {
+            let n = turnover.closed[reason as usize];
+            let _ = writeln!(text_ref, "sender_connections_closed_total{{reason=\"{name}\"}} {n}");
+        }
+        family(text_ref, "dial_seconds_total", "counter", "Time in which connections were made.");
+        let _ = writeln!(text_ref, "sender_dial_seconds_total {}", turnover.dial_time.as_secs_f64());
         self.write_times(&mut text);
         text
     }
@@ -202,9 +234,19 @@
         figures.written.set(5);
         bump(&figures.reload_errors);
         let journal = journal::Figures { writes: 9, syncs: 4, rewrites: 1, faults: 0 };
-        let text =
-            figures.text(&Gauges { pending: 14, members: 3, unavailable: 1, journal, journal_bytes: 640 });
-        let lines: Vec<&str> = text.lines().filter(|l| !l.starts_with('#')).collect();
+        let gauges = Gauges {
+            pending: 14,
+            members: 3,
+            unavailable: 1,
+            journal,
+            journal_bytes: 640,
+            ..Gauges::default()
+        };
+        let text = figures.text(&gauges);
+        let of_links = |l: &&str| l.contains("connection") || l.contains("sender_dial");
+        let (links, lines): (Vec<&str>, Vec<&str>) =
+            text.lines().filter(|l| !l.starts_with('#')).partition(|l| of_links(l));
+        assert_eq!(links.len(), 5 + 6 + REASONS.len() + 1);
         let odd = r#"sender_downstream_requests{lane="o\"d\\d\n",result="#;
         let expected = [
             format!("{odd}\"completed\"}} 0"),
@@ -227,7 +269,7 @@
         ];
         assert_eq!(lines, expected);
         let families = text.lines().filter(|l| l.starts_with("# TYPE sender_")).count();
-        assert_eq!(families, 14);
+        assert_eq!(families, 22);
     }
 
     #[test]
--- a/src/bin/nickelshed/main.rs
+++ b/src/bin/nickelshed/main.rs
@@ -15,6 +15,7 @@
 mod listen;
 mod memory;
 mod notices;
+mod pool;
 mod registry;
 mod reload;
 mod server;
@@ -198,7 +199,7 @@
         let places = places(shared);
         bounds.most.set(places.clients);
         bounds.turned_away.set(places.turned_away);
-        links.most.set(places.calls);
+        links.set_most(places.calls);
     };
     spawn_local(handover.run(share, shared));
     // A process that was there before first leaves this one its part of the descriptors.
--- a/tests/sender.rs
+++ b/tests/sender.rs
@@ -1024,3 +1024,47 @@
     let again = endpoint.wait_for("told", 2).remove(1).at;
     assert!(again - told >= Duration::from_millis(1_100), "{:?}", again - told);
 }
+
+/// Connections that were good and are no more as the next call wants one: nothing is lost by any kind of it, and nothing
+/// that may have run goes twice.
+#[test]
+fn a_stale_connection_of_any_kind_is_seen_before_a_call_is_written_to_it() {
+    const OK: &[u8] = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+    type After = fn(&mut TcpStream);
+    let kinds: [(&str, After); 4] = [
+        ("closed", |stream| drop(stream.shutdown(std::net::Shutdown::Both))),
+        ("half-closed", |stream| drop(stream.shutdown(std::net::Shutdown::Write))),
+        ("bytes of no request", |stream| drop(stream.write_all(b"HTTP/1.1 200 OK\r\n"))),
+        ("a whole answer to nothing", |stream| drop(stream.write_all(OK))),
+    ];
+    for (kind, after) in kinds {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let at = listener.local_addr().unwrap();
+        let (told, calls) = std::sync::mpsc::channel();
+        std::thread::spawn(move || {
+            for (number, stream) in listener.incoming().flatten().enumerate() {
+                let told = told.clone();
+                std::thread::spawn(move || {
+                    let mut reader = std::io::BufReader::new(stream.try_clone().unwrap());
+                    let mut stream = stream;
+                    while let Some(request) = read_message(&mut reader, number) {
+                        let _ = stream.write_all(OK);
+                        if number == 0 {
+                            after(&mut stream);
+                        }
+                        let _ = told.send((request.id().to_string(), number));
+                    }
+                });
+            }
+        });
+        let discovery = Discovery::new(json!([ready("e-1", at, 7)]));
+        let node = Node::start(&discovery);
+        for id in ["first", "second", "third"] {
+            assert_eq!(node.hand_in("order", id, 7, 16_000, b"x"), 202);
+            let (got, number) =
+                calls.recv_timeout(BOUND).unwrap_or_else(|_| panic!("{kind}: no call for {id}"));
+            assert_eq!((got.as_str(), number), (id, usize::from(id != "first")), "{kind}");
+        }
+        assert!(discovery.notices().is_empty() && calls.try_recv().is_err(), "{kind}");
+    }
+}
