--- /dev/null
+++ b/crates/membership/src/lib.rs
@@ -0,0 +1,12 @@
+//! Who of a fleet is present: SWIM with suspicion and incarnation numbers, and Lifeguard's local health.
+//!
+//! No I/O, clock or global state: datagrams and times are passed in, datagrams come out, and random numbers come from a
+//! seed. What is promised and measured is in `docs/membership.md`.
+mod node;
+mod wire;
+
+pub use node::{Config, Dropped, Node, View};
+pub use wire::{Id, State, Update, LONGEST, MAX_NAME, VERSION};
+
+/// Milliseconds on a clock that only rises.
+pub type Ms = u64;
--- /dev/null
+++ b/crates/membership/tests/network/mod.rs
@@ -0,0 +1,242 @@
+//! A network in memory, with its own time, that loses, delays, repeats, reorders and cuts. Everything follows from a seed.
+#![allow(dead_code)]
+use membership::{Config, Id, Ms, Node, State, View};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+pub const FLEET: u64 = 7;
+pub const INTERVAL: Ms = 1_000;
+
+pub struct Dice(pub u64);
+
+impl Dice {
+    pub fn below(&mut self, n: u64) -> u64 {
+        self.0 = self.0.wrapping_mul(0x5851_f42d_4c95_7f2d).wrapping_add(0x1405_7b7e_f767_814f);
+        (self.0 >> 33) % n.max(1)
+    }
+
+    pub fn percent(&mut self, p: u64) -> bool {
+        self.below(100) < p
+    }
+}
+
+pub struct Net {
+    pub now: Ms,
+    pub nodes: BTreeMap<usize, Node>,
+    /// Stopped: it does nothing, and what comes waits for it.
+    pub stopped: BTreeSet<usize>,
+    /// What one sends to the other does not come.
+    pub cut: BTreeSet<(usize, usize)>,
+    /// In percent.
+    pub loss: u64,
+    pub twice: u64,
+    pub delay: Ms,
+    pub dice: Dice,
+    pub bytes: u64,
+    pub datagrams: u64,
+    pub longest: usize,
+    /// By time and number.
+    queue: BTreeMap<(Ms, u64), (usize, usize, Vec<u8>)>,
+    wakes: BTreeSet<(Ms, usize)>,
+    waits: BTreeMap<usize, Ms>,
+    backlog: BTreeMap<usize, Vec<(usize, Vec<u8>)>>,
+    number: u64,
+    /// The highest incarnation that each has seen of each.
+    seen: BTreeMap<(usize, Id, Id), u32>,
+}
+
+pub fn address(n: usize) -> SocketAddr {
+    SocketAddr::from(([127, 0, (n >> 8) as u8, n as u8], 7_946))
+}
+
+pub fn place(at: SocketAddr) -> usize {
+    match at {
+        SocketAddr::V4(at) => usize::from(at.ip().octets()[2]) << 8 | usize::from(at.ip().octets()[3]),
+        SocketAddr::V6(_) => usize::MAX,
+    }
+}
+
+pub fn id(n: usize, life: u64) -> Id {
+    Id { name: format!("n{n}"), life }
+}
+
+pub fn config(seeds: &[usize]) -> Config {
+    Config::new(FLEET, seeds.iter().map(|&s| address(s)).collect())
+}
+
+impl Net {
+    pub fn new(seed: u64) -> Net {
+        Net {
+            now: 0,
+            nodes: BTreeMap::new(),
+            stopped: BTreeSet::new(),
+            cut: BTreeSet::new(),
+            loss: 0,
+            twice: 0,
+            delay: 20,
+            dice: Dice(seed),
+            bytes: 0,
+            datagrams: 0,
+            longest: 0,
+            queue: BTreeMap::new(),
+            wakes: BTreeSet::new(),
+            waits: BTreeMap::new(),
+            backlog: BTreeMap::new(),
+            number: 0,
+            seen: BTreeMap::new(),
+        }
+    }
+
+    /// A fleet that knows the first two as its seeds.
+    pub fn fleet(seed: u64, n: usize) -> Net {
+        let mut net = Net::new(seed);
+        (0..n).for_each(|i| net.start(i, id(i, 1), &[0, 1]));
+        net
+    }
+
+    pub fn start(&mut self, n: usize, id: Id, seeds: &[usize]) {
+        let seed = self.dice.below(u64::MAX >> 1);
+        self.nodes.insert(n, Node::new(config(seeds), id, address(n), "1", seed, self.now));
+        self.stopped.remove(&n);
+        self.backlog.remove(&n);
+        self.rewake(n);
+    }
+
+    pub fn kill(&mut self, n: usize) {
+        self.nodes.remove(&n);
+        self.backlog.remove(&n);
+        self.rewake(n);
+    }
+
+    pub fn stop(&mut self, n: usize) {
+        self.stopped.insert(n);
+        self.rewake(n);
+    }
+
+    pub fn go_on(&mut self, n: usize) {
+        self.stopped.remove(&n);
+        for (from, bytes) in self.backlog.remove(&n).unwrap_or_default() {
+            self.deliver(n, from, &bytes);
+        }
+        self.rewake(n);
+    }
+
+    pub fn leave(&mut self, n: usize) {
+        let mut out = Vec::new();
+        let Some(node) = self.nodes.get_mut(&n) else { return };
+        node.leave(&mut out);
+        // As the driver says it: three times.
+        (0..2).for_each(|_| node.leave_again(&mut out));
+        out.into_iter().for_each(|(to, bytes)| self.post(n, to, bytes));
+        self.kill(n);
+    }
+
+    fn rewake(&mut self, n: usize) {
+        if let Some(old) = self.waits.remove(&n) {
+            self.wakes.remove(&(old, n));
+        }
+        if let Some(node) = self.nodes.get(&n).filter(|_| !self.stopped.contains(&n)) {
+            let at = node.wake().max(self.now + 1);
+            self.waits.insert(n, at);
+            self.wakes.insert((at, n));
+        }
+    }
+
+    pub fn post(&mut self, from: usize, to: SocketAddr, bytes: Vec<u8>) {
+        self.bytes += bytes.len() as u64;
+        self.datagrams += 1;
+        self.longest = self.longest.max(bytes.len());
+        let to = place(to);
+        let copies = 1 + u64::from(self.dice.percent(self.twice));
+        for _ in 0..copies {
+            if self.cut.contains(&(from, to)) || self.dice.percent(self.loss) {
+                continue;
+            }
+            let at = self.now + 1 + self.dice.below(self.delay);
+            self.number += 1;
+            self.queue.insert((at, self.number), (to, from, bytes.clone()));
+        }
+    }
+
+    fn deliver(&mut self, to: usize, from: usize, bytes: &[u8]) {
+        if self.stopped.contains(&to) {
+            // A socket holds so much.
+            let waits = self.backlog.entry(to).or_default();
+            if waits.len() < 200 {
+                waits.push((from, bytes.to_vec()));
+            }
+            return;
+        }
+        let Some(node) = self.nodes.get_mut(&to) else { return };
+        let mut out = Vec::new();
+        node.receive(self.now, address(from), bytes, &mut out);
+        out.into_iter().for_each(|(at, bytes)| self.post(to, at, bytes));
+        self.rewake(to);
+    }
+
+    /// Lets time pass.
+    pub fn run(&mut self, span: Ms) {
+        let until = self.now + span;
+        loop {
+            let mail = self.queue.first_key_value().map_or(Ms::MAX, |(&(at, _), _)| at);
+            let wake = self.wakes.first().map_or(Ms::MAX, |&(at, _)| at);
+            let next = mail.min(wake);
+            if next > until {
+                self.now = until;
+                return;
+            }
+            self.now = next;
+            if mail <= wake {
+                let Some((_, (to, from, bytes))) = self.queue.pop_first() else { return };
+                self.deliver(to, from, &bytes);
+            } else if let Some((_, n)) = self.wakes.pop_first() {
+                self.waits.remove(&n);
+                let mut out = Vec::new();
+                if let Some(node) = self.nodes.get_mut(&n) {
+                    node.tick(next, &mut out);
+                }
+                out.into_iter().for_each(|(at, bytes)| self.post(n, at, bytes));
+                self.rewake(n);
+            }
+        }
+    }
+
+    pub fn rounds(&mut self, n: u64) {
+        self.run(n * INTERVAL);
+    }
+
+    pub fn view(&self, n: usize) -> Vec<View> {
+        self.nodes[&n].members(self.now)
+    }
+
+    pub fn state(&self, at: usize, of: &Id) -> Option<State> {
+        self.nodes[&at].state_of(of)
+    }
+
+    /// Incarnations never go back in anyone's eyes.
+    pub fn check_incarnations(&mut self) {
+        for (&n, node) in &self.nodes {
+            for view in node.members(self.now) {
+                let key = (n, node.id().clone(), view.id.clone());
+                let seen = self.seen.entry(key).or_default();
+                assert!(view.incarnation >= *seen, "{n} saw {:?} go back from {seen}", view.id);
+                *seen = view.incarnation;
+            }
+        }
+    }
+
+    /// All that live know each other as alive, and nobody else.
+    pub fn disagreement(&self) -> Option<String> {
+        let alive: BTreeSet<Id> = self.nodes.values().map(|n| n.id().clone()).collect();
+        for &n in self.nodes.keys() {
+            let seen: BTreeSet<Id> =
+                self.view(n).into_iter().filter(|v| v.state <= State::Suspect).map(|v| v.id).collect();
+            if seen != alive {
+                let missing: Vec<_> = alive.difference(&seen).collect();
+                let wrong: Vec<_> = seen.difference(&alive).collect();
+                return Some(format!("{n} misses {missing:?} and believes in {wrong:?}"));
+            }
+        }
+        None
+    }
+}
--- a/src/bin/nickelctl/main.rs
+++ b/src/bin/nickelctl/main.rs
@@ -2,6 +2,7 @@
 mod calls;
 mod drains;
 mod journals;
+mod members;
 
 use clap::{Parser, Subcommand};
 use std::future::Future;
@@ -35,6 +36,15 @@
     /// What senders have taken on, as it is kept in their folder ($EDGE_STATE).
     #[command(subcommand)]
     Journal(Journal),
+    /// Who of the fleet is present, as one or several senders see it.
+    Members {
+        /// Control addresses.
+        #[arg(required = true, value_name = "ADDRESS")]
+        addresses: Vec<SocketAddr>,
+        /// Shows only where they disagree: exit code 0 if nowhere, 1 if somewhere, 2 if one can't be asked.
+        #[arg(long)]
+        compare: bool,
+    },
     /// Sends clients away from senders and waits until nothing is left in them: exit code 0 if all are empty, 1 if the
     /// time is up first, with what is left by process. The senders go on draining when this ends.
     #[command(group(clap::ArgGroup::new("which").required(true).multiple(false)))]
@@ -99,6 +109,7 @@
     let verdict = match command {
         Command::Journal(Journal::Verify { folder }) => journals::verify(&folder, json),
         Command::Journal(Journal::Show { folder }) => journals::show(&folder, json),
+        Command::Members { addresses, compare } => asking(members::run(addresses, compare, json)),
         Command::Drain { all, addresses, wait, evacuate, cancel, status } => {
             let usual = evacuate.map_or(Duration::from_secs(60), |e| e + Duration::from_secs(5));
             let act = match (cancel, status) {
--- a/src/bin/nickelshed/config.rs
+++ b/src/bin/nickelshed/config.rs
@@ -1,5 +1,6 @@
 //! The environment and config.json: read at the start, and the file whole once more on SIGHUP.
 use crate::discovery::List;
+use crate::fleet;
 use journal::Durability;
 use leadfold::api::Settings;
 use leadfold::settings::{self, Around};
@@ -27,6 +28,7 @@
     durability: Option<String>,
     name: Option<String>,
     registry: Option<PathBuf>,
+    membership: Option<Value>,
     settings: Value,
 }
 
@@ -39,6 +41,8 @@
     pub name: String,
     /// Where the operators' tool finds the control addresses of the machine's senders.
     pub registry: Option<PathBuf>,
+    /// None: it is off.
+    pub membership: Option<fleet::Settings>,
     pub seed: u64,
     pub limits: Limits,
     /// What the journal outlasts; as it was at the start.
@@ -130,6 +134,7 @@
     if classes.iter().enumerate().any(|(i, name)| name.is_empty() || classes[..i].contains(name)) {
         return Err(format!("{path}: settings: a class has no name of its own"));
     }
+    let membership = file.membership.as_ref().map(fleet::Settings::read).transpose();
     let control = control(file.control)?;
     if file.registry.is_some() && control.is_none() {
         return Err(format!("{path}: registry needs control: there is no address to enter"));
@@ -140,6 +145,7 @@
         control,
         name: var("EDGE_NAME").or(file.name).unwrap_or_else(|| "sender".to_string()),
         registry: file.registry,
+        membership: membership.map_err(|e| format!("{path}: {e}"))?,
         state: var("EDGE_STATE").ok_or("EDGE_STATE is not set")?.into(),
         seed: file.seed.as_ref().map_or(0, seed),
         limits: file.limits,
--- a/src/bin/nickelshed/control.rs
+++ b/src/bin/nickelshed/control.rs
@@ -1,7 +1,8 @@
 //! The second address, for the operators: one call to a connection, answered under any load.
 use crate::core::Input;
 use crate::drain::{Drain, Evacuation, Rest, Stage};
-use crate::figures::Figures;
+use crate::figures::{self, Figures};
+use crate::fleet::{Fleet, STATES};
 use crate::handover::Folder;
 use crate::server::Server;
 use crate::wire::MAX_BODY;
@@ -14,7 +15,7 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
-use serde_json::json;
+use serde_json::{json, Value};
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::convert::Infallible;
@@ -40,6 +41,8 @@
     pub core: mpsc::Sender<Input>,
     pub server: Rc<Server>,
     pub folder: Rc<Folder>,
+    /// None where membership is off.
+    pub fleet: Option<Rc<Fleet>>,
     /// The core was told to end all.
     pub evacuates: Cell<bool>,
 }
@@ -139,9 +142,7 @@
             "left": rest,
             "safe_to_switch_off": stage == Stage::Empty,
         });
-        let mut response = Response::new(Full::new(format!("{status}\n").into()));
-        response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
-        response
+        json_text(&status)
     }
 
     /// Never ends. No caller waits for another: each is served by a task of its own.
@@ -187,7 +188,11 @@
         match head.uri.path() {
             "/v1/readyz" if is_read(method) => yes_or_no(self.drain.is_ready()),
             "/v1/metrics" if is_read(method) => self.figures().await,
-            "/v1/readyz" | "/v1/metrics" => wrong_method("GET, HEAD"),
+            "/v1/members" if is_read(method) => match &self.fleet {
+                Some(fleet) => json_text(&fleet.json()),
+                None => text(StatusCode::NOT_FOUND, "membership is off\n"),
+            },
+            "/v1/readyz" | "/v1/metrics" | "/v1/members" => wrong_method("GET, HEAD"),
             "/v1/sender/drain" if method == Method::PUT => self.begin(None),
             "/v1/sender/drain" if is_read(method) => self.status().await,
             "/v1/sender/evacuate" if method == Method::PUT => {
@@ -211,15 +216,36 @@
         let (reply, gauges) = oneshot::channel();
         // Where the core has ended the question is dropped, and its answer with it.
         let _ = self.core.send(Input::Gauges(reply)).await;
-        let Ok(gauges) = gauges.await else {
+        let Ok(mut gauges) = gauges.await else {
             return text(StatusCode::SERVICE_UNAVAILABLE, "the core has ended\n");
         };
+        gauges.fleet = self.fleet.as_ref().map(|fleet| {
+            let members = fleet.members();
+            let count = |state| members.iter().filter(|m| m.state == state).count();
+            let dropped = fleet.dropped();
+            figures::Fleet {
+                states: STATES.iter().map(|&(state, name)| (name, count(state))).collect(),
+                conflicts: members.iter().filter(|m| m.conflicts).count(),
+                dropped: vec![
+                    ("too_long", dropped.too_long),
+                    ("other_version", dropped.other_version),
+                    ("other_fleet", dropped.other_fleet),
+                    ("malformed", dropped.malformed),
+                ],
+            }
+        });
         let mut response = Response::new(Full::new(self.figures.text(&gauges).into()));
         response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static(TEXT_FORMAT));
         response
     }
 }
 
+fn json_text(value: &Value) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(format!("{value}\n").into()));
+    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    response
+}
+
 fn is_read(method: &Method) -> bool {
     matches!(*method, Method::GET | Method::HEAD)
 }
--- a/src/bin/nickelshed/core.rs
+++ b/src/bin/nickelshed/core.rs
@@ -962,6 +962,7 @@
             journal_bytes: self.journal.size(),
             links: self.client.pool.counts(),
             turnover: self.client.pool.turnover(),
+            fleet: None,
         }
     }
 
@@ -1186,6 +1187,7 @@
             state: folder.clone(),
             name: "n0".into(),
             registry: None,
+            membership: None,
             seed: 1,
             limits: crate::config::Limits { memory_mb: 32.0, sockets: 256, disk_mb: 1.0 },
             durability: Durability::Power,
--- a/src/bin/nickelshed/figures.rs
+++ b/src/bin/nickelshed/figures.rs
@@ -58,6 +58,15 @@
     pub journal_bytes: u64,
     pub links: [Count; 2],
     pub turnover: Turnover,
+    /// Members of the fleet by state, and those of them whose name another has too; None while that is off.
+    pub fleet: Option<Fleet>,
+}
+
+#[derive(Default)]
+pub struct Fleet {
+    pub states: Vec<(&'static str, usize)>,
+    pub conflicts: usize,
+    pub dropped: Vec<(&'static str, u64)>,
 }
 
 /// All counts are since the start of the process.
@@ -146,7 +155,7 @@
             ),
             ("connections_spare_total", turnover.spare, "Connections made that nobody waited for any more."),
         ];
-        let links = gauges.links;
+        let (links, fleet) = (gauges.links, &gauges.fleet);
         let bytes = gauges.journal_bytes as usize;
         let gauges = [
             ("pending", gauges.pending, "Messages taken on that have not ended."),
@@ -175,6 +184,23 @@
         }
         family(text_ref, "dial_seconds_total", "counter", "Time in which connections were made.");
         let _ = writeln!(text_ref, "sender_dial_seconds_total {}", turnover.dial_time.as_secs_f64());
+        if let Some(fleet) = fleet {
+            family(&mut text, "fleet_members", "gauge", "Members of the fleet, as this one sees it.");
+            for (state, n) in &fleet.states {
+                let _ = writeln!(text, "sender_fleet_members{{state=\"{state}\"}} {n}");
+            }
+            single(
+                &mut text,
+                "fleet_conflicts",
+                "gauge",
+                "Members whose name another has too.",
+                fleet.conflicts as u64,
+            );
+            family(&mut text, "fleet_dropped_total", "counter", "Datagrams that are none of the fleet's.");
+            for (reason, n) in &fleet.dropped {
+                let _ = writeln!(text, "sender_fleet_dropped_total{{reason=\"{reason}\"}} {n}");
+            }
+        }
         self.write_times(&mut text);
         text
     }
--- a/src/bin/nickelshed/main.rs
+++ b/src/bin/nickelshed/main.rs
@@ -10,6 +10,7 @@
 mod disk;
 mod drain;
 mod figures;
+mod fleet;
 mod handover;
 mod life;
 mod listen;
@@ -142,6 +143,7 @@
     let (listen, known) = (config.listen, std::mem::take(&mut config.known));
     let terms = server::Terms::new(&config.settings, config.around.clone());
     let operators = config.control;
+    let membership = config.membership.take();
     let entry = (config.registry.clone(), config.name.clone(), config.state.clone());
     let in_force = std::mem::take(&mut config.file);
     let journal = (folder.own, disk::Log::new(journal), clock);
@@ -165,7 +167,15 @@
         guests: Default::default(),
     });
     let (keeper, watched) = (folder.clone(), server.clone());
+    let fleet = membership.map(|settings| {
+        // Two starts within a millisecond are no two starts.
+        Rc::new(fleet::Fleet::new(settings, &entry.1, wall_ms().max(0) as u64, nonce))
+    });
+    if let Some(fleet) = &fleet {
+        spawn_local(fleet.clone().run());
+    }
     let control = Rc::new(control::Control {
+        fleet: fleet.clone(),
         drain: drain.clone(),
         figures: figures.clone(),
         core: core_in.clone(),
@@ -221,6 +231,9 @@
     }
     let told = Instant::now();
     drain.end(Instant::now());
+    if let Some(fleet) = fleet {
+        spawn_local(async move { fleet.leave().await });
+    }
     // With a process to go on, clients find that one: nothing more need be taken here but what is on its way.
     if !(folder.has_successor() && asked(&core_in, core::Input::Yield).await) {
         sleep(ACCEPT_ON).await;
