--- a/benches/measure.rs
+++ b/benches/measure.rs
@@ -2,6 +2,7 @@
 //!
 //!     cargo bench --bench measure -- start [OTHER_PROGRAM]    # from start to ready against the journal's size
 //!     cargo bench --bench measure -- durability               # what `power` costs
+//!     cargo bench --bench measure -- duties                   # time without a holder
 //!     cargo bench --bench measure -- evacuate                 # time to empty against what is held
 #[path = "../tests/peers/mod.rs"]
 mod peers;
@@ -25,6 +26,7 @@
         ["start", other] => start(Some(other.into())),
         ["durability"] => durability(),
         ["evacuate"] => evacuate(),
+        ["duties"] => duties(),
         _ => eprintln!("usage: cargo bench --bench measure -- start [OTHER_PROGRAM] | durability"),
     }
 }
@@ -222,3 +224,44 @@
         );
     }
 }
+
+/// Three senders, a lease of 2 s, and a stand-in for the store: from what happens to the holder until another grants.
+fn duties() {
+    println!("milliseconds without a holder, leases of 2 s, 3 candidates, median of {RUNS} (least to most)");
+    for what in ["drains", "ends", "is killed"] {
+        let mut times = Vec::new();
+        for _ in 0..RUNS {
+            let store = peers::etcd::Etcd::new();
+            let discovery = Discovery::new(json!([]));
+            let mut nodes: Vec<Node> = (0..3)
+                .map(|i| {
+                    Node::with(&discovery, json!([]), |config: &mut Value| {
+                        Node::controlled(config);
+                        config["name"] = format!("n{i}").into();
+                        config["duties"] = json!({"store": [store.address.to_string()], "ttl_s": 2});
+                    })
+                })
+                .collect();
+            let held = |node: &Node| {
+                node.control("GET", "/v1/duties").1.contains("\"held_here\":")
+                    && !node.control("GET", "/v1/duties").1.contains("\"held_here\":null")
+            };
+            nodes[0].until("it is held", || nodes.iter().any(&held));
+            let old = nodes.iter().position(&held).unwrap_or_default();
+            // All others wait behind it, and its lease is at no moment of its own.
+            nodes[0].until("all are candidates", || store.keys("duties/drain-permits/holders/").len() == 3);
+            std::thread::sleep(Duration::from_millis(300 + 97 * (times.len() as u64 % 7)));
+            let begun = Instant::now();
+            match what {
+                "drains" => _ = nodes[old].control("PUT", "/v1/sender/drain"),
+                "ends" => nodes[old].terminate(),
+                _ => nodes[old].kill(),
+            }
+            let others: Vec<&Node> =
+                nodes.iter().enumerate().filter(|(i, _)| *i != old).map(|(_, n)| n).collect();
+            others[0].until("another holds it", || others.iter().any(|n| held(n)));
+            times.push(begun.elapsed().as_secs_f64() * 1e3);
+        }
+        println!("the holder {what}: {}", spread(times));
+    }
+}
--- a/src/bin/nickelctl/drains.rs
+++ b/src/bin/nickelctl/drains.rs
@@ -1,6 +1,7 @@
 //! `nickelctl drain`: over some senders, or all of a machine, until nothing is left in them.
 use crate::calls::call;
 use crate::journals;
+use crate::permits::{self, Place};
 use crate::Verdict;
 use serde::Deserialize;
 use serde_json::{json, Value};
@@ -19,6 +20,10 @@
     pub wait: Duration,
     /// The machine goes for good: what can't be delivered by then is ended.
     pub evacuate: Option<Duration>,
+    /// What the machine is called where permits are kept.
+    pub machine: String,
+    /// A permit is asked for, where the senders name a store.
+    pub permit: bool,
     pub act: Act,
     pub json: bool,
 }
@@ -42,6 +47,8 @@
     control: SocketAddr,
     #[serde(default)]
     state: Option<PathBuf>,
+    #[serde(default)]
+    permits: Option<Place>,
 }
 
 impl Entry {
@@ -177,8 +184,8 @@
             None => Machine::default(),
         };
         for &control in &self.plan.addresses {
-            let (name, process, state) = (control.to_string(), 0, None);
-            machine.alive.insert(Entry { name, process, control, state });
+            let (name, process, state, permits) = (control.to_string(), 0, None, None);
+            machine.alive.insert(Entry { name, process, control, state, permits });
         }
         self.folders.extend(machine.alive.iter().filter_map(|e| e.state.clone()));
         self.folders.extend(std::mem::take(&mut machine.left));
@@ -220,7 +227,7 @@
             tokio::select! {
                 done = drain(&mut work, wait) => done,
                 _ = tokio::signal::ctrl_c() => {
-                    eprintln!("nickelctl: interrupted; the drain goes on, and --cancel ends it");
+                    eprintln!("nickelctl: interrupted; the drain goes on, and --cancel ends it; a permit runs out by itself");
                     return Verdict::Not;
                 }
             }
@@ -258,6 +265,27 @@
 
 async fn drain(work: &mut Work, wait: Duration) -> Result<Round, String> {
     let until = Instant::now() + wait;
+    let place = work.machine()?.alive.into_iter().find_map(|e| e.permits).filter(|_| work.plan.permit);
+    let permit =
+        match place {
+            Some(place) => {
+                let asked = permits::ask(&place, &work.plan.machine, until).await;
+                Some(asked.map_err(|why| {
+                    format!("no permit to drain: {why}; --without-permit drains all the same")
+                })?)
+            }
+            None => None,
+        };
+    // Its own time counts from when it may begin.
+    let done = drained(work, Instant::now() + wait, permit.as_ref()).await;
+    if let Some(permit) = permit {
+        permit.give_back().await;
+    }
+    done
+}
+
+async fn drained(work: &mut Work, until: Instant, permit: Option<&permits::Permit>) -> Result<Round, String> {
+    let mut warned = false;
     let path = match work.plan.evacuate {
         Some(within) => format!("/v1/sender/evacuate?within={}ms", within.as_millis()),
         None => "/v1/sender/drain".to_string(),
@@ -265,6 +293,9 @@
     let mut shown: Vec<String> = Vec::new();
     loop {
         let round = work.round(Some(&path)).await?;
+        if permit.is_some_and(permits::Permit::is_lost) && !std::mem::replace(&mut warned, true) {
+            eprintln!("nickelctl: the permit has run out; the drain goes on without");
+        }
         let lines = round.lines();
         if !work.plan.json && lines != shown {
             lines.iter().filter(|l| !shown.contains(l)).for_each(|line| eprintln!("{line}"));
--- a/src/bin/nickelctl/main.rs
+++ b/src/bin/nickelctl/main.rs
@@ -1,8 +1,14 @@
 //! nickelctl: the operators' tool. It asks control addresses and reads files; it never writes one.
 mod calls;
 mod drains;
+mod duties;
 mod journals;
 mod members;
+mod permits;
+// The same client as the sender's; this program does not need all of it.
+#[allow(dead_code)]
+#[path = "../nickelshed/store.rs"]
+mod store;
 
 use clap::{Parser, Subcommand};
 use std::future::Future;
@@ -45,6 +51,11 @@
         #[arg(long)]
         compare: bool,
     },
+    /// Which process holds a duty of the fleet, and which machines may drain: exit code 0 if all are held, else 1.
+    Duties {
+        /// The control address of any sender.
+        address: SocketAddr,
+    },
     /// Sends clients away from senders and waits until nothing is left in them: exit code 0 if all are empty, 1 if the
     /// time is up first, with what is left by process. The senders go on draining when this ends.
     #[command(group(clap::ArgGroup::new("which").required(true).multiple(false)))]
@@ -61,6 +72,12 @@
         /// The machine goes for good: what can't be delivered within this time is handed back or given up.
         #[arg(long, value_name = "TIME", value_parser = span)]
         evacuate: Option<Duration>,
+        /// What this machine is called where permits are kept; its host name if not given.
+        #[arg(long, value_name = "NAME")]
+        machine: Option<String>,
+        /// Drains though no permit can be had.
+        #[arg(long)]
+        without_permit: bool,
         /// Ends the drain: clients are taken again.
         #[arg(long, conflicts_with_all = ["evacuate", "wait", "status"])]
         cancel: bool,
@@ -93,10 +110,19 @@
     Show { folder: PathBuf },
 }
 
+/// The machine's own name.
+fn host() -> String {
+    let name = std::fs::read_to_string("/etc/hostname").unwrap_or_default();
+    match name.trim() {
+        "" => "machine".to_string(),
+        name => name.to_string(),
+    }
+}
+
 /// Runs what asks senders.
 fn asking(work: impl Future<Output = Verdict>) -> Verdict {
     match tokio::runtime::Builder::new_current_thread().enable_all().build() {
-        Ok(runtime) => runtime.block_on(work),
+        Ok(runtime) => tokio::task::LocalSet::new().block_on(&runtime, work),
         Err(error) => {
             eprintln!("nickelctl: cannot start: {error}");
             Verdict::Unknown
@@ -110,7 +136,8 @@
         Command::Journal(Journal::Verify { folder }) => journals::verify(&folder, json),
         Command::Journal(Journal::Show { folder }) => journals::show(&folder, json),
         Command::Members { addresses, compare } => asking(members::run(addresses, compare, json)),
-        Command::Drain { all, addresses, wait, evacuate, cancel, status } => {
+        Command::Duties { address } => asking(duties::run(address, json)),
+        Command::Drain { all, addresses, wait, evacuate, machine, without_permit, cancel, status } => {
             let usual = evacuate.map_or(Duration::from_secs(60), |e| e + Duration::from_secs(5));
             let act = match (cancel, status) {
                 (true, _) => drains::Act::Cancel,
@@ -118,7 +145,9 @@
                 _ => drains::Act::Drain,
             };
             let wait = wait.unwrap_or(usual);
-            asking(drains::run(drains::Plan { all, addresses, wait, evacuate, act, json }))
+            let machine = machine.unwrap_or_else(host);
+            let permit = !without_permit;
+            asking(drains::run(drains::Plan { all, addresses, wait, evacuate, machine, permit, act, json }))
         }
     };
     ExitCode::from(verdict as u8)
--- a/src/bin/nickelshed/config.rs
+++ b/src/bin/nickelshed/config.rs
@@ -1,5 +1,6 @@
 //! The environment and config.json: read at the start, and the file whole once more on SIGHUP.
 use crate::discovery::List;
+use crate::duties;
 use crate::fleet;
 use journal::Durability;
 use leadfold::api::Settings;
@@ -29,6 +30,7 @@
     name: Option<String>,
     registry: Option<PathBuf>,
     membership: Option<Value>,
+    duties: Option<Value>,
     settings: Value,
 }
 
@@ -43,6 +45,7 @@
     pub registry: Option<PathBuf>,
     /// None: it is off.
     pub membership: Option<fleet::Settings>,
+    pub duties: Option<duties::Settings>,
     pub seed: u64,
     pub limits: Limits,
     /// What the journal outlasts; as it was at the start.
@@ -134,6 +137,7 @@
     if classes.iter().enumerate().any(|(i, name)| name.is_empty() || classes[..i].contains(name)) {
         return Err(format!("{path}: settings: a class has no name of its own"));
     }
+    let duties = file.duties.as_ref().map(duties::Settings::read).transpose();
     let membership = file.membership.as_ref().map(fleet::Settings::read).transpose();
     let control = control(file.control)?;
     if file.registry.is_some() && control.is_none() {
@@ -146,6 +150,7 @@
         name: var("EDGE_NAME").or(file.name).unwrap_or_else(|| "sender".to_string()),
         registry: file.registry,
         membership: membership.map_err(|e| format!("{path}: {e}"))?,
+        duties: duties.map_err(|e| format!("{path}: {e}"))?,
         state: var("EDGE_STATE").ok_or("EDGE_STATE is not set")?.into(),
         seed: file.seed.as_ref().map_or(0, seed),
         limits: file.limits,
--- a/src/bin/nickelshed/control.rs
+++ b/src/bin/nickelshed/control.rs
@@ -1,6 +1,7 @@
 //! The second address, for the operators: one call to a connection, answered under any load.
 use crate::core::Input;
 use crate::drain::{Drain, Evacuation, Rest, Stage};
+use crate::duties::Duties;
 use crate::figures::{self, Figures};
 use crate::fleet::{Fleet, STATES};
 use crate::handover::Folder;
@@ -43,10 +44,14 @@
     pub folder: Rc<Folder>,
     /// None where membership is off.
     pub fleet: Option<Rc<Fleet>>,
+    /// The same of duties.
+    pub duties: Option<Rc<Duties>>,
     /// The core was told to end all.
     pub evacuates: Cell<bool>,
 }
 
+/// How long the store may take where a caller waits.
+const STORE: Duration = Duration::from_millis(900);
 /// How often the drain is looked after.
 const STEP: Duration = Duration::from_millis(50);
 
@@ -192,7 +197,19 @@
                 Some(fleet) => json_text(&fleet.json()),
                 None => text(StatusCode::NOT_FOUND, "membership is off\n"),
             },
-            "/v1/readyz" | "/v1/metrics" | "/v1/members" => wrong_method("GET, HEAD"),
+            "/v1/duties" if is_read(method) => match &self.duties {
+                // The store is asked; the caller is owed an answer in a second.
+                Some(duties) => match timeout(STORE, duties.json()).await {
+                    Ok(Ok(value)) => json_text(&value),
+                    Ok(Err(trouble)) => {
+                        tracing::debug!(%trouble, "duties can't be told");
+                        text(StatusCode::SERVICE_UNAVAILABLE, "the store does not answer\n")
+                    }
+                    Err(_) => text(StatusCode::SERVICE_UNAVAILABLE, "the store does not answer in time\n"),
+                },
+                None => text(StatusCode::NOT_FOUND, "duties are off\n"),
+            },
+            "/v1/readyz" | "/v1/metrics" | "/v1/members" | "/v1/duties" => wrong_method("GET, HEAD"),
             "/v1/sender/drain" if method == Method::PUT => self.begin(None),
             "/v1/sender/drain" if is_read(method) => self.status().await,
             "/v1/sender/evacuate" if method == Method::PUT => {
--- a/src/bin/nickelshed/core.rs
+++ b/src/bin/nickelshed/core.rs
@@ -1188,6 +1188,7 @@
             name: "n0".into(),
             registry: None,
             membership: None,
+            duties: None,
             seed: 1,
             limits: crate::config::Limits { memory_mb: 32.0, sockets: 256, disk_mb: 1.0 },
             durability: Durability::Power,
--- a/src/bin/nickelshed/main.rs
+++ b/src/bin/nickelshed/main.rs
@@ -9,6 +9,7 @@
 mod discovery;
 mod disk;
 mod drain;
+mod duties;
 mod figures;
 mod fleet;
 mod handover;
@@ -20,6 +21,7 @@
 mod registry;
 mod reload;
 mod server;
+mod store;
 mod wire;
 
 use deadline::{wall_ms, Clock};
@@ -144,6 +146,7 @@
     let terms = server::Terms::new(&config.settings, config.around.clone());
     let operators = config.control;
     let membership = config.membership.take();
+    let duties = config.duties.take();
     let entry = (config.registry.clone(), config.name.clone(), config.state.clone());
     let in_force = std::mem::take(&mut config.file);
     let journal = (folder.own, disk::Log::new(journal), clock);
@@ -174,8 +177,14 @@
     if let Some(fleet) = &fleet {
         spawn_local(fleet.clone().run());
     }
+    let held =
+        duties.clone().map(|settings| Rc::new(duties::Duties::new(settings, &entry.1, drain.clone(), nonce)));
+    if let Some(duties) = &held {
+        spawn_local(duties.clone().run());
+    }
     let control = Rc::new(control::Control {
         fleet: fleet.clone(),
+        duties: held.clone(),
         drain: drain.clone(),
         figures: figures.clone(),
         core: core_in.clone(),
@@ -190,7 +199,8 @@
         spawn_local(control.serve(listener));
         if let (Some(registry), name, state) = entry {
             let cannot = |e| format!("cannot enter {}: {e}", registry.display());
-            _entry = Some(registry::Entry::enter(&registry, &name, at, &state).map_err(cannot)?);
+            _entry =
+                Some(registry::Entry::enter(&registry, &name, at, &state, duties.as_ref()).map_err(cannot)?);
         }
     }
     let reload = reload::Reload {
@@ -234,6 +244,9 @@
     if let Some(fleet) = fleet {
         spawn_local(async move { fleet.leave().await });
     }
+    if let Some(duties) = held {
+        spawn_local(async move { duties.leave().await });
+    }
     // With a process to go on, clients find that one: nothing more need be taken here but what is on its way.
     if !(folder.has_successor() && asked(&core_in, core::Input::Yield).await) {
         sleep(ACCEPT_ON).await;
--- a/src/bin/nickelshed/registry.rs
+++ b/src/bin/nickelshed/registry.rs
@@ -2,6 +2,7 @@
 //!
 //! One small file a process, with a lock that the kernel lets go when the process dies: a file without one is stale,
 //! whatever its number says.
+use crate::duties;
 use serde_json::json;
 use std::fs::{self, File};
 use std::io::{self, Write};
@@ -17,14 +18,23 @@
 const SUFFIX: &str = ".json";
 
 impl Entry {
-    pub fn enter(folder: &Path, name: &str, control: SocketAddr, state: &Path) -> io::Result<Entry> {
+    pub fn enter(
+        folder: &Path,
+        name: &str,
+        control: SocketAddr,
+        state: &Path,
+        duties: Option<&duties::Settings>,
+    ) -> io::Result<Entry> {
         let process = std::process::id();
         remove_stale(folder)?;
         // Locked before it has its name, so nobody finds it without.
         let unnamed = folder.join(format!("new.{process}"));
         let mut file = File::create(&unnamed)?;
         file.try_lock()?;
-        let text = json!({"name": name, "process": process, "control": control.to_string(), "state": state});
+        // Where a permit to drain is to be asked for.
+        let permits = duties.map(|d| json!({"addresses": d.store, "prefix": d.prefix, "ttl_s": d.ttl_s}));
+        let text = json!({"name": name, "process": process, "control": control.to_string(), "state": state,
+            "permits": permits});
         file.write_all(format!("{text}\n").as_bytes())?;
         let plain: String = name.chars().map(|c| if c.is_alphanumeric() { c } else { '-' }).collect();
         let path = folder.join(format!("{plain}.{process}{SUFFIX}"));
@@ -63,7 +73,7 @@
         fs::write(folder.join("n9.1.json"), "{}").unwrap();
         fs::write(folder.join("notes.txt"), "not ours").unwrap();
         let at = "127.0.0.1:9".parse().unwrap();
-        let entry = Entry::enter(&folder, "n/1", at, Path::new("/state")).unwrap();
+        let entry = Entry::enter(&folder, "n/1", at, Path::new("/state"), None).unwrap();
         let files = || {
             let mut names: Vec<String> = fs::read_dir(&folder)
                 .unwrap()
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -1,5 +1,7 @@
 //! The real sender as a process, and small peers for it over loopback: endpoints, discovery, clients.
 #![allow(dead_code)]
+pub mod etcd;
+
 use serde_json::{json, Value};
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader, Read, Write};
