--- a/crates/lease/examples/figures.rs
+++ b/crates/lease/examples/duty_figures.rs
@@ -1,4 +1,4 @@
-//! Figures for docs/duties.md, on the tests' model: cargo run --release -p lease --example figures
+//! Figures for docs/duties.md, on the tests' model: cargo run --release -p lease --example duty_figures
 #[path = "../tests/model/mod.rs"]
 mod model;
 use lease::Ms;
--- a/crates/membership/examples/figures.rs
+++ b/crates/membership/examples/membership_figures.rs
@@ -1,4 +1,4 @@
-//! Figures for docs/membership.md, on the tests' network: cargo run --release -p membership --example figures [SIZE]
+//! Figures for docs/membership.md, on the tests' network: cargo run --release -p membership --example membership_figures [SIZE]
 //! Three hundred members take some minutes.
 #[path = "../tests/network/mod.rs"]
 mod network;
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -59,8 +59,8 @@
 
 /// All senders together ask discovery at most so often on the average after a failure.
 const ASK: Ns = 50 * MS;
-/// A start asks within this, however many start with it: what the agent holds binds it from then on, and must stop
-/// what goes to a draining endpoint in half a second.
+/// A start asks within this, however many start with it: what the agent holds binds it from then on, and must
+/// stop what goes to a draining endpoint in half a second.
 const FIRST_ASK: Ns = 200 * MS;
 
 /// Aged count, mean and deviation.
@@ -1089,7 +1089,7 @@
         at
     }
 
-    /// Until when every endpoint that takes new work has told to wait. A wait binds all that is sent there, so
+    /// Until when every endpoint that takes new work has told to wait. A wait binds all that is sent there:
     /// what can't outlast it is over as soon as it is told.
     fn waits_until(&self, dest: DestId) -> Ns {
         let places = self.dests.get(&dest).into_iter().flat_map(|d| &d.places);
@@ -1109,7 +1109,7 @@
         self.close(id);
     }
 
-    /// When to hand in again what is refused: room comes with the destination's next turn, once a wait is over.
+    /// When to hand in again what is refused: room comes with the destination's next turn, behind any wait.
     pub fn backoff(&self, dest: DestId) -> Ns {
         let turn = self.dests.get(&dest).map_or(0.0, |d| d.turn_every(self.now));
         let wait = self.waits_until(dest).saturating_sub(self.now);
