Test duties against a slow store, a huge answer and an upgrade

Need: the code has these hard cases in mind (an answer may take a quarter of the lease and 1 MiB), but no test showed them. Change: the test over real processes goes through them too.

--- a/tests/duties.rs
+++ b/tests/duties.rs
@@ -108,11 +108,17 @@
     etcd.state(|s| (s.lose, s.leaderless) = (2, 3));
     etcd.compact();
     until_held(&nodes, "");
-    for garbage in ["no JSON", "[1]", "{\"kvs\":[{\"key\":\"!\"}]}", "{\"ID\":\"0\"}", "{\"cut"] {
+    let huge = format!("{{\"kvs\":\"{}\"}}", "x".repeat(3 << 20));
+    for garbage in ["no JSON", "[1]", "{\"kvs\":[{\"key\":\"!\"}]}", "{\"ID\":\"0\"}", "{\"cut", &huge] {
         etcd.state(|s| s.garbage = Some(garbage.to_string()));
         nodes[0].until("it can't be told", || duty(&nodes[0]).is_none() || garbage.starts_with("{\"ID"));
     }
-    etcd.state(|s| (s.garbage, s.down) = (None, true));
+    // Slower than an answer may be: nobody acts on it.
+    etcd.state(|s| (s.garbage, s.slow) = (None, std::time::Duration::from_millis(1_200)));
+    nodes[0].until("nobody hears it in time", || nodes.iter().all(|n| duty(n).is_none()));
+    etcd.state(|s| s.slow = std::time::Duration::ZERO);
+    until_held(&nodes, "");
+    etcd.state(|s| s.down = true);
     nodes[0].until("nobody can ask", || nodes.iter().all(|n| duty(n).is_none()));
     // Messages are served as ever.
     assert_eq!(nodes[0].hand_in("order", "m", 7, 16_000, b"x"), 202);
@@ -120,8 +126,16 @@
     etcd.state(|s| s.down = false);
     until_held(&nodes, "");
 
+    // Upgraded: the old process gives it back as it ends, and the new one is a candidate like any other.
+    let upgraded = until_held(&nodes, "");
+    nodes[index(&upgraded)].upgrade();
+    nodes[index(&upgraded)].terminate_older();
+    assert!(nodes[index(&upgraded)].wait_older().success());
+    until_held(&nodes, "");
+    nodes[0].until("all are candidates", || etcd.keys(HOLDERS).len() == 3);
+
     // A planned end gives it back, without waiting for the lease.
-    let last = at(&nodes).unwrap();
+    let last = until_held(&nodes, "");
     nodes[index(&last)].terminate();
     assert!(nodes[index(&last)].wait_exit().success());
     let rest: Vec<&Node> = nodes.iter().filter(|n| n.config["name"] != last.as_str()).collect();
