--- a/src/bin/nickelctl/drains.rs
+++ b/crates/ctl/src/drains.rs
@@ -1,8 +1,8 @@
 //! `nickelctl drain`: over some senders, or all of a machine, until nothing is left in them.
-use crate::calls::call;
 use crate::journals;
 use crate::permits::{self, Place};
 use crate::Verdict;
+use remote::control::call;
 use serde::Deserialize;
 use serde_json::{json, Value};
 use std::collections::{BTreeMap, BTreeSet};
--- a/src/bin/nickelctl/duties.rs
+++ b/crates/ctl/src/duties.rs
@@ -1,6 +1,6 @@
 //! `nickelctl duties`: who holds what, as a sender reads it in the store.
-use crate::calls::call;
 use crate::Verdict;
+use remote::control::call;
 use serde_json::{json, Value};
 use std::net::SocketAddr;
 
--- a/src/bin/nickelctl/main.rs
+++ b/crates/ctl/src/lib.rs
@@ -1,14 +1,13 @@
-//! nickelctl: the operators' tool. It asks control addresses and reads files; it never writes one.
-mod calls;
+//! nickelctl: the operators' tool. It asks control addresses and reads files; it must never write one.
+//!
+//! A command's way: `main` reads the arguments, one module carries it out (`journals` reads folders, `members`,
+//! `duties` and `drains` ask senders, `permits` asks the store), prints text or one JSON object, and returns the
+//! `Verdict` that is the exit code.
 mod drains;
 mod duties;
 mod journals;
 mod members;
 mod permits;
-// The same client as the sender's; this program does not need all of it.
-#[allow(dead_code)]
-#[path = "../nickelshed/store.rs"]
-mod store;
 
 use clap::{Parser, Subcommand};
 use std::future::Future;
@@ -19,7 +18,7 @@
 
 /// How a command has ended. Bad usage is 2 too, by the library.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Verdict {
+enum Verdict {
     Well = 0,
     /// What was asked for is not so: damage, work left.
     Not = 1,
@@ -130,7 +129,8 @@
     }
 }
 
-fn main() -> ExitCode {
+/// Reads the process's arguments and carries them out.
+pub fn main() -> ExitCode {
     let Arguments { json, command } = Arguments::parse();
     let verdict = match command {
         Command::Journal(Journal::Verify { folder }) => journals::verify(&folder, json),
--- a/src/bin/nickelctl/members.rs
+++ b/crates/ctl/src/members.rs
@@ -1,6 +1,6 @@
 //! `nickelctl members`: who is present, as senders see it.
-use crate::calls::call;
 use crate::Verdict;
+use remote::control::call;
 use serde_json::{json, Value};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
--- a/src/bin/nickelctl/permits.rs
+++ b/crates/ctl/src/permits.rs
@@ -1,5 +1,5 @@
 //! Permits to drain: at most so many machines of the fleet may at a time.
-use crate::store::{If, Store, Trouble};
+use remote::store::{If, Store, Trouble};
 use serde::Deserialize;
 use std::net::SocketAddr;
 use std::rc::Rc;
--- a/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -1,4 +1,3 @@
-#![doc = include_str!("../README.md")]
 pub mod api;
 pub mod rules;
 pub mod settings;
--- a/tests/common/mod.rs
+++ b/crates/policy/tests/common/mod.rs
@@ -1,7 +1,7 @@
 //! A small stand for the module: settings, one sender, and the actions of its last call.
 #![allow(dead_code)]
-use leadfold::api::*;
-use leadfold::rules::Sender;
+use policy::api::*;
+use policy::rules::Sender;
 
 pub const T0: Ns = 1_000 * SECOND;
 
--- a/tests/module.rs
+++ b/crates/policy/tests/module.rs
@@ -1,8 +1,8 @@
 //! The decisions, seen through the interface alone.
 mod common;
 use common::*;
-use leadfold::api::*;
-use leadfold::rules::{Asking, Sender};
+use policy::api::*;
+use policy::rules::{Asking, Sender};
 
 #[test]
 fn sends_at_once_below_the_cap_and_holds_above_it() {
--- a/src/bin/nickelshed/calls.rs
+++ b/crates/sender/src/calls.rs
@@ -13,7 +13,7 @@
 use hyper::header::{HeaderMap, HeaderName, HeaderValue, CONNECTION, RETRY_AFTER};
 use hyper::Request;
 use journal::Taken;
-use leadfold::api::{AttemptEnd, EndpointId, Ns, Outcome, Report};
+use policy::api::{AttemptEnd, EndpointId, Ns, Outcome, Report};
 use serde_json::{json, Value};
 use std::cell::Cell;
 use std::collections::HashMap;
--- a/src/bin/nickelshed/classes.rs
+++ b/crates/sender/src/classes.rs
@@ -1,6 +1,6 @@
 //! The table of classes: those in force, and those that only messages taken on before still have.
-use leadfold::api::{Class, DedupScope, Effect, Ns, Settings};
-use leadfold::settings::Around;
+use policy::api::{Class, DedupScope, Effect, Ns, Settings};
+use policy::settings::Around;
 
 /// A class's rules as the journal keeps them.
 pub use journal::Rules as Stored;
--- a/src/bin/nickelshed/config.rs
+++ b/crates/sender/src/config.rs
@@ -3,8 +3,8 @@
 use crate::duties;
 use crate::fleet;
 use journal::Durability;
-use leadfold::api::Settings;
-use leadfold::settings::{self, Around};
+use policy::api::Settings;
+use policy::settings::{self, Around};
 use serde::Deserialize;
 use serde_json::Value;
 use std::net::SocketAddr;
@@ -57,15 +57,40 @@
     pub file: Value,
 }
 
-fn var(name: &str) -> Option<String> {
-    std::env::var(name).ok().filter(|v| !v.is_empty())
+/// What the platform tells a sender beside its configuration's file.
+#[derive(Clone, Debug, Default)]
+pub struct Environment {
+    /// `EDGE_CONFIG`: where that file is.
+    pub config: Option<String>,
+    /// `EDGE_STATE`: the folder that outlasts the process.
+    pub state: Option<String>,
+    /// `EDGE_NAME`, `EDGE_LISTEN`, `EDGE_DISCOVERY` and `EDGE_CONTROL`.
+    pub name: Option<String>,
+    pub listen: Option<String>,
+    pub discovery: Option<String>,
+    pub control: Option<String>,
 }
 
-fn file() -> Result<(String, Value), String> {
-    let path = var("EDGE_CONFIG").ok_or("EDGE_CONFIG is not set")?;
-    let text = std::fs::read_to_string(&path).map_err(|e| format!("cannot read {path}: {e}"))?;
-    let file = serde_json::from_str(&text).map_err(|e| format!("{path}: {e}"))?;
-    Ok((path, file))
+impl Environment {
+    /// This process's own; an empty variable is none.
+    pub fn of_process() -> Environment {
+        let var = |name| std::env::var(name).ok().filter(|v| !v.is_empty());
+        Environment {
+            config: var("EDGE_CONFIG"),
+            state: var("EDGE_STATE"),
+            name: var("EDGE_NAME"),
+            listen: var("EDGE_LISTEN"),
+            discovery: var("EDGE_DISCOVERY"),
+            control: var("EDGE_CONTROL"),
+        }
+    }
+
+    fn file(&self) -> Result<(String, Value), String> {
+        let path = self.config.clone().ok_or("EDGE_CONFIG is not set")?;
+        let text = std::fs::read_to_string(&path).map_err(|e| format!("cannot read {path}: {e}"))?;
+        let file = serde_json::from_str(&text).map_err(|e| format!("{path}: {e}"))?;
+        Ok((path, file))
+    }
 }
 
 /// `first` if it is there, else `second`.
@@ -74,12 +99,6 @@
     text.parse().map_err(|e| format!("{name} is no address: {text}: {e}"))
 }
 
-/// The file may be replaced while the sender runs, its environment can't be: a process that is started again
-/// after that would go back to an address that is served no more, so the file's word comes first.
-fn discovery(file: Option<String>) -> Result<SocketAddr, String> {
-    address("EDGE_DISCOVERY", file, var("EDGE_DISCOVERY"))
-}
-
 fn durability(name: Option<&str>) -> Result<Durability, String> {
     match name {
         None | Some("process") => Ok(Durability::Process),
@@ -88,18 +107,13 @@
     }
 }
 
-fn control(file: Option<String>) -> Result<Option<SocketAddr>, String> {
-    let named = var("EDGE_CONTROL").or(file);
-    named.map(|text| address("EDGE_CONTROL", Some(text), None)).transpose()
-}
-
 /// The file as it is now, if it can take the place of the one in force: a key that is in that one must be in this
 /// one too, or half a file would pass for a whole one with defaults.
-pub fn reread(in_force: &Value) -> Result<Config, String> {
-    let (path, file) = file()?;
+pub fn reread(environment: &Environment, in_force: &Value) -> Result<Config, String> {
+    let (path, file) = environment.file()?;
     match missing(in_force, &file) {
         Some(key) => Err(format!("{path}: {key} is missing")),
-        None => parse(path, file),
+        None => parse(environment, path, file),
     }
 }
 
@@ -125,12 +139,12 @@
     }
 }
 
-pub fn read() -> Result<Config, String> {
-    let (path, file) = file()?;
-    parse(path, file)
+pub fn read(environment: &Environment) -> Result<Config, String> {
+    let (path, file) = environment.file()?;
+    parse(environment, path, file)
 }
 
-fn parse(path: String, value: Value) -> Result<Config, String> {
+fn parse(environment: &Environment, path: String, value: Value) -> Result<Config, String> {
     let file = File::deserialize(&value).map_err(|e| format!("{path}: {e}"))?;
     let (settings, around) = settings::read(&file.settings).map_err(|e| format!("{path}: settings: {e}"))?;
     let classes = &around.classes;
@@ -139,19 +153,23 @@
     }
     let duties = file.duties.as_ref().map(duties::Settings::read).transpose();
     let membership = file.membership.as_ref().map(fleet::Settings::read).transpose();
-    let control = control(file.control)?;
+    let Environment { state, name, listen, discovery, control, .. } = environment.clone();
+    let control =
+        control.or(file.control).map(|text| address("EDGE_CONTROL", Some(text), None)).transpose()?;
     if file.registry.is_some() && control.is_none() {
         return Err(format!("{path}: registry needs control: there is no address to enter"));
     }
     Ok(Config {
-        listen: address("EDGE_LISTEN", var("EDGE_LISTEN"), file.listen)?,
-        discovery: discovery(file.discovery)?,
+        listen: address("EDGE_LISTEN", listen, file.listen)?,
+        // The file may be replaced while the sender runs, its environment can't be: a process that is started again
+        // after that would go back to an address that is served no more, so the file's word comes first.
+        discovery: address("EDGE_DISCOVERY", file.discovery, discovery)?,
         control,
-        name: var("EDGE_NAME").or(file.name).unwrap_or_else(|| "sender".to_string()),
+        name: name.or(file.name).unwrap_or_else(|| "sender".to_string()),
         registry: file.registry,
         membership: membership.map_err(|e| format!("{path}: {e}"))?,
         duties: duties.map_err(|e| format!("{path}: {e}"))?,
-        state: var("EDGE_STATE").ok_or("EDGE_STATE is not set")?.into(),
+        state: state.ok_or("EDGE_STATE is not set")?.into(),
         seed: file.seed.as_ref().map_or(0, seed),
         limits: file.limits,
         durability: durability(file.durability.as_deref()).map_err(|e| format!("{path}: {e}"))?,
--- a/src/bin/nickelshed/connections.rs
+++ b/crates/sender/src/connections.rs
@@ -8,7 +8,7 @@
 use hyper::header::{HeaderMap, HeaderName, HeaderValue, HOST};
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
-use leadfold::api::{DestId, EndpointId, Ns, Outcome, MS};
+use policy::api::{DestId, EndpointId, Ns, Outcome, MS};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::io;
--- a/src/bin/nickelshed/core.rs
+++ b/crates/sender/src/core.rs
@@ -12,9 +12,9 @@
 use crate::life::{Life, Stage};
 use crate::notices::Notice;
 use journal::{first_id, seen, Begun, Ending, Fault, Inheritance, Left, Live, Record, Release, Stamp, Taken};
-use leadfold::api::*;
-use leadfold::rules::Sender;
-use leadfold::settings::Around;
+use policy::api::*;
+use policy::rules::Sender;
+use policy::settings::Around;
 use serde_json::Value;
 use std::cell::Cell;
 use std::collections::{BTreeMap, HashMap, HashSet};
@@ -1175,7 +1175,7 @@
             "Safety": {"StartCapacity": 0.3, "ColdNs": 1_000_000_000, "FallMultiple": 2,
                 "OverloadForNs": 1_000_000_000},
             "Services": [class]});
-        let (settings, around) = leadfold::settings::read(&value).unwrap();
+        let (settings, around) = policy::settings::read(&value).unwrap();
         let known = serde_json::from_value(json!({"generation": 1, "reset": true, "instances": [{
             "instanceId": "e-1", "hostPort": "127.0.0.1:9", "zone": "z", "machineType": "plain", "cell": 7,
             "lifecycle": "Terminating", "weight": 1.0, "startedAtMs": 0}]}));
--- a/src/bin/nickelshed/deadline.rs
+++ b/crates/sender/src/deadline.rs
@@ -4,7 +4,7 @@
 //! one may be set: each write to the journal says what both showed, so that the next process can tell how much time
 //! has passed whatever was done to the wall clock before.
 use journal::{Live, Stamp};
-use leadfold::api::{Ns, MS};
+use policy::api::{Ns, MS};
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::time::Instant;
@@ -176,8 +176,8 @@
     use super::*;
     use bytes::Bytes;
     use journal::{encode_groups, read, Begun, Ending, Record, Taken, Whole};
-    use leadfold::api::*;
-    use leadfold::rules::Sender;
+    use policy::api::*;
+    use policy::rules::Sender;
     use std::collections::{BTreeMap, BTreeSet};
 
     const HOUR: i64 = 3_600_000;
--- a/src/bin/nickelshed/discovery.rs
+++ b/crates/sender/src/discovery.rs
@@ -2,7 +2,7 @@
 use crate::connections::{self, Connection};
 use crate::core::Input;
 use crate::wire::MAX_NAME;
-use leadfold::rules::Asking;
+use policy::rules::Asking;
 use serde::Deserialize;
 use serde_json::Value;
 use std::net::SocketAddr;
--- a/src/bin/nickelshed/duties.rs
+++ b/crates/sender/src/duties.rs
@@ -1,8 +1,8 @@
 //! Duties that one process of the fleet holds at a time, and the first of them: drain permits. Off unless configured;
 //! messages never depend on it.
 use crate::drain::{Drain, Stage};
-use crate::store::{Entry, If, Store, Trouble};
 use lease::{grants, Ask, Candidate, Change, Config, Duty, Request, Told};
+use remote::store::{Entry, If, Store, Trouble};
 use serde::Deserialize;
 use serde_json::{json, Value};
 use std::cell::{Cell, RefCell};
--- a/src/bin/nickelshed/handover.rs
+++ b/crates/sender/src/handover.rs
@@ -8,7 +8,7 @@
 use crate::drain::Evacuation;
 use crate::memory::{self, Budget};
 use journal::{decode, Durability, Ledger, Left, Live, Names, Release, Whole};
-use leadfold::api::DestId;
+use policy::api::DestId;
 use serde::{Deserialize, Serialize};
 use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet, HashSet};
--- a/src/bin/nickelshed/main.rs
+++ b/crates/sender/src/lib.rs
@@ -1,4 +1,4 @@
-//! nickelshed: one real sender. Start, signals and wiring.
+//! One sender: start, wiring and end.
 mod calls;
 mod classes;
 mod config;
@@ -21,19 +21,17 @@
 mod registry;
 mod reload;
 mod server;
-mod store;
 mod wire;
 
+pub use config::Environment;
 use deadline::{wall_ms, Clock};
 use journal::Journal;
-use leadfold::rules::Asking;
-use std::process::ExitCode;
+use policy::rules::Asking;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpListener;
-use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::{mpsc, oneshot, watch};
-use tokio::task::{spawn_local, LocalSet};
+use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout, Instant};
 
 /// After SIGTERM: how long new connections are still taken, when nothing new is begun any more, and when the
@@ -49,25 +47,6 @@
 /// Inputs that wait for the core. Clients are told 503 beyond it.
 const INBOX: usize = 2_048;
 
-fn main() -> ExitCode {
-    let level = std::env::var("RUST_LOG").ok().and_then(|l| l.parse().ok()).unwrap_or(tracing::Level::INFO);
-    tracing_subscriber::fmt().with_max_level(level).with_writer(std::io::stderr).with_ansi(false).init();
-    let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
-        Ok(runtime) => runtime,
-        Err(error) => {
-            tracing::error!(%error, "cannot start");
-            return ExitCode::FAILURE;
-        }
-    };
-    match LocalSet::new().block_on(&runtime, run()) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            tracing::error!(%error, "cannot start");
-            ExitCode::FAILURE
-        }
-    }
-}
-
 /// How a process divides the descriptors that it may hold.
 struct Places {
     calls: usize,
@@ -94,11 +73,17 @@
     done.await.unwrap_or(false)
 }
 
-async fn run() -> Result<(), String> {
-    let mut config = config::read()?;
-    let mut terminate = signal(SignalKind::terminate()).map_err(|e| format!("signals: {e}"))?;
-    let mut interrupt = signal(SignalKind::interrupt()).map_err(|e| format!("signals: {e}"))?;
-    let hangup = signal(SignalKind::hangup()).map_err(|e| format!("signals: {e}"))?;
+/// What the platform tells a running sender. A sender that is dropped says nothing any more.
+pub struct Orders {
+    /// To end, in order.
+    pub end: mpsc::Receiver<()>,
+    /// The configuration's file was replaced.
+    pub reload: mpsc::Receiver<()>,
+}
+
+/// Runs a sender until it is told to end. The error says why it could not start, or that its core has failed.
+pub async fn run(environment: Environment, mut orders: Orders) -> Result<(), String> {
+    let mut config = config::read(&environment)?;
     let limits = &config.limits;
     let budget = memory::Budget::new(limits.memory_mb);
     let state = |e| format!("journal in {}: {e}", config.state.display());
@@ -204,6 +189,7 @@
         }
     }
     let reload = reload::Reload {
+        environment,
         in_force,
         discovery: place,
         core: core_in.clone(),
@@ -211,7 +197,7 @@
         server: server.clone(),
         figures,
     };
-    spawn_local(reload.run(hangup));
+    spawn_local(reload.run(orders.reload));
     let handover = handover::Handover::new(folder.clone(), budget.clone(), core_in.clone());
     let (shared, mut clear) = watch::channel(!has_predecessor);
     let (bounds, links) = (server.clone(), pool);
@@ -234,8 +220,7 @@
     drain.listening(Instant::now());
 
     tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
+        Some(()) = orders.end.recv() => {}
         // It only ends by itself when it has failed; a new process takes up the journal.
         ended = core => return Err(format!("the core ended: {ended:?}")),
     }
--- a/src/bin/nickelshed/pool.rs
+++ b/crates/sender/src/pool.rs
@@ -1,6 +1,6 @@
 //! Which connections there are to endpoints, and which of them a call gets: the book, without any I/O. Times are passed
 //! in; connections are numbers, and whoever drives this has what is behind them.
-use leadfold::api::EndpointId;
+use policy::api::EndpointId;
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 use tokio::time::Instant;
--- a/src/bin/nickelshed/reload.rs
+++ b/crates/sender/src/reload.rs
@@ -7,10 +7,10 @@
 use serde_json::Value;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use tokio::signal::unix::Signal;
 use tokio::sync::{mpsc, watch};
 
 pub struct Reload {
+    pub environment: config::Environment,
     /// The file that was taken last.
     pub in_force: Value,
     pub discovery: watch::Sender<SocketAddr>,
@@ -22,9 +22,9 @@
 
 impl Reload {
     /// A bad file is no reason to end, or to lose what works.
-    pub async fn run(mut self, mut hangup: Signal) {
-        while hangup.recv().await.is_some() {
-            match config::reread(&self.in_force) {
+    pub async fn run(mut self, mut told: mpsc::Receiver<()>) {
+        while told.recv().await.is_some() {
+            match config::reread(&self.environment, &self.in_force) {
                 Ok(config) => self.swap(config).await,
                 Err(reason) => {
                     bump(&self.figures.reload_errors);
--- a/src/bin/leadfold-simhost/host.rs
+++ b/crates/simhost/src/host.rs
@@ -1,7 +1,7 @@
 //! Wire lines to `api` events for each sender, and its actions back to lines.
-use leadfold::api::*;
-use leadfold::rules::Sender;
-use leadfold::settings::{self, Around};
+use policy::api::*;
+use policy::rules::Sender;
+use policy::settings::{self, Around};
 use std::collections::{BTreeMap, HashMap};
 use std::fmt::Write;
 use std::rc::Rc;
--- /dev/null
+++ b/src/bin/nickelctl.rs
@@ -0,0 +1,4 @@
+//! nickelctl: the operators' tool.
+fn main() -> std::process::ExitCode {
+    ctl::main()
+}
