--- a/crates/policy/src/api.rs
+++ b/crates/policy/src/api.rs
@@ -277,11 +277,6 @@
     Expired {
         id: MsgId,
     },
-    Probed {
-        endpoint: EndpointId,
-        outcome: Outcome,
-        report: Option<Report>,
-    },
     /// The machine goes for good (or, false, stays): every message ends now, and so does each that still comes.
     Evacuate(bool),
     Timer,
@@ -313,9 +308,6 @@
         id: MsgId,
         attempt: u32,
     },
-    Probe {
-        endpoint: EndpointId,
-    },
     /// Closes this sender's idle connections there.
     Close {
         endpoint: EndpointId,
--- a/crates/policy/src/rules/mod.rs
+++ b/crates/policy/src/rules/mod.rs
@@ -104,7 +104,6 @@
             Event::Inherited(standings) => standings.iter().for_each(|s| self.inherit(s)),
             Event::Settings(new) => self.settings(new),
             Event::Expired { id } => self.close(*id),
-            Event::Probed { .. } => {}
             Event::Evacuate(goes) => self.evacuate(*goes, out),
             // The caller may round a time down: one that is due within the tick has come.
             Event::Timer => self.timer_at = self.timer_at.filter(|&at| at > self.now + self.cfg.tick),
--- a/crates/sender/src/calls.rs
+++ b/crates/sender/src/calls.rs
@@ -263,32 +263,6 @@
             let _ = self.core.send(Input::Ended(ends)).await;
         }
     }
-
-    pub async fn probe(self: Rc<Self>, endpoint: EndpointId) {
-        let Ok(mut link) = self.pool.connect(endpoint).await else {
-            return self.probed(endpoint, Outcome::NoConnection, None).await;
-        };
-        if !self.pool.may_write(endpoint) {
-            return self.probed(endpoint, Outcome::NotSent, None).await;
-        }
-        let fresh = link.idle().is_none();
-        let asked = request("GET", "/healthz", link.at, &[], Bytes::new());
-        let (outcome, report) = match timeout(self.pool.dial.get(), link.exchange(asked, MAX_BODY)).await {
-            Ok(Ok((status, headers, _))) => {
-                let (outcome, ..) = outcome(status, &headers, fresh);
-                self.pool.give_back(endpoint, link);
-                (outcome, load_report(&headers))
-            }
-            Ok(Err(Fault::Broken(_))) => (Outcome::ConnectionLost, None),
-            Ok(Err(_)) => (Outcome::NoConnection, None),
-            Err(_) => (Outcome::NoAnswer, None),
-        };
-        self.probed(endpoint, outcome, report).await;
-    }
-
-    async fn probed(&self, endpoint: EndpointId, outcome: Outcome, report: Option<Report>) {
-        let _ = self.core.send(Input::Probed { endpoint, outcome, report }).await;
-    }
 }
 
 fn parts(members: Vec<Member>) -> Vec<Vec<Member>> {
--- a/crates/sender/src/core.rs
+++ b/crates/sender/src/core.rs
@@ -47,11 +47,6 @@
     },
     List(List),
     Ended(Vec<AttemptEnd>),
-    Probed {
-        endpoint: EndpointId,
-        outcome: Outcome,
-        report: Option<Report>,
-    },
     /// The platform has answered for these notices.
     Noticed(Vec<u64>),
     /// Messages of other processes that are this one's now, once they are written down here.
@@ -457,8 +452,7 @@
             Input::Evacuate(_) => {}
             Input::Wind(until) => self.wind = Some(until),
             Input::Elsewhere(_) | Input::EndedElsewhere(_) | Input::Inherited(_) => {}
-            Input::List(_) | Input::Alone | Input::Succeeded | Input::Listening(_) | Input::Probed { .. } => {
-            }
+            Input::List(_) | Input::Alone | Input::Succeeded | Input::Listening(_) => {}
         }
         self.write(records).await;
     }
@@ -716,9 +710,6 @@
                         round.events.push(Event::AttemptEnd(end));
                     }
                 }
-                Input::Probed { endpoint, outcome, report } => {
-                    round.events.push(Event::Probed { endpoint, outcome, report })
-                }
                 Input::Noticed(ids) => self.noticed(ids, &mut records),
                 Input::TakeOver(left, reply) => {
                     let written = self.take_over(left, &mut round.events).await;
@@ -807,9 +798,6 @@
                         out.cancel.set();
                     }
                 }
-                Action::Probe { endpoint } => {
-                    tokio::task::spawn_local(self.client.clone().probe(endpoint));
-                }
                 Action::Close { endpoint } => self.client.pool.close_idle(endpoint),
                 Action::Timer { at } => self.timer = Some(self.timer.map_or(at, |t| t.min(at))),
             }
--- a/crates/simhost/src/host.rs
+++ b/crates/simhost/src/host.rs
@@ -229,11 +229,6 @@
                     self.end(id);
                 }
             }
-            "ECHO" => {
-                let endpoint = self.endpoint(f.text("Endpoint")?);
-                let (outcome, report) = (read_outcome(f)?, self.report(f)?);
-                self.events.push(Event::Probed { endpoint, outcome, report });
-            }
             "ATTEMPT_END" => {
                 let Some(&id) = self.ids.get(f.text("Ref")?) else {
                     return Ok(());
@@ -258,7 +253,7 @@
                 }
                 self.forget(id);
             }
-            // Notes of other senders are not used, and no class is streamed.
+            // Notes of other senders are not used, no probe is asked for, and no class is streamed.
             _ => {}
         }
         Ok(())
@@ -335,7 +330,6 @@
                 let Some(n) = name(id) else { return };
                 writeln!(reply, "RETRACT\tRef={n}\tShot={attempt}")
             }
-            Action::Probe { endpoint } => writeln!(reply, "HEALTH_CHECK\tEndpoint={}", place(endpoint)),
             Action::Close { endpoint } => writeln!(reply, "DROP_CONNS\tEndpoint={}", place(endpoint)),
             Action::Timer { at } => writeln!(reply, "TIMER\tMomentNs={at}\tKeyBack=0"),
         };
