--- a/tests/duties.rs
+++ b/tests/duties.rs
@@ -3,6 +3,7 @@
 use peers::etcd::Etcd;
 use peers::*;
 use serde_json::{json, Value};
+use std::cell::RefCell;
 use std::path::Path;
 use std::process::{Child, Command, Stdio};
 
@@ -80,8 +81,13 @@
         holder(&all).map(|h| h.config["name"].as_str().unwrap().to_string())
     };
     let until_held = |nodes: &[Node], not: &str| {
-        nodes[0].until("it is held", || at(nodes).is_some_and(|name| name != not));
-        at(nodes).unwrap()
+        // The name that was seen: asked once more it may be passing on.
+        let found = RefCell::new(None);
+        nodes[0].until("it is held", || {
+            *found.borrow_mut() = at(nodes).filter(|name| name != not);
+            found.borrow().is_some()
+        });
+        found.take().unwrap()
     };
     let first = until_held(&nodes, "");
     let index = |name: &str| name[1..].parse::<usize>().unwrap();
