--- a/crates/journal/tests/model/mod.rs
+++ b/crates/journal/tests/model/mod.rs
@@ -1,5 +1,7 @@
 //! A folder that remembers what was synced, and yields every state that a loss of power could leave.
 use journal::storage::Storage;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg32;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::io;
@@ -229,12 +231,15 @@
 }
 
 /// Seeded dice, so that a failure can be played again.
-pub struct Dice(pub u64);
+pub struct Dice(Pcg32);
 
 impl Dice {
+    pub fn new(seed: u64) -> Dice {
+        Dice(Pcg32::seed_from_u64(seed))
+    }
+
     pub fn below(&mut self, n: usize) -> usize {
-        self.0 = self.0.wrapping_mul(0x5851_f42d_4c95_7f2d).wrapping_add(0x1405_7b7e_f767_814f);
-        ((self.0 >> 33) % n.max(1) as u64) as usize
+        self.0.random_range(0..n.max(1))
     }
 
     pub fn one_in(&mut self, n: usize) -> bool {
--- a/crates/journal/tests/power.rs
+++ b/crates/journal/tests/power.rs
@@ -85,8 +85,14 @@
 impl Machine {
     fn new(seed: u64) -> Machine {
         let folder = Folder::default();
-        let mut machine =
-            Machine { folder, journal: None, number: 0, next: 0, told: BTreeMap::new(), dice: Dice(seed) };
+        let mut machine = Machine {
+            folder,
+            journal: None,
+            number: 0,
+            next: 0,
+            told: BTreeMap::new(),
+            dice: Dice::new(seed),
+        };
         assert!(machine.start(), "a start without faults");
         machine
     }
--- a/crates/lease/src/duty.rs
+++ b/crates/lease/src/duty.rs
@@ -1,5 +1,7 @@
 //! One candidate: campaign, hold, renew, resign, lost.
 use crate::Ms;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg32;
 
 #[derive(Clone, Debug)]
 pub struct Config {
@@ -127,7 +129,7 @@
     step: Step,
     renewing: Option<(u64, Ms)>,
     number: u64,
-    random: u64,
+    random: Pcg32,
     pub changes: Vec<Change>,
 }
 
@@ -142,7 +144,7 @@
             step: Step::Rest(0),
             renewing: None,
             number: 0,
-            random: seed,
+            random: Pcg32::seed_from_u64(seed),
             changes: Vec::new(),
         }
     }
@@ -225,8 +227,7 @@
 
     /// Candidates that failed together don't come back together.
     fn rest(&mut self, now: Ms) {
-        self.random = self.random.wrapping_mul(0x5851_f42d_4c95_7f2d).wrapping_add(0x1405_7b7e_f767_814f);
-        let more = (self.random >> 33) % self.config.retry.max(1);
+        let more = self.random.random_range(0..self.config.retry.max(1));
         self.step = Step::Rest(now + self.config.retry + more);
     }
 
--- a/crates/lease/tests/model/mod.rs
+++ b/crates/lease/tests/model/mod.rs
@@ -2,6 +2,8 @@
 //! follows from a seed; time is true time, in milliseconds.
 #![allow(dead_code)]
 use lease::{grants, Ask, Candidate, Config, Duty, Ms, Request, Stage, Told};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg32;
 use std::collections::{BTreeMap, BTreeSet};
 
 pub const TTL: Ms = 10_000;
@@ -11,12 +13,15 @@
 pub const ROUND: &str = "round";
 pub const BOUND: usize = 2;
 
-pub struct Dice(pub u64);
+pub struct Dice(Pcg32);
 
 impl Dice {
+    pub fn new(seed: u64) -> Dice {
+        Dice(Pcg32::seed_from_u64(seed))
+    }
+
     pub fn below(&mut self, n: u64) -> u64 {
-        self.0 = self.0.wrapping_mul(0x5851_f42d_4c95_7f2d).wrapping_add(0x1405_7b7e_f767_814f);
-        (self.0 >> 33) % n.max(1)
+        self.0.random_range(0..n.max(1))
     }
     pub fn percent(&mut self, p: u64) -> bool {
         self.below(100) < p
@@ -195,7 +200,7 @@
 
 impl World {
     pub fn new(seed: u64, n: usize, fence: bool, drift: u64) -> World {
-        let mut dice = Dice(seed);
+        let mut dice = Dice::new(seed);
         let ones = (0..n)
             .map(|i| {
                 let mut duty = Duty::new(config(drift), seed ^ (i as u64) << 32);
--- a/crates/lease/tests/promises.rs
+++ b/crates/lease/tests/promises.rs
@@ -5,7 +5,7 @@
 
 /// Faults of all kinds for a while, then none; Err says what was broken.
 fn course(seed: u64, fence: bool, drift: u64) -> Result<(u64, usize), String> {
-    let mut dice = Dice(seed ^ 0x77);
+    let mut dice = Dice::new(seed ^ 0x77);
     let n = 2 + dice.below(4) as usize;
     let mut world = World::new(seed, n, fence, drift);
     world.run(5_000)?;
--- a/crates/membership/src/node.rs
+++ b/crates/membership/src/node.rs
@@ -1,6 +1,8 @@
 //! One member's part of the protocol.
 use crate::wire::{decode, encode, Body, Id, Message, State, Unfit, Update};
 use crate::Ms;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg32;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 
@@ -122,7 +124,7 @@
     rounds: u64,
     /// 0: answers come as they should; the higher the less its own word is worth.
     health: u64,
-    random: u64,
+    random: Pcg32,
     pub dropped: Dropped,
 }
 
@@ -147,7 +149,7 @@
             next: now,
             rounds: 0,
             health: 0,
-            random: seed,
+            random: Pcg32::seed_from_u64(seed),
             dropped: Dropped::default(),
         };
         // Those that start together don't go on in step.
@@ -219,8 +221,7 @@
     }
 
     fn below(&mut self, n: u64) -> u64 {
-        self.random = self.random.wrapping_mul(0x5851_f42d_4c95_7f2d).wrapping_add(0x1405_7b7e_f767_814f);
-        (self.random >> 33) % n.max(1)
+        self.random.random_range(0..n.max(1))
     }
 
     /// Members but itself that are thought to live.
--- a/crates/membership/src/wire.rs
+++ b/crates/membership/src/wire.rs
@@ -260,6 +260,8 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use rand::{RngExt, SeedableRng};
+    use rand_pcg::Pcg32;
 
     fn update(n: u64) -> Update {
         Update {
@@ -309,14 +311,9 @@
             hurt[at] ^= 0x40;
             assert!(decode(9, &hurt).is_err(), "byte {at}");
         }
-        let mut random = 5u64;
+        let mut random = Pcg32::seed_from_u64(5);
         for length in 0..LONGEST {
-            let noise: Vec<u8> = (0..length)
-                .map(|_| {
-                    random = random.wrapping_mul(0x5851_f42d_4c95_7f2d).wrapping_add(0x1405_7b7e_f767_814f);
-                    (random >> 56) as u8
-                })
-                .collect();
+            let noise: Vec<u8> = (0..length).map(|_| random.random()).collect();
             assert!(decode(9, &noise).is_err());
         }
     }
--- a/crates/membership/tests/network/mod.rs
+++ b/crates/membership/tests/network/mod.rs
@@ -1,18 +1,23 @@
 //! A network in memory, with its own time, that loses, delays, repeats, reorders and cuts. Everything follows from a seed.
 #![allow(dead_code)]
 use membership::{Config, Id, Ms, Node, State, View};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg32;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 pub const FLEET: u64 = 7;
 pub const INTERVAL: Ms = 1_000;
 
-pub struct Dice(pub u64);
+pub struct Dice(Pcg32);
 
 impl Dice {
+    pub fn new(seed: u64) -> Dice {
+        Dice(Pcg32::seed_from_u64(seed))
+    }
+
     pub fn below(&mut self, n: u64) -> u64 {
-        self.0 = self.0.wrapping_mul(0x5851_f42d_4c95_7f2d).wrapping_add(0x1405_7b7e_f767_814f);
-        (self.0 >> 33) % n.max(1)
+        self.0.random_range(0..n.max(1))
     }
 
     pub fn percent(&mut self, p: u64) -> bool {
@@ -74,7 +79,7 @@
             loss: 0,
             twice: 0,
             delay: 20,
-            dice: Dice(seed),
+            dice: Dice::new(seed),
             bytes: 0,
             datagrams: 0,
             longest: 0,
--- a/crates/membership/tests/protocol.rs
+++ b/crates/membership/tests/protocol.rs
@@ -6,7 +6,7 @@
 #[test]
 fn whatever_happens_all_that_can_talk_agree_once_it_is_over() {
     for seed in 0..1_500u64 {
-        let mut dice = Dice(seed ^ 0xabcd);
+        let mut dice = Dice::new(seed ^ 0xabcd);
         let n = 3 + dice.below(5) as usize;
         let mut net = Net::fleet(seed, n);
         let mut lives = vec![1u64; n];
@@ -261,7 +261,7 @@
     let mut words = Vec::new();
     foreign.tick(5_000, &mut words);
     let good = words.first().expect("it asks its seed").1.clone();
-    let mut dice = Dice(6);
+    let mut dice = Dice::new(6);
     for i in 0..4_000usize {
         let bytes = match i % 4 {
             0 => good.clone(),
--- a/crates/policy/src/rules/doubt.rs
+++ b/crates/policy/src/rules/doubt.rs
@@ -103,7 +103,7 @@
     /// A call goes out: sets when the next one may, should this route be in doubt by then.
     pub(super) fn space_trials(&mut self, id: RouteId) {
         let ramp = self.ramp(&self.routes[&id]);
-        let wait = (2e9 * self.random() / ramp) as Ns;
+        let wait = (2e9 * self.lot.draw() / ramp) as Ns;
         let most = SECOND * self.cfg.n_instances.max(3) as Ns;
         let route = self.routes.get_mut(&id).expect("a candidate's route is known");
         route.next_trial = self.now + wait.clamp(LEAST_SPACING, most);
--- a/crates/policy/src/rules/mod.rs
+++ b/crates/policy/src/rules/mod.rs
@@ -19,6 +19,7 @@
 use crate::agenda::Agenda;
 use crate::api::*;
 use crate::bucket::Bucket;
+use crate::lot::Lot;
 pub use asking::Asking;
 use caps::top;
 pub(crate) use state::*;
@@ -32,7 +33,7 @@
 #[derive(Default)]
 pub struct Sender {
     pub(crate) cfg: Settings,
-    random: u64,
+    lot: Lot,
     pub(crate) now: Ns,
     pub(crate) messages: BTreeMap<MsgId, Held>,
     open: usize,
@@ -62,7 +63,7 @@
 
 impl Sender {
     pub fn new(cfg: Settings, seed: u64) -> Sender {
-        Sender { cfg, random: seed, next_end: Ns::MAX, decided_at: LONG_AGO, ..Sender::default() }
+        Sender { cfg, lot: Lot::seeded(seed), next_end: Ns::MAX, decided_at: LONG_AGO, ..Sender::default() }
     }
 
     /// Takes all events of one batch, then decides.
@@ -110,10 +111,6 @@
         }
     }
 
-    fn random(&mut self) -> f64 {
-        asking::draw(&mut self.random)
-    }
-
     /// The periodic part: overdue calls, caps, and all held work is due for a look.
     fn sweep(&mut self) {
         self.notice_overdue();
--- a/crates/policy/src/rules/outcomes.rs
+++ b/crates/policy/src/rules/outcomes.rs
@@ -58,7 +58,7 @@
     /// Reads one call's outcome for its route: the limit's reports and the symptoms of an outage.
     pub(super) fn judge(&mut self, e: &AttemptEnd, route_id: RouteId, sent: Ns, overdue: bool) {
         let (now, n) = (self.now, self.cfg.n_instances.max(1) as f64);
-        let jitter = 0.5 + self.random();
+        let jitter = 0.5 + self.lot.draw();
         let Some(route) = self.routes.get_mut(&route_id) else { return };
         let Some(place) = self.endpoints.get_mut(&e.endpoint) else { return };
         let left = e.report.and_then(|report| route.reported(report));
--- a/crates/policy/src/rules/routing.rs
+++ b/crates/policy/src/rules/routing.rs
@@ -54,7 +54,7 @@
                 continue;
             }
             // Ties fall by lot: by the list's order all senders would take the same endpoint.
-            let lot = (self.random() * 1e9) as u64;
+            let lot = (self.lot.draw() * 1e9) as u64;
             let e = &self.endpoints[&place];
             let warm = if now - e.used_at < self.cfg.idle_close { e.warm } else { e.in_flight };
             let cold_conn = e.in_flight >= warm * self.cfg.streams_per_conn;
--- a/crates/sender/src/deadline.rs
+++ b/crates/sender/src/deadline.rs
@@ -178,6 +178,8 @@
     use journal::{encode_groups, read, Begun, Ending, Record, Taken, Whole};
     use policy::api::*;
     use policy::rules::Sender;
+    use rand::{RngExt, SeedableRng};
+    use rand_pcg::Pcg32;
     use std::collections::{BTreeMap, BTreeSet};
 
     const HOUR: i64 = 3_600_000;
@@ -259,12 +261,11 @@
         assert_eq!(left(Shift::new(None, noon, 50).end(noon + 1_000), 50), SECOND);
     }
 
-    struct Dice(u64);
+    struct Dice(Pcg32);
 
     impl Dice {
         fn below(&mut self, n: u64) -> u64 {
-            self.0 = self.0.wrapping_mul(0x5851_f42d_4c95_7f2d).wrapping_add(0x1405_7b7e_f767_814f);
-            (self.0 >> 33) % n
+            self.0.random_range(0..n)
         }
         fn one_in(&mut self, n: u64) -> bool {
             self.below(n) == 0
@@ -345,7 +346,7 @@
             };
             let (now, wall) = (Instant::now(), 1_700_000_000_000);
             let mut world = World {
-                dice: Dice(seed),
+                dice: Dice(Pcg32::seed_from_u64(seed)),
                 now,
                 wall,
                 start: now,
@@ -538,7 +539,7 @@
             assert!(file.is_sound());
             let ledger = Whole::new(0, &file).ledger;
             (self.start, self.own) = (self.now, Clock::new(self.now, self.wall));
-            self.sender = Sender::new(self.settings.clone(), self.dice.0);
+            self.sender = Sender::new(self.settings.clone(), self.dice.below(u64::MAX));
             self.list();
             let own = self.own.ms(self.now);
             let shift = Shift::new(ledger.stamp, self.wall, own);
--- a/crates/sender/src/life.rs
+++ b/crates/sender/src/life.rs
@@ -69,14 +69,13 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use rand::{RngExt, SeedableRng};
+    use rand_pcg::Pcg32;
 
     #[test]
     fn the_stages_of_a_message_add_up_to_its_life() {
-        let mut seed = 0x5eed_u64;
-        let mut draw = |n: u64| {
-            seed = seed.wrapping_mul(0x5851_f42d_4c95_7f2d).wrapping_add(0x1405_7b7e_f767_814f);
-            (seed >> 33) % n
-        };
+        let mut random = Pcg32::seed_from_u64(0x5eed);
+        let mut draw = |n: u64| random.random_range(0..n);
         for _ in 0..1_000 {
             let born = Instant::now();
             let mut life = Life::begin(Stage::Read, born);
--- a/crates/sender/src/pool.rs
+++ b/crates/sender/src/pool.rs
@@ -328,6 +328,8 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use rand::{RngExt, SeedableRng};
+    use rand_pcg::Pcg32;
     use std::collections::BTreeSet;
 
     fn ms(ms: u64) -> Duration {
@@ -464,11 +466,8 @@
     #[test]
     fn no_sequence_passes_a_bound_leaks_a_place_or_gives_a_connection_twice() {
         for seed in 0..300u64 {
-            let mut random = seed;
-            let mut below = |n: usize| {
-                random = random.wrapping_mul(0x5851_f42d_4c95_7f2d).wrapping_add(0x1405_7b7e_f767_814f);
-                (random >> 33) as usize % n.max(1)
-            };
+            let mut random = Pcg32::seed_from_u64(seed);
+            let mut below = |n: usize| random.random_range(0..n.max(1));
             let (mut book, mut now) = book();
             let (mut busy, mut dialling) = (BTreeSet::new(), BTreeSet::new());
             let mut waiting: BTreeSet<(EndpointId, u64)> = BTreeSet::new();
