--- a/crates/sender/src/calls.rs
+++ b/crates/sender/src/calls.rs
@@ -1,8 +1,8 @@
 //! Calls to endpoints: what is checked as one is written, and how each of its messages ended.
 use crate::connections::{request, Connection, Fault, Pool};
-use crate::core::Input;
 use crate::deadline::Allowance;
 use crate::figures::Figures;
+use crate::inbox::Input;
 use crate::pool::Reason;
 use crate::wire::MAX_BODY;
 use crate::wire::{Socket, MAX_HEADERS};
--- a/crates/sender/src/config.rs
+++ b/crates/sender/src/config.rs
@@ -1,7 +1,7 @@
 //! The environment and config.json: read at the start, and the file whole once more on SIGHUP.
-use crate::discovery::List;
 use crate::duties;
 use crate::fleet;
+use crate::list::List;
 use journal::Durability;
 use policy::api::Settings;
 use policy::settings::{self, Around};
--- a/crates/sender/src/control.rs
+++ b/crates/sender/src/control.rs
@@ -1,10 +1,10 @@
 //! The second address, for the operators: one call to a connection, answered under any load.
-use crate::core::Input;
 use crate::drain::{Drain, Evacuation, Rest, Stage};
 use crate::duties::Duties;
 use crate::figures::{self, Figures};
 use crate::fleet::{Fleet, STATES};
 use crate::handover::Folder;
+use crate::inbox::Input;
 use crate::server::Server;
 use crate::wire::MAX_BODY;
 use crate::wire::{MAX_HEAD, MAX_HEADERS};
--- a/crates/sender/src/discovery.rs
+++ b/crates/sender/src/discovery.rs
@@ -1,68 +1,13 @@
 //! The list of endpoints: what has changed since the one held, or the whole; then a watch that goes out again at once.
 use crate::connections::{self, Connection};
-use crate::core::Input;
-use crate::wire::MAX_NAME;
+use crate::inbox::Input;
+use crate::list::List;
 use policy::rules::Asking;
-use serde::Deserialize;
-use serde_json::Value;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::sync::{mpsc, watch};
 use tokio::time::{sleep, timeout};
 
-#[derive(Clone, Debug)]
-pub struct Instance {
-    pub name: String,
-    pub address: SocketAddr,
-    pub zone: String,
-    pub kind: String,
-    pub dest: u64,
-    pub lifecycle: String,
-    pub weight: f64,
-}
-
-#[derive(Deserialize, Clone, Debug, Default)]
-pub struct List {
-    #[serde(default)]
-    pub generation: u64,
-    #[serde(default)]
-    pub reset: bool,
-    #[serde(default)]
-    instances: Vec<Value>,
-}
-
-impl List {
-    /// The version that changes can be asked for by; none of an empty list, which may stand for none at all.
-    pub fn version(&self) -> Option<u64> {
-        (!self.instances.is_empty()).then_some(self.generation)
-    }
-
-    /// The entries that can be read; one that can't be does not cost the others.
-    pub fn instances(&self) -> impl Iterator<Item = Instance> + '_ {
-        self.instances.iter().filter_map(|v| {
-            let read = instance(v);
-            if read.is_none() {
-                tracing::warn!(entry = %v, "a list entry can't be read");
-            }
-            read
-        })
-    }
-}
-
-fn instance(v: &Value) -> Option<Instance> {
-    let text = |key: &str| v.get(key).and_then(Value::as_str);
-    let name = text("instanceId").filter(|n| n.len() <= MAX_NAME)?;
-    Some(Instance {
-        name: name.to_string(),
-        address: text("hostPort")?.parse().ok()?,
-        zone: text("zone").unwrap_or_default().to_string(),
-        kind: text("machineType").unwrap_or_default().to_string(),
-        dest: v.get("cell")?.as_u64()?,
-        lifecycle: text("lifecycle")?.to_string(),
-        weight: v.get("weight").and_then(Value::as_f64).unwrap_or(0.0),
-    })
-}
-
 /// How long a watch waits, and how much longer for its answer: the agent is silent while discovery is down,
 /// and a watch begun in that time may never be answered.
 const WAIT: Duration = Duration::from_secs(5);
@@ -130,10 +75,10 @@
                 }
                 asking.answered();
                 known = Some(list.generation);
-                let (whole, changes) = (list.reset, list.instances.len());
-                tracing::debug!(generation = list.generation, whole, changes, path, "discovery answers");
+                let (whole, news) = (list.reset, list.has_news());
+                tracing::debug!(generation = list.generation, whole, news, path, "discovery answers");
                 // The first one tells that the list held is fresh, also where it has no news.
-                let news = whole || changes > 0 || std::mem::take(&mut first);
+                let news = news || std::mem::take(&mut first);
                 if news && core.send(Input::List(list)).await.is_err() {
                     return;
                 }
--- a/crates/sender/src/handover.rs
+++ b/crates/sender/src/handover.rs
@@ -2,13 +2,12 @@
 //!
 //! Process N keeps `journal.N` and holds a lock on `owner.N`, which the kernel lets go when it dies. Only then is the
 //! file taken over and deleted. A process that lives is followed by reading its file; nobody writes another's.
-use crate::core::Input;
 use crate::deadline::wall_ms;
 use crate::disk::sync_folder;
 use crate::drain::Evacuation;
+use crate::inbox::{Elsewhere, Input};
 use crate::memory::{self, Budget};
 use journal::{decode, Durability, Ledger, Left, Live, Names, Release, Whole};
-use policy::api::DestId;
 use serde::{Deserialize, Serialize};
 use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet, HashSet};
@@ -347,17 +346,6 @@
     }
 }
 
-/// What the others hold of this sender's bounds.
-#[derive(Clone, Default, PartialEq)]
-pub struct Elsewhere {
-    pub sends: bool,
-    /// Destinations of the calls out.
-    pub calls: Vec<DestId>,
-    /// Messages that are not this process's yet.
-    pub held: usize,
-    pub bytes: u64,
-}
-
 /// Follows the others, and takes over what they yield or leave.
 pub struct Handover {
     folder: Rc<Folder>,
--- a/crates/sender/src/lib.rs
+++ b/crates/sender/src/lib.rs
@@ -13,7 +13,9 @@
 mod figures;
 mod fleet;
 mod handover;
+mod inbox;
 mod life;
+mod list;
 mod listen;
 mod memory;
 mod notices;
@@ -44,8 +46,6 @@
 const OWN_SOCKETS: usize = 24;
 /// How long the process before this one may take to leave it its part of the descriptors.
 const CLEAR: Duration = Duration::from_secs(2);
-/// Inputs that wait for the core. Clients are told 503 beyond it.
-const INBOX: usize = 2_048;
 
 /// How a process divides the descriptors that it may hold.
 struct Places {
@@ -67,7 +67,7 @@
 }
 
 /// Asks something of the core; false too where it has gone.
-async fn asked(core: &mpsc::Sender<core::Input>, what: fn(oneshot::Sender<bool>) -> core::Input) -> bool {
+async fn asked(core: &mpsc::Sender<inbox::Input>, what: fn(oneshot::Sender<bool>) -> inbox::Input) -> bool {
     let (reply, done) = oneshot::channel();
     let _ = core.send(what(reply)).await;
     done.await.unwrap_or(false)
@@ -105,7 +105,7 @@
     let mut journal = journal.map_err(state)?;
     journal.set_others(folder.bytes());
     let has_predecessor = folder.has_predecessor();
-    let (core_in, inbox) = mpsc::channel(INBOX);
+    let (core_in, inbox) = mpsc::channel(inbox::INBOX);
     let (notices_in, notices) = mpsc::unbounded_channel();
     let settings = &config.settings;
     let reserved = OWN_SOCKETS + config.control.map_or(0, |_| control::CALLERS + 1);
@@ -216,7 +216,7 @@
     let listener = listen::bind(listen).map_err(|e| format!("cannot listen on {listen}: {e}"))?;
     let accepting = spawn_local(server.clone().accept(listener, closing));
     // Written down before it is said: from now on the process before this one may be told to end.
-    asked(&core_in, core::Input::Listening).await;
+    asked(&core_in, inbox::Input::Listening).await;
     drain.listening(Instant::now());
 
     tokio::select! {
@@ -233,7 +233,7 @@
         spawn_local(async move { duties.leave().await });
     }
     // With a process to go on, clients find that one: nothing more need be taken here but what is on its way.
-    if !(folder.has_successor() && asked(&core_in, core::Input::Yield).await) {
+    if !(folder.has_successor() && asked(&core_in, inbox::Input::Yield).await) {
         sleep(ACCEPT_ON).await;
     }
     let _ = close.send(true);
@@ -244,7 +244,7 @@
         }
     };
     let _ = timeout((told + CLIENTS_GONE).saturating_duration_since(Instant::now()), gone).await;
-    let _ = core_in.send(core::Input::Wind(told + BEGIN_ON)).await;
+    let _ = core_in.send(inbox::Input::Wind(told + BEGIN_ON)).await;
     let _ = timeout((told + END).saturating_duration_since(Instant::now()), core_in.closed()).await;
     Ok(())
 }
--- a/crates/sender/src/notices.rs
+++ b/crates/sender/src/notices.rs
@@ -1,6 +1,6 @@
 //! Notices to the platform: each is posted until it has been answered, to whatever address discovery has now.
 use crate::connections::{request, Connection};
-use crate::core::Input;
+use crate::inbox::{Input, Notice};
 use crate::wire::MAX_BODY;
 use bytes::Bytes;
 use journal::Ending;
@@ -10,13 +10,6 @@
 use tokio::sync::{mpsc, watch};
 use tokio::time::{sleep, timeout};
 
-/// How a message that was taken on and not delivered has ended.
-pub struct Notice {
-    pub id: u64,
-    pub trace: String,
-    pub ending: Ending,
-}
-
 /// Notices in one post at most: with the longest names they stay within a body of 64 KiB.
 const BATCH: usize = 64;
 /// The platform answers at once; what is not answered in this time is posted again.
--- a/crates/sender/src/reload.rs
+++ b/crates/sender/src/reload.rs
@@ -1,8 +1,8 @@
 //! SIGHUP: the file of the configuration was replaced. All of it takes effect, or none.
 use crate::config;
 use crate::connections::Pool;
-use crate::core::Input;
 use crate::figures::{bump, Figures};
+use crate::inbox::Input;
 use crate::server::{Server, Terms};
 use serde_json::Value;
 use std::net::SocketAddr;
--- a/crates/sender/src/server.rs
+++ b/crates/sender/src/server.rs
@@ -1,8 +1,8 @@
 //! Clients in: takes requests, checks their form, and hands them to the core.
-use crate::core::{Input, Reply};
 use crate::deadline::Deadline;
 use crate::drain::Drain;
 use crate::figures::{End, Figures};
+use crate::inbox::{Input, Reply};
 use crate::life::{Life, Stage};
 use crate::listen;
 use crate::memory::{self, Budget};
