--- a/crates/ctl/src/permits.rs
+++ b/crates/ctl/src/permits.rs
@@ -25,7 +25,7 @@
 /// Asks for a permit and waits for its turn, as long as there is time.
 pub async fn ask(place: &Place, machine: &str, until: Instant) -> Result<Permit, String> {
     let ttl = Duration::from_secs(place.ttl_s);
-    let store = Rc::new(Store::new(place.addresses.clone(), ttl / 4));
+    let store = Rc::new(Store::new(Rc::new(machine::Real), place.addresses.clone(), ttl / 4));
     let (lease, _) = store.grant(place.ttl_s).await.map_err(|trouble| trouble.to_string())?;
     let path = |what: &str| format!("{}duties/drain-permits/{what}/{machine}", place.prefix);
     let (wanted, given) = (path("wanted"), path("given"));
--- a/crates/sender/src/listen.rs
+++ b/crates/machine/src/listen.rs
@@ -1,4 +1,4 @@
-//! The clients' listener, which two processes of a sender share while one takes over from the other.
+//! Listening sockets, which two processes of a program may share while one takes over from the other.
 use socket2::{Domain, Protocol, Socket, Type};
 use std::io;
 use std::net::SocketAddr;
@@ -7,11 +7,11 @@
 
 const QUEUE: i32 = 1_024;
 
-/// Another process of this sender may listen there too.
-pub fn bind(at: SocketAddr) -> io::Result<TcpListener> {
+/// `shared`: another process may listen there too.
+pub fn bind(at: SocketAddr, shared: bool) -> io::Result<TcpListener> {
     let socket = Socket::new(Domain::for_address(at), Type::STREAM, Some(Protocol::TCP))?;
     socket.set_reuse_address(true)?;
-    socket.set_reuse_port(true)?;
+    socket.set_reuse_port(shared)?;
     socket.set_nonblocking(true)?;
     socket.bind(&at.into())?;
     socket.listen(QUEUE)?;
@@ -63,9 +63,9 @@
 
     #[tokio::test]
     async fn a_close_loses_nothing_and_all_that_come_after_it_find_the_newer_listener() {
-        let old = bind("127.0.0.1:0".parse().unwrap()).unwrap();
+        let old = bind("127.0.0.1:0".parse().unwrap(), true).unwrap();
         let at = old.local_addr().unwrap();
-        let new = bind(at).unwrap();
+        let new = bind(at, true).unwrap();
         let connect = || std::net::TcpStream::connect(at).unwrap();
         let clients: Vec<_> = (0..64).map(|_| connect()).collect();
         let waiting = close(old);
--- a/crates/remote/src/store.rs
+++ b/crates/remote/src/store.rs
@@ -7,11 +7,12 @@
 use hyper::client::conn::http1;
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
+use machine::{Conn, Machine};
 use serde_json::{json, Value};
 use std::cell::Cell;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 use tokio::time::timeout;
 
@@ -56,6 +57,7 @@
 }
 
 pub struct Store {
+    machine: Rc<dyn Machine>,
     endpoints: Vec<SocketAddr>,
     /// Which is asked first: the one that answered last.
     first: Cell<usize>,
@@ -114,8 +116,8 @@
 }
 
 impl Store {
-    pub fn new(endpoints: Vec<SocketAddr>, patience: Duration) -> Store {
-        Store { endpoints, first: Cell::new(0), patience }
+    pub fn new(machine: Rc<dyn Machine>, endpoints: Vec<SocketAddr>, patience: Duration) -> Store {
+        Store { machine, endpoints, first: Cell::new(0), patience }
     }
 
     /// One that is listed but dead is passed over. What was written to one is not written to another: whether it was
@@ -125,7 +127,7 @@
         for i in 0..self.endpoints.len() {
             let at = (self.first.get() + i) % self.endpoints.len();
             let endpoint = self.endpoints[at];
-            let stream = match timeout(self.patience, TcpStream::connect(endpoint)).await {
+            let stream = match timeout(self.patience, self.machine.dial(endpoint)).await {
                 Ok(Ok(stream)) => stream,
                 Ok(Err(error)) => {
                     why = format!("{endpoint}: {error}");
@@ -136,9 +138,9 @@
                     continue;
                 }
             };
-            let made = http1::handshake(TokioIo::new(stream)).await;
+            let made = http1::handshake(TokioIo::new(Conn(stream))).await;
             let (mut sender, connection) = made.map_err(|e| Trouble::Unreached(e.to_string()))?;
-            let task = Task(tokio::spawn(connection).abort_handle());
+            let task = Task(tokio::task::spawn_local(connection).abort_handle());
             let request = Request::post(path)
                 .header("host", endpoint.to_string())
                 .header("content-type", "application/json")
--- a/crates/sender/src/connections.rs
+++ b/crates/sender/src/connections.rs
@@ -8,6 +8,7 @@
 use hyper::header::{HeaderMap, HeaderName, HeaderValue, HOST};
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
+use machine::Machine;
 use policy::api::{DestId, EndpointId, Ns, Outcome, MS};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -15,7 +16,6 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::TcpStream;
 use tokio::sync::oneshot;
 use tokio::task::JoinHandle;
 use tokio::time::{timeout, Instant};
@@ -63,8 +63,8 @@
 }
 
 impl Connection {
-    pub async fn open(at: SocketAddr, dial: Duration) -> io::Result<Connection> {
-        let socket = Socket::new(timeout(dial, TcpStream::connect(at)).await??);
+    pub async fn open(machine: &dyn Machine, at: SocketAddr, dial: Duration) -> io::Result<Connection> {
+        let socket = Socket::new(timeout(dial, machine.dial(at)).await??);
         let made = http1::Builder::new()
             .title_case_headers(true)
             .max_buf_size(MAX_HEAD)
@@ -83,13 +83,14 @@
 
     /// The connection that was kept from the exchange before, if it still stands and leads to that address.
     pub async fn kept_or_new(
+        machine: &dyn Machine,
         kept: &mut Option<Connection>,
         at: SocketAddr,
         dial: Duration,
     ) -> io::Result<Connection> {
         match kept.take().filter(|link| link.at == at && link.is_open()) {
             Some(link) => Ok(link),
-            None => Connection::open(at, dial).await,
+            None => Connection::open(machine, at, dial).await,
         }
     }
 
@@ -196,6 +197,7 @@
 
 /// The connections to endpoints.
 pub struct Pool {
+    machine: Rc<dyn Machine>,
     turnover: Cell<Turnover>,
     pub dial: Cell<Duration>,
     book: Rc<RefCell<Book>>,
@@ -219,9 +221,10 @@
 }
 
 impl Pool {
-    pub fn new(dial: Ns, idle: Ns, most: usize) -> Pool {
+    pub fn new(machine: Rc<dyn Machine>, dial: Ns, idle: Ns, most: usize) -> Pool {
         let bounds = Bounds { most, dials: DIALS, dials_each: DIALS_EACH, idle: Duration::ZERO };
         let pool = Pool {
+            machine,
             turnover: Cell::default(),
             dial: Cell::default(),
             book: Rc::new(RefCell::new(Book::new(bounds))),
@@ -429,7 +432,7 @@
         };
         let (pool, begun) = (self.clone(), Instant::now());
         tokio::task::spawn_local(async move {
-            match Connection::open(address, pool.dial.get()).await {
+            match Connection::open(&*pool.machine, address, pool.dial.get()).await {
                 Ok(mut link) => {
                     link.counted = Some(Counted { book: pool.book.clone(), id });
                     pool.count(|t| {
@@ -540,7 +543,7 @@
         let run = async {
             let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
             let at = listener.local_addr().unwrap();
-            let mut link = Connection::open(at, Duration::from_secs(5)).await.unwrap();
+            let mut link = Connection::open(&machine::Real, at, Duration::from_secs(5)).await.unwrap();
             let (mut there, _) = listener.accept().unwrap();
             let socket = link.socket.clone();
             let asked = request("POST", "/v1/messages", at, &[], Bytes::from_static(b"x"));
--- a/crates/sender/src/control.rs
+++ b/crates/sender/src/control.rs
@@ -16,13 +16,13 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
+use machine::{Conn, Listener, Stream};
 use serde_json::{json, Value};
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::convert::Infallible;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::AbortHandle;
 use tokio::time::{sleep, timeout, Instant};
@@ -151,11 +151,11 @@
     }
 
     /// Never ends. No caller waits for another: each is served by a task of its own.
-    pub async fn serve(self: Rc<Self>, listener: TcpListener) {
+    pub async fn serve(self: Rc<Self>, listener: Box<dyn Listener>) {
         let callers: RefCell<VecDeque<AbortHandle>> = RefCell::default();
         loop {
             let stream = match listener.accept().await {
-                Ok((stream, _)) => stream,
+                Ok(stream) => stream,
                 Err(error) => {
                     tracing::warn!(%error, "cannot accept on the control address");
                     sleep(Duration::from_millis(20)).await;
@@ -172,15 +172,14 @@
         }
     }
 
-    async fn caller(self: Rc<Self>, stream: TcpStream) {
-        let _ = stream.set_nodelay(true);
+    async fn caller(self: Rc<Self>, stream: Box<dyn Stream>) {
         let service = service_fn(|request| {
             let control = self.clone();
             async move { Ok::<_, Infallible>(control.answer(request).await) }
         });
         let mut http = Builder::new();
         http.keep_alive(false).max_buf_size(MAX_HEAD).max_headers(MAX_HEADERS);
-        let _ = timeout(PATIENCE, http.serve_connection(TokioIo::new(stream), service)).await;
+        let _ = timeout(PATIENCE, http.serve_connection(TokioIo::new(Conn(stream)), service)).await;
     }
 
     async fn answer(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
--- a/crates/sender/src/core/mod.rs
+++ b/crates/sender/src/core/mod.rs
@@ -15,15 +15,15 @@
 
 use crate::calls::{Cancel, Client};
 use crate::classes::Classes;
-use crate::config::Config;
 use crate::connections::Turnover;
-use crate::deadline::{wall_ms, Clock, Deadline};
+use crate::deadline::{Clock, Deadline};
 use crate::disk::Log;
 use crate::drain::{Drain, Rest};
 use crate::figures::{End, Figures, Gauges};
 use crate::inbox::{Input, Notice};
 use crate::life::{Life, Stage};
 use journal::{first_id, Record, Stamp, Taken};
+use machine::Machine;
 use policy::api::*;
 use policy::rules::Sender;
 use policy::settings::Around;
@@ -73,7 +73,25 @@
     closed: Option<Instant>,
 }
 
+/// What a core is made of.
+pub struct Parts {
+    pub machine: Rc<dyn Machine>,
+    pub settings: Settings,
+    pub around: Around,
+    pub seed: u64,
+    pub journal: Log,
+    /// The journal's, which the numbers of its messages begin with.
+    pub number: u64,
+    /// For what is written down.
+    pub own: Clock,
+    pub drain: Rc<Drain>,
+    pub client: Rc<Client>,
+    pub inbox: mpsc::Receiver<Input>,
+    pub notices: mpsc::UnboundedSender<Notice>,
+}
+
 pub struct Core {
+    machine: Rc<dyn Machine>,
     sender: Sender,
     settings: Settings,
     around: Around,
@@ -144,20 +162,15 @@
 const STANDS: Ns = SECOND;
 
 impl Core {
-    pub fn new(
-        config: Config,
-        (number, journal, own): (u64, Log, Clock),
-        drain: Rc<Drain>,
-        client: Rc<Client>,
-        inbox: mpsc::Receiver<Input>,
-        notices: mpsc::UnboundedSender<Notice>,
-    ) -> Core {
-        let (start, wall) = (Instant::now(), wall_ms());
+    pub fn new(parts: Parts) -> Core {
+        let Parts { machine, settings, around, seed, journal, number, own, drain, client, inbox, notices } =
+            parts;
+        let start = Instant::now();
         Core {
-            sender: Sender::new(config.settings.clone(), config.seed),
-            classes: Classes::new(&config.settings, &config.around),
-            settings: config.settings,
-            around: config.around,
+            sender: Sender::new(settings.clone(), seed),
+            classes: Classes::new(&settings, &around),
+            settings,
+            around,
             next_id: first_id(number),
             journal,
             drain,
@@ -167,7 +180,8 @@
             notices,
             start,
             own,
-            last_stamp: own.stamp(start, wall),
+            last_stamp: own.stamp(start, machine.wall_ms()),
+            machine,
             names: HashMap::new(),
             dests: HashSet::new(),
             endpoints: HashMap::new(),
--- a/crates/sender/src/core/passing.rs
+++ b/crates/sender/src/core/passing.rs
@@ -36,7 +36,7 @@
     pub(super) async fn take_over(&mut self, left: Left, events: &mut Vec<Event>) -> bool {
         let Left { messages: mut left, seen: ended, .. } = left;
         left.retain(|live| !self.journal.has_seen(live.taken.id));
-        let (now, wall) = (Instant::now(), wall_ms());
+        let (now, wall) = (Instant::now(), self.machine.wall_ms());
         let own = self.own.ms(now);
         left.iter_mut().for_each(|live| *live = Shift::new(live.stamp, wall, own).apply(live));
         let records = left.iter().flat_map(Live::records);
--- a/crates/sender/src/core/tests/mod.rs
+++ b/crates/sender/src/core/tests/mod.rs
@@ -4,10 +4,9 @@
 use crate::disk::Disk;
 use crate::inbox::Reply;
 use crate::life::Life;
-use crate::list::List;
 use journal::storage::Storage;
 use journal::{Durability, Ending, Journal, Left, Names};
-use serde_json::{json, Value};
+use serde_json::json;
 use std::fs::File;
 use std::io;
 use std::path::{Path, PathBuf};
@@ -94,38 +93,36 @@
     let known = serde_json::from_value(json!({"generation": 1, "reset": true, "instances": [{
         "instanceId": "e-1", "hostPort": "127.0.0.1:9", "zone": "z", "machineType": "plain", "cell": 7,
         "lifecycle": "Terminating", "weight": 1.0, "startedAtMs": 0}]}));
-    let nowhere = "127.0.0.1:9".parse().unwrap();
-    let config = Config {
-        listen: nowhere,
-        discovery: nowhere,
-        control: None,
-        state: folder.clone(),
-        name: "n0".into(),
-        registry: None,
-        membership: None,
-        duties: None,
-        seed: 1,
-        limits: crate::config::Limits { memory_mb: 32.0, sockets: 256, disk_mb: 1.0 },
-        durability: Durability::Power,
-        known: List::default(),
-        settings: settings.clone(),
-        around,
-        file: Value::Null,
-    };
     let plan = Arc::new(Mutex::new(Plan::default()));
-    let clock = Clock::new(Instant::now(), wall_ms());
+    let machine = Rc::new(machine::Real);
+    let wall = machine.wall_ms();
+    let own = Clock::new(Instant::now(), wall);
     let keeper: crate::disk::Keeper = Box::new(Failing(Disk::new(&folder), plan.clone()));
     let names = Names { file: "journal.1".into(), rewrite: "rewrite.1".into() };
-    let stamp = clock.stamp(Instant::now(), wall_ms());
+    let stamp = own.stamp(Instant::now(), wall);
     let journal = Journal::create(keeper, names, 1, 1.0, Durability::Power, 7, stamp).unwrap();
     let (core_in, inbox) = mpsc::channel(64);
     let (notices_in, notices) = mpsc::unbounded_channel();
-    let pool = Rc::new(Pool::new(settings.dial_timeout, settings.idle_close, 8));
+    let pool = Rc::new(Pool::new(machine.clone(), settings.dial_timeout, settings.idle_close, 8));
     let client = Rc::new(Client { core: core_in.clone(), figures: Rc::default(), pool });
     let drain = Rc::new(Drain::new(Instant::now()));
     drain.listening(Instant::now());
-    let journal = (1, Log::new(journal), clock);
-    let mut core = Core::new(config, journal, drain.clone(), client, inbox, notices_in);
+    let journal = Log::new(journal);
+    let (seed, number) = (1, 1);
+    let parts = Parts {
+        machine,
+        settings,
+        around,
+        seed,
+        journal,
+        number,
+        own,
+        drain: drain.clone(),
+        client,
+        inbox,
+        notices: notices_in,
+    };
+    let mut core = Core::new(parts);
     core.resume(known.unwrap(), Left::default(), false).await;
     spawn_local(core.run());
     Stand { core: core_in, drain, plan, notices, folder }
--- a/crates/sender/src/core/writing.rs
+++ b/crates/sender/src/core/writing.rs
@@ -5,7 +5,7 @@
 
 impl Core {
     pub(super) fn stamp(&self) -> Stamp {
-        self.own.stamp(Instant::now(), wall_ms())
+        self.own.stamp(Instant::now(), self.machine.wall_ms())
     }
 
     /// Says in the journal that the wall clock was set, while that matters to what is held.
--- a/crates/sender/src/deadline.rs
+++ b/crates/sender/src/deadline.rs
@@ -6,7 +6,7 @@
 use journal::{Live, Stamp};
 use policy::api::{Ns, MS};
 use std::sync::Arc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 use tokio::time::Instant;
 
 /// When a message's time is up. Every stage that it goes through is bounded by this and by nothing later.
@@ -86,11 +86,6 @@
     }
 }
 
-/// Milliseconds of Unix time, as the wall clock has them now.
-pub fn wall_ms() -> i64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as i64)
-}
-
 /// A process's own clock for what it writes down: the wall clock as it was at the start, and the time since. Setting
 /// the wall clock later does not change it.
 #[derive(Clone, Copy, Debug)]
--- a/crates/sender/src/discovery.rs
+++ b/crates/sender/src/discovery.rs
@@ -2,8 +2,10 @@
 use crate::connections::{self, Connection};
 use crate::inbox::Input;
 use crate::list::List;
+use machine::Machine;
 use policy::rules::Asking;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::{mpsc, watch};
 use tokio::time::{sleep, timeout};
@@ -16,8 +18,13 @@
 const PATIENCE: Duration = Duration::from_millis(2_500);
 const MAX_LIST: usize = 1 << 20;
 
-async fn get(connection: &mut Option<Connection>, at: SocketAddr, path: &str) -> Result<List, String> {
-    let kept = Connection::kept_or_new(connection, at, Duration::from_secs(1)).await;
+async fn get(
+    machine: &dyn Machine,
+    connection: &mut Option<Connection>,
+    at: SocketAddr,
+    path: &str,
+) -> Result<List, String> {
+    let kept = Connection::kept_or_new(machine, connection, at, Duration::from_secs(1)).await;
     let mut link = kept.map_err(|e| e.to_string())?;
     let request = connections::request("GET", path, at, &[], Default::default());
     let (status, _, body) = link.exchange(request, MAX_LIST).await.map_err(|e| e.to_string())?;
@@ -34,6 +41,7 @@
 /// its address changes, what is under way at the old one is dropped at once, and the new one is first asked for a
 /// whole list.
 pub async fn follow(
+    machine: Rc<dyn Machine>,
     mut place: watch::Receiver<SocketAddr>,
     core: mpsc::Sender<Input>,
     mut known: Option<u64>,
@@ -53,7 +61,7 @@
         let asked = tokio::select! {
             biased;
             Ok(()) = place.changed() => None,
-            asked = timeout(allowed, get(&mut connection, at, &path)) => {
+            asked = timeout(allowed, get(&*machine, &mut connection, at, &path)) => {
                 Some(asked.unwrap_or(Err("is silent".into())))
             }
         };
--- a/crates/sender/src/duties.rs
+++ b/crates/sender/src/duties.rs
@@ -2,6 +2,7 @@
 //! messages never depend on it.
 use crate::drain::{Drain, Stage};
 use lease::{grants, Ask, Candidate, Change, Config, Duty, Request, Told};
+use machine::Machine;
 use remote::store::{Entry, If, Store, Trouble};
 use serde::Deserialize;
 use serde_json::{json, Value};
@@ -72,13 +73,19 @@
 }
 
 impl Duties {
-    pub fn new(settings: Settings, name: &str, drain: Rc<Drain>, seed: u64) -> Duties {
+    pub fn new(
+        machine: Rc<dyn Machine>,
+        settings: Settings,
+        name: &str,
+        drain: Rc<Drain>,
+        seed: u64,
+    ) -> Duties {
         let ttl = settings.ttl_s * 1_000;
         let prefix = format!("{}duties/drain-permits/holders/", settings.prefix);
         let value = format!("{name} (process {})", std::process::id());
         let config = Config { prefix, value, ttl, drift: DRIFT, retry: RETRY.min(ttl / 4) };
         // An answer that takes longer than this leaves no time to act on it.
-        let store = Store::new(settings.store.clone(), Duration::from_millis(ttl / 4));
+        let store = Store::new(machine, settings.store.clone(), Duration::from_millis(ttl / 4));
         Duties {
             settings,
             name: name.to_string(),
--- a/crates/sender/src/fleet.rs
+++ b/crates/sender/src/fleet.rs
@@ -1,5 +1,6 @@
 //! The membership protocol on a real socket: who of the fleet is present, for operators to see. Nothing that concerns a
 //! message rests on it; where it is broken or off the sender does the same.
+use machine::{Datagrams, Machine};
 use membership::{Config, Dropped, Id, Node, State, View, LONGEST, MAX_NAME};
 use serde::Deserialize;
 use serde_json::{json, Value};
@@ -7,7 +8,6 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 use tokio::time::{sleep, sleep_until, Instant};
 
@@ -55,6 +55,7 @@
 }
 
 pub struct Fleet {
+    machine: Rc<dyn Machine>,
     settings: Settings,
     name: String,
     life: u64,
@@ -78,12 +79,13 @@
 
 impl Fleet {
     /// `life`: higher than that of any process of this name before.
-    pub fn new(settings: Settings, name: &str, life: u64, seed: u64) -> Fleet {
+    pub fn new(machine: Rc<dyn Machine>, settings: Settings, name: &str, life: u64, seed: u64) -> Fleet {
         let mut name = name.to_string();
         while name.len() > MAX_NAME {
             name.pop();
         }
         Fleet {
+            machine,
             settings,
             name,
             life,
@@ -104,7 +106,7 @@
     pub async fn run(self: Rc<Self>) {
         let mut failing = false;
         let socket = loop {
-            match UdpSocket::bind(self.settings.address).await {
+            match self.machine.datagrams(self.settings.address) {
                 Ok(socket) => break socket,
                 Err(error) => {
                     if !std::mem::replace(&mut failing, true) {
@@ -118,7 +120,7 @@
                 }
             }
         };
-        let address = socket.local_addr().unwrap_or(self.settings.address);
+        let address = socket.address().unwrap_or(self.settings.address);
         let mut config = Config::new(number(&self.settings.fleet), self.settings.seeds.clone());
         config.interval = self.settings.interval;
         config.timeout = self.settings.interval * 3 / 10;
@@ -131,7 +133,7 @@
             let wake = self.node.borrow().as_ref().map_or(0, Node::wake);
             let came = tokio::select! {
                 // A receive that fails tells of a datagram that did not arrive; the next may.
-                came = socket.recv_from(&mut buffer) => came.ok(),
+                came = socket.receive(&mut buffer) => came.ok(),
                 () = sleep_until(self.start + Duration::from_millis(wake)) => None,
                 () = self.leave.notified() => break,
             };
@@ -142,14 +144,14 @@
                 }
                 node.tick(self.now(), &mut out);
             }
-            send(&socket, out).await;
+            send(&*socket, out).await;
         }
         for _ in 0..SAID {
             let mut out = Vec::new();
             if let Some(node) = self.node.borrow_mut().as_mut() {
                 node.leave_again(&mut out);
             }
-            send(&socket, out).await;
+            send(&*socket, out).await;
             sleep(BETWEEN).await;
         }
         self.left.notify_one();
@@ -183,9 +185,9 @@
     }
 }
 
-async fn send(socket: &UdpSocket, out: Vec<(SocketAddr, Vec<u8>)>) {
+async fn send(socket: &dyn Datagrams, out: Vec<(SocketAddr, Vec<u8>)>) {
     for (to, bytes) in out {
         // One that can't be sent is one that is lost.
-        let _ = socket.send_to(&bytes, to).await;
+        let _ = socket.send(&bytes, to).await;
     }
 }
--- a/crates/sender/src/handover.rs
+++ b/crates/sender/src/handover.rs
@@ -2,12 +2,12 @@
 //!
 //! Process N keeps `journal.N` and holds a lock on `owner.N`, which the kernel lets go when it dies. Only then is the
 //! file taken over and deleted. A process that lives is followed by reading its file; nobody writes another's.
-use crate::deadline::wall_ms;
 use crate::disk::sync_folder;
 use crate::drain::Evacuation;
 use crate::inbox::{Elsewhere, Input};
 use crate::memory::{self, Budget};
 use journal::{decode, Durability, Ledger, Left, Live, Names, Release, Whole};
+use machine::Machine;
 use serde::{Deserialize, Serialize};
 use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet, HashSet};
@@ -38,6 +38,7 @@
 
 /// The folder, and this process's number in it.
 pub struct Folder {
+    machine: Rc<dyn Machine>,
     path: PathBuf,
     pub own: u64,
     /// What is deleted must be gone for good before its messages are forgotten.
@@ -50,7 +51,7 @@
 
 impl Folder {
     /// Takes the next number. The lock is held before its name is there, so nobody finds it without its owner.
-    pub fn enter(path: &Path, durability: Durability) -> io::Result<Folder> {
+    pub fn enter(machine: Rc<dyn Machine>, path: &Path, durability: Durability) -> io::Result<Folder> {
         for stale in fs::read_dir(path)?.flatten() {
             let unnumbered = stale.file_name().to_string_lossy().starts_with(UNNUMBERED);
             if unnumbered && File::open(stale.path()).is_ok_and(|lock| lock.try_lock().is_ok()) {
@@ -79,7 +80,7 @@
         if lasts {
             sync_folder(path)?;
         }
-        Ok(Folder { path: path.to_path_buf(), own, lasts, is_open: Cell::new(false), _lock: lock })
+        Ok(Folder { machine, path: path.to_path_buf(), own, lasts, is_open: Cell::new(false), _lock: lock })
     }
 
     /// The names of its own journal and of that file's rewrite.
@@ -118,7 +119,7 @@
     /// Notes that this process sends its clients away, for those that come after it.
     pub fn note_drain(&self, evacuation: Option<Evacuation>, now: Instant) -> io::Result<()> {
         let within = evacuation.map(|e| e.by.saturating_duration_since(now).as_millis() as i64);
-        let note = Note { by: within.map(|ms| wall_ms().saturating_add(ms)), within };
+        let note = Note { by: within.map(|ms| self.machine.wall_ms().saturating_add(ms)), within };
         let (new, path) = (self.path.join(format!("new-{DRAIN}.{}", self.own)), self.drain_path(self.own));
         let file = File::create(&new)?;
         file.write_all_at(&serde_json::to_vec(&note)?, 0)?;
@@ -158,7 +159,7 @@
             let is_dead = lock.is_some();
             let note = note.unwrap_or_default();
             if !is_dead || note.by.is_some() {
-                let evacuation = note.evacuation(now);
+                let evacuation = note.evacuation(now, self.machine.wall_ms());
                 let sooner = found.flatten().into_iter().chain(evacuation).min_by_key(|e| e.by);
                 found = Some(sooner);
             }
@@ -259,8 +260,8 @@
 }
 
 impl Note {
-    fn evacuation(&self, now: Instant) -> Option<Evacuation> {
-        let left = self.by?.saturating_sub(wall_ms()).clamp(0, self.within.unwrap_or(0).max(0));
+    fn evacuation(&self, now: Instant, wall: i64) -> Option<Evacuation> {
+        let left = self.by?.saturating_sub(wall).clamp(0, self.within.unwrap_or(0).max(0));
         Some(Evacuation::new(now, Duration::from_millis(left as u64)))
     }
 }
@@ -502,7 +503,7 @@
         fs::create_dir_all(&path).unwrap();
         let stamp = Stamp { own: 0, wall: 0 };
         let enter = || {
-            let folder = Folder::enter(&path, Durability::Power).unwrap();
+            let folder = Folder::enter(Rc::new(machine::Real), &path, Durability::Power).unwrap();
             let (disk, names) = (Disk::new(&path), folder.names());
             let journal = Journal::create(disk, names, folder.own, 1.0, Durability::Power, 7, stamp).unwrap();
             (folder, journal)
--- a/crates/sender/src/notices.rs
+++ b/crates/sender/src/notices.rs
@@ -4,8 +4,10 @@
 use crate::wire::MAX_BODY;
 use bytes::Bytes;
 use journal::Ending;
+use machine::Machine;
 use serde_json::json;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::{mpsc, watch};
 use tokio::time::{sleep, timeout};
@@ -26,6 +28,7 @@
 
 /// Ends once the core has gone. What was not answered by then is in the journal.
 pub async fn run(
+    machine: Rc<dyn Machine>,
     mut place: watch::Receiver<SocketAddr>,
     mut notices: mpsc::UnboundedReceiver<Notice>,
     core: mpsc::Sender<Input>,
@@ -43,7 +46,7 @@
                 biased;
                 // What is under way at the old address may never be answered: a repeat does no harm.
                 Ok(()) = place.changed() => continue,
-                posted = timeout(PATIENCE, post(&mut connection, at, &batch[..count])) => posted,
+                posted = timeout(PATIENCE, post(&*machine, &mut connection, at, &batch[..count])) => posted,
             };
             match posted.unwrap_or_else(|_| Err(Failure::Other("is silent".into()))) {
                 Ok(()) => {
@@ -77,9 +80,14 @@
     }
 }
 
-async fn post(connection: &mut Option<Connection>, at: SocketAddr, batch: &[Notice]) -> Result<(), Failure> {
+async fn post(
+    machine: &dyn Machine,
+    connection: &mut Option<Connection>,
+    at: SocketAddr,
+    batch: &[Notice],
+) -> Result<(), Failure> {
     let other = |e: String| Failure::Other(e);
-    let kept = Connection::kept_or_new(connection, at, PATIENCE).await;
+    let kept = Connection::kept_or_new(machine, connection, at, PATIENCE).await;
     let mut link = kept.map_err(|e| other(e.to_string()))?;
     let headers = [("content-type", "application/x-ndjson")];
     let request = request("POST", "/reports", at, &headers, lines(batch));
--- a/crates/sender/src/server.rs
+++ b/crates/sender/src/server.rs
@@ -4,7 +4,6 @@
 use crate::figures::{End, Figures};
 use crate::inbox::{Input, Reply};
 use crate::life::{Life, Stage};
-use crate::listen;
 use crate::memory::{self, Budget};
 use crate::wire::MAX_BODY;
 use crate::wire::{Io, Socket, MAX_HEAD, MAX_HEADERS};
@@ -17,6 +16,7 @@
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use journal::Taken;
+use machine::{Listener, Stream};
 use policy::api::{self, Effect, Settings};
 use policy::settings::Around;
 use std::cell::{Cell, RefCell};
@@ -25,7 +25,6 @@
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, oneshot, watch, Notify};
 use tokio::time::{sleep, sleep_until, timeout, timeout_at, Instant};
 
@@ -111,14 +110,27 @@
 }
 
 impl Server {
+    pub fn new(
+        core: mpsc::Sender<Input>,
+        terms: Rc<Terms>,
+        budget: Budget,
+        drain: Rc<Drain>,
+        figures: Rc<Figures>,
+        (most, turned_away): (usize, usize),
+    ) -> Server {
+        let (open, number, guests) = Default::default();
+        let (most, turned_away) = (most.into(), turned_away.into());
+        Server { core, terms: terms.into(), budget, drain, figures, most, turned_away, open, number, guests }
+    }
+
     /// Accepts until `closing` says so; who waits in the queue then is served too.
-    pub async fn accept(self: Rc<Self>, listener: TcpListener, mut closing: watch::Receiver<bool>) {
+    pub async fn accept(self: Rc<Self>, listener: Box<dyn Listener>, mut closing: watch::Receiver<bool>) {
         let mut failing = false;
         loop {
             let stream = tokio::select! {
                 _ = closing.wait_for(|c| *c) => break,
                 accepted = listener.accept() => match accepted {
-                    Ok((stream, _)) => stream,
+                    Ok(stream) => stream,
                     Err(error) => {
                         // Out of descriptors, say: the sender goes on with those that it has.
                         if !std::mem::replace(&mut failing, true) {
@@ -132,10 +144,10 @@
             failing = false;
             self.clone().welcome(stream);
         }
-        listen::close(listener).into_iter().for_each(|stream| self.clone().welcome(stream));
+        listener.close().into_iter().for_each(|stream| self.clone().welcome(stream));
     }
 
-    fn welcome(self: Rc<Self>, stream: TcpStream) {
+    fn welcome(self: Rc<Self>, stream: Box<dyn Stream>) {
         // Never left waiting: a client that is not accepted can't be told anything.
         let full = self.guests.borrow().len() >= self.most.get() && !self.make_place();
         if full && self.open.get() >= self.most.get() + self.turned_away.get() {
--- a/crates/sender/src/wire.rs
+++ b/crates/sender/src/wire.rs
@@ -1,14 +1,12 @@
-//! A TCP socket under the HTTP library, shared with its owner: it tells what the library does not.
-use socket2::SockRef;
+//! A connection under the HTTP library, shared with its owner: it tells what the library does not.
+use machine::Stream;
 use std::cell::{Cell, RefCell};
+use std::future::poll_fn;
 use std::io;
-use std::mem::MaybeUninit;
-use std::net::Shutdown;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{ready, Context, Poll};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
@@ -22,7 +20,7 @@
 pub const MAX_HEADERS: usize = 64;
 
 pub struct Socket {
-    stream: TcpStream,
+    stream: Box<dyn Stream>,
     written: Cell<u64>,
     /// When the first byte came since the last `rest`.
     heard: Cell<Option<Instant>>,
@@ -42,9 +40,7 @@
 }
 
 impl Socket {
-    pub fn new(stream: TcpStream) -> Rc<Socket> {
-        // A small answer must not wait for the other side's acknowledgement.
-        let _ = stream.set_nodelay(true);
+    pub fn new(stream: Box<dyn Stream>) -> Rc<Socket> {
         Rc::new(Socket {
             stream,
             written: Cell::new(0),
@@ -102,34 +98,30 @@
     /// Takes what waits in the socket into the head that is kept, as far as one may go: the library reads only when it
     /// has its turn, and before that a call may be given up.
     pub fn hear_rest(&self) {
-        let mut buffer = [MaybeUninit::uninit(); 4096];
+        let mut buffer = [0; 4096];
         while let Some(head) = self.head.borrow_mut().as_mut().filter(|head| head.len() < MAX_HEAD) {
-            let Ok(n @ 1..) = SockRef::from(&self.stream).recv(&mut buffer) else { return };
-            // SAFETY: the system has written the first `n` bytes.
-            head.extend(buffer[..n].iter().map(|byte| unsafe { byte.assume_init() }));
+            let Ok(n @ 1..) = self.stream.read_now(&mut buffer) else { return };
+            head.extend(&buffer[..n]);
         }
     }
 
     /// Whether bytes wait in the socket, or its end: asked of the system, as the runtime may not know yet.
     pub fn has_news(&self) -> bool {
-        let mut byte = [MaybeUninit::uninit()];
-        !matches!(SockRef::from(&self.stream).peek(&mut byte), Err(e) if e.kind() == io::ErrorKind::WouldBlock)
+        self.stream.has_news()
     }
 
     /// Ends the sending, then reads and drops what comes until the other side has closed, up to a bound: closing
     /// with bytes unread would reset the connection, and an answer on its way could be lost.
     pub async fn close(&self, most: usize) {
-        if SockRef::from(&self.stream).shutdown(Shutdown::Write).is_err() {
+        if self.stream.end_writing().is_err() {
             return;
         }
         let mut buffer = [0; 4096];
         let mut left = most;
-        while left > 0 && self.stream.readable().await.is_ok() {
-            match self.stream.try_read(&mut buffer) {
-                Ok(0) => return,
-                Ok(n) => left = left.saturating_sub(n),
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
-                Err(_) => return,
+        while left > 0 {
+            match poll_fn(|cx| self.stream.poll_read(cx, &mut buffer)).await {
+                Ok(n @ 1..) => left = left.saturating_sub(n),
+                Ok(0) | Err(_) => return,
             }
         }
     }
@@ -141,13 +133,7 @@
 impl AsyncRead for Io {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
         let socket = &self.0;
-        let n = loop {
-            ready!(socket.stream.poll_read_ready(cx))?;
-            match socket.stream.try_read(buf.initialize_unfilled()) {
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
-                done => break done?,
-            }
-        };
+        let n = ready!(socket.stream.poll_read(cx, buf.initialize_unfilled()))?;
         if n > 0 && socket.heard.get().is_none() {
             socket.heard.set(Some(Instant::now()));
             socket.news.notify_one();
@@ -162,24 +148,14 @@
 }
 
 impl Io {
-    fn write(
-        &self,
-        cx: &mut Context<'_>,
-        mut attempt: impl FnMut(&TcpStream) -> io::Result<usize>,
-    ) -> Poll<io::Result<usize>> {
+    fn write(&self, cx: &mut Context<'_>, buffers: &[io::IoSlice<'_>]) -> Poll<io::Result<usize>> {
         let socket = &self.0;
         if socket.quiet.replace(false) && socket.has_news() {
             // The end of the connection, or bytes behind the answer before: they would be read as the answer
             // to this request.
             return Poll::Ready(Err(io::Error::new(io::ErrorKind::ConnectionAborted, "not idle any more")));
         }
-        let n = loop {
-            ready!(socket.stream.poll_write_ready(cx))?;
-            match attempt(&socket.stream) {
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
-                done => break done?,
-            }
-        };
+        let n = ready!(socket.stream.poll_write(cx, buffers))?;
         socket.add_written(n as u64);
         Poll::Ready(Ok(n))
     }
@@ -187,7 +163,7 @@
 
 impl AsyncWrite for Io {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        self.write(cx, |stream| stream.try_write(buf))
+        self.write(cx, &[io::IoSlice::new(buf)])
     }
 
     fn poll_write_vectored(
@@ -195,7 +171,7 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        self.write(cx, |stream| stream.try_write_vectored(bufs))
+        self.write(cx, bufs)
     }
 
     /// So that the library need not copy bodies into a buffer of its own, which every connection would keep.
@@ -208,6 +184,6 @@
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Poll::Ready(SockRef::from(&self.0.stream).shutdown(Shutdown::Write))
+        Poll::Ready(self.0.stream.end_writing())
     }
 }
--- a/src/bin/nickelshed.rs
+++ b/src/bin/nickelshed.rs
@@ -1,6 +1,7 @@
 //! nickelshed: one real sender. Logs, signals and exit codes; all else is the `sender` library.
 use sender::{Environment, Orders};
 use std::process::ExitCode;
+use std::rc::Rc;
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::mpsc;
 use tokio::task::{spawn_local, LocalSet};
@@ -20,7 +21,9 @@
 fn start() -> Result<(), String> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|e| e.to_string())?;
-    LocalSet::new().block_on(&runtime, async { sender::run(Environment::of_process(), orders()?).await })
+    LocalSet::new().block_on(&runtime, async {
+        sender::run(Environment::of_process(), Rc::new(machine::Real), orders()?).await
+    })
 }
 
 /// SIGTERM and SIGINT end the sender, SIGHUP has it read its file again. One that comes while another waits to be
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -451,17 +451,24 @@
         self.child = self.older.take();
     }
 
-    fn spawn(&mut self) {
-        let config = self.config_path();
+    /// What the platform tells it, with its file written anew.
+    pub fn environment(&self) -> [(&'static str, String); 5] {
+        let (config, state) = (self.config_path(), self.state());
         std::fs::write(&config, self.config.to_string()).unwrap();
+        [
+            ("EDGE_NAME", self.config["name"].as_str().unwrap_or("n0").to_string()),
+            ("EDGE_LISTEN", self.address.to_string()),
+            ("EDGE_DISCOVERY", self.discovery.to_string()),
+            ("EDGE_STATE", state.to_str().unwrap().to_string()),
+            ("EDGE_CONFIG", config.to_str().unwrap().to_string()),
+        ]
+    }
+
+    fn spawn(&mut self) {
         let log =
             std::fs::OpenOptions::new().create(true).append(true).open(self.folder.join("log")).unwrap();
         let child = Command::new(&self.program)
-            .env("EDGE_NAME", self.config["name"].as_str().unwrap_or("n0"))
-            .env("EDGE_LISTEN", self.address.to_string())
-            .env("EDGE_DISCOVERY", self.discovery.to_string())
-            .env("EDGE_STATE", self.state())
-            .env("EDGE_CONFIG", config)
+            .envs(self.environment())
             .stdin(Stdio::null())
             .stderr(log)
             .spawn()
