--- a/crates/sender/src/figures.rs
+++ b/crates/sender/src/figures.rs
@@ -2,11 +2,16 @@
 use crate::connections::Turnover;
 use crate::life::{Life, STAGES};
 use crate::pool::{Count, REASONS};
+use prometheus_client::encoding::text::encode;
+use prometheus_client::encoding::{EncodeGaugeValue, EncodeMetric, MetricEncoder};
+use prometheus_client::metrics::counter::ConstCounter;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::metrics::MetricType;
+use prometheus_client::registry::Registry;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
-use std::fmt::Write;
+use std::fmt;
 use std::rc::Rc;
-use std::time::Duration;
 use tokio::time::Instant;
 
 /// How a message has ended.
@@ -24,30 +29,18 @@
 /// Upper bounds of the buckets of a span, in seconds: from what the program itself takes to the longest deadlines.
 const BUCKETS: [f64; 12] = [0.001, 0.005, 0.025, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 20.0, 60.0];
 
-#[derive(Default)]
-struct Histogram {
-    counts: [u64; BUCKETS.len()],
-    count: u64,
-    sum: Duration,
-}
-
-impl Histogram {
-    fn observe(&mut self, span: Duration) {
-        if let Some(bucket) = BUCKETS.iter().position(|&b| span.as_secs_f64() <= b) {
-            self.counts[bucket] += 1;
-        }
-        self.count += 1;
-        self.sum += span;
-    }
-}
-
 /// Where the time of a class's messages went, and where it ran out.
-#[derive(Default)]
 struct Times {
     stages: [Histogram; STAGES.len()],
     ran_out: [u64; STAGES.len()],
 }
 
+impl Default for Times {
+    fn default() -> Times {
+        Times { stages: STAGES.map(|_| Histogram::new(BUCKETS)), ran_out: [0; STAGES.len()] }
+    }
+}
+
 /// What stands at this moment; the core knows.
 #[derive(Default)]
 pub struct Gauges {
@@ -99,8 +92,8 @@
         if let Some(stage) = life.ran_out_in() {
             times.ran_out[stage as usize] += 1;
         }
-        for (histogram, span) in times.stages.iter_mut().zip(life.end(at)) {
-            span.into_iter().for_each(|span| histogram.observe(span));
+        for (histogram, span) in times.stages.iter().zip(life.end(at)) {
+            span.into_iter().for_each(|span| histogram.observe(span.as_secs_f64()));
         }
     }
 
@@ -119,138 +112,171 @@
 
     /// In the Prometheus text format.
     pub fn text(&self, gauges: &Gauges) -> String {
-        let mut text = String::new();
-        family(&mut text, "downstream_requests", "counter", "Messages from clients, by how they ended.");
-        for (class, row) in self.ends.borrow().iter() {
-            let lane = escaped(class);
-            for (end, result) in ENDS {
-                let count = row.get(&end).unwrap_or(&0);
-                let _ = writeln!(
-                    text,
-                    "sender_downstream_requests{{lane=\"{lane}\",result=\"{result}\"}} {count}"
-                );
-            }
-        }
-        let counters = [
-            ("upstream_requests", self.written.get(), "Messages written in full to endpoints."),
-            ("config_reloads", self.reloads.get(), "Configurations taken at SIGHUP."),
-            ("config_reload_errors", self.reload_errors.get(), "Configurations turned down at SIGHUP."),
-        ];
-        let journal = &gauges.journal;
-        let totals = [
-            ("journal_writes_total", journal.writes, "Writes to the journal."),
-            ("journal_syncs_total", journal.syncs, "Writes that were synced to stable storage."),
-            ("journal_rewrites_total", journal.rewrites, "Rewrites of the journal with what still lives."),
-            ("journal_faults_total", journal.faults, "Writes, syncs and rewrites that failed."),
-        ];
-        let turnover = &gauges.turnover;
-        let connections = [
-            ("connections_opened_total", turnover.opened, "Connections made to endpoints."),
-            ("connections_refused_total", turnover.refused, "Connections that could not be made."),
-            ("connections_reused_total", turnover.reused, "Calls that found one standing idle."),
-            (
-                "connection_waits_total",
-                turnover.waited,
-                "Calls that waited for one, as enough were being made.",
-            ),
-            ("connections_spare_total", turnover.spare, "Connections made that nobody waited for any more."),
-        ];
-        let (links, fleet) = (gauges.links, &gauges.fleet);
-        let bytes = gauges.journal_bytes as usize;
-        let gauges = [
-            ("pending", gauges.pending, "Messages taken on that have not ended."),
-            ("members", gauges.members, "Endpoints in discovery's list."),
-            ("members_unavailable", gauges.unavailable, "Listed endpoints that get nothing for now."),
-            ("journal_bytes", bytes, "Size of the journal's file."),
-        ];
-        for (name, count, help) in counters.into_iter().chain(totals).chain(connections) {
-            single(&mut text, name, "counter", help, count);
-        }
-        for (name, value, help) in gauges {
-            single(&mut text, name, "gauge", help, value as u64);
-        }
-        let text_ref = &mut text;
-        family(text_ref, "connections", "gauge", "Connections to endpoints that take work, and to others.");
-        for (count, endpoint) in links.iter().zip(["usable", "other"]) {
-            for (state, n) in [("idle", count.idle), ("busy", count.busy), ("dialling", count.dialling)] {
-                let labels = format!("endpoint=\"{endpoint}\",state=\"{state}\"");
-                let _ = writeln!(text_ref, "sender_connections{{{labels}}} {n}");
-            }
-        }
-        family(text_ref, "connections_closed_total", "counter", "Connections closed, by reason.");
-        for (reason, name) in REASONS {
-            let n = turnover.closed[reason as usize];
-            let _ = writeln!(text_ref, "sender_connections_closed_total{{reason=\"{name}\"}} {n}");
-        }
-        family(text_ref, "dial_seconds_total", "counter", "Time in which connections were made.");
-        let _ = writeln!(text_ref, "sender_dial_seconds_total {}", turnover.dial_time.as_secs_f64());
-        if let Some(fleet) = fleet {
-            family(&mut text, "fleet_members", "gauge", "Members of the fleet, as this one sees it.");
-            for (state, n) in &fleet.states {
-                let _ = writeln!(text, "sender_fleet_members{{state=\"{state}\"}} {n}");
-            }
-            single(
-                &mut text,
-                "fleet_conflicts",
-                "gauge",
-                "Members whose name another has too.",
-                fleet.conflicts as u64,
-            );
-            family(&mut text, "fleet_dropped_total", "counter", "Datagrams that are none of the fleet's.");
-            for (reason, n) in &fleet.dropped {
-                let _ = writeln!(text, "sender_fleet_dropped_total{{reason=\"{reason}\"}} {n}");
-            }
-        }
-        self.write_times(&mut text);
-        text
+        let mut page = Page(Registry::with_prefix("sender"));
+        let ends = self.ends.borrow();
+        let ends = ends.iter().flat_map(|(class, row)| {
+            ENDS.map(|(end, result)| {
+                (vec![("lane", class.clone()), ("result", result.into())], *row.get(&end).unwrap_or(&0))
+            })
+        });
+        page.counters("downstream_requests", "Messages from clients, by how they ended", ends);
+        page.counter("upstream_requests", "Messages written in full to endpoints", self.written.get());
+        page.counter("config_reloads", "Configurations taken at SIGHUP", self.reloads.get());
+        page.counter(
+            "config_reload_errors",
+            "Configurations turned down at SIGHUP",
+            self.reload_errors.get(),
+        );
+        page.journal(&gauges.journal);
+        page.gauge("pending", "Messages taken on that have not ended", gauges.pending);
+        page.gauge("members", "Endpoints in discovery's list", gauges.members);
+        page.gauge("members_unavailable", "Listed endpoints that get nothing for now", gauges.unavailable);
+        page.gauge("journal_bytes", "Size of the journal's file", gauges.journal_bytes as usize);
+        page.connections(gauges);
+        gauges.fleet.iter().for_each(|fleet| page.fleet(fleet));
+        self.write_times(&mut page);
+        page.text()
     }
 
-    fn write_times(&self, text: &mut String) {
+    fn write_times(&self, page: &mut Page) {
         let times = self.times.borrow();
         let rows = || {
-            let lanes = times.iter().map(|(class, times)| (escaped(class), times));
-            lanes.flat_map(|(lane, times)| STAGES.map(|(stage, name)| (lane.clone(), name, stage, times)))
+            times.iter().flat_map(|(class, times)| {
+                STAGES.map(|(stage, name)| {
+                    (vec![("lane", class.clone()), ("stage", name.into())], stage as usize, times)
+                })
+            })
         };
-        family(text, "stage_seconds", "histogram", "Time of ended messages by stage.");
-        for (lane, name, stage, times) in rows() {
-            let histogram = &times.stages[stage as usize];
-            let labels = format!("lane=\"{lane}\",stage=\"{name}\"");
-            let mut below = 0;
-            for (bound, count) in BUCKETS.iter().zip(histogram.counts) {
-                below += count;
-                let _ = writeln!(text, "sender_stage_seconds_bucket{{{labels},le=\"{bound}\"}} {below}");
-            }
-            let (count, sum) = (histogram.count, histogram.sum.as_secs_f64());
-            let _ = writeln!(text, "sender_stage_seconds_bucket{{{labels},le=\"+Inf\"}} {count}");
-            let _ = writeln!(text, "sender_stage_seconds_sum{{{labels}}} {sum}");
-            let _ = writeln!(text, "sender_stage_seconds_count{{{labels}}} {count}");
-        }
-        family(text, "expired_total", "counter", "Messages that ended for lack of time, by stage.");
-        for (lane, name, stage, times) in rows() {
-            let count = times.ran_out[stage as usize];
-            let _ = writeln!(text, "sender_expired_total{{lane=\"{lane}\",stage=\"{name}\"}} {count}");
-        }
+        let spent = rows().map(|(labels, stage, times)| (labels, times.stages[stage].clone())).collect();
+        page.family("stage_seconds", "Time of ended messages by stage", MetricType::Histogram, spent);
+        let ran_out = rows().map(|(labels, stage, times)| (labels, times.ran_out[stage]));
+        page.counters("expired_total", "Messages that ended for lack of time, by stage", ran_out);
     }
 }
 
-fn family(text: &mut String, name: &str, kind: &str, help: &str) {
-    let _ = writeln!(text, "# HELP sender_{name} {help}\n# TYPE sender_{name} {kind}");
+type Labels = Vec<(&'static str, String)>;
+
+/// A number under a name that stands as it is: the library ends the names of its own counters in `_total`, and some
+/// that operators know have no such end.
+#[derive(Debug)]
+struct Plain<N>(N);
+
+/// The rows of a family, in order.
+#[derive(Debug)]
+struct Rows<M>(MetricType, Vec<(Labels, M)>);
+
+impl<N: EncodeGaugeValue> EncodeMetric for Plain<N> {
+    fn encode(&self, mut encoder: MetricEncoder) -> Result<(), fmt::Error> {
+        encoder.encode_gauge(&self.0)
+    }
+
+    fn metric_type(&self) -> MetricType {
+        MetricType::Counter
+    }
 }
 
-fn single(text: &mut String, name: &str, kind: &str, help: &str, value: u64) {
-    family(text, name, kind, help);
-    let _ = writeln!(text, "sender_{name} {value}");
+impl<M: EncodeMetric> EncodeMetric for Rows<M> {
+    fn encode(&self, mut encoder: MetricEncoder) -> Result<(), fmt::Error> {
+        match &self.1[..] {
+            [(labels, value)] if labels.is_empty() => value.encode(encoder),
+            rows => rows.iter().try_for_each(|(labels, value)| value.encode(encoder.encode_family(labels)?)),
+        }
+    }
+
+    fn metric_type(&self) -> MetricType {
+        self.0
+    }
 }
 
-/// A label's value as the format asks.
-fn escaped(value: &str) -> String {
-    value.replace('\\', "\\\\").replace('"', "\\\"").replace('\n', "\\n")
+/// A page of figures that is being written.
+struct Page(Registry);
+
+impl Page {
+    fn family<M>(&mut self, name: &str, help: &str, kind: MetricType, rows: Vec<(Labels, M)>)
+    where
+        M: EncodeMetric + Send + Sync + fmt::Debug + 'static,
+    {
+        self.0.register(name, help, Rows(kind, rows));
+    }
+
+    fn counters(&mut self, name: &str, help: &str, rows: impl Iterator<Item = (Labels, u64)>) {
+        match name.strip_suffix("_total") {
+            Some(stem) => {
+                let rows = rows.map(|(labels, n)| (labels, ConstCounter::new(n))).collect();
+                self.family(stem, help, MetricType::Counter, rows);
+            }
+            None => {
+                let rows = rows.map(|(labels, n)| (labels, Plain(n))).collect();
+                self.family(name, help, MetricType::Counter, rows);
+            }
+        }
+    }
+
+    fn gauges(&mut self, name: &str, help: &str, rows: impl Iterator<Item = (Labels, usize)>) {
+        let rows = rows.map(|(labels, n)| (labels, Plain(n as u64))).collect();
+        self.family(name, help, MetricType::Gauge, rows);
+    }
+
+    fn counter(&mut self, name: &str, help: &str, value: u64) {
+        self.counters(name, help, [(Labels::new(), value)].into_iter());
+    }
+
+    fn gauge(&mut self, name: &str, help: &str, value: usize) {
+        self.gauges(name, help, [(Labels::new(), value)].into_iter());
+    }
+
+    fn journal(&mut self, journal: &journal::Figures) {
+        let journal::Figures { writes, syncs, rewrites, faults } = *journal;
+        self.counter("journal_writes_total", "Writes to the journal", writes);
+        self.counter("journal_syncs_total", "Writes that were synced to stable storage", syncs);
+        self.counter("journal_rewrites_total", "Rewrites of the journal with what still lives", rewrites);
+        self.counter("journal_faults_total", "Writes, syncs and rewrites that failed", faults);
+    }
+
+    fn connections(&mut self, gauges: &Gauges) {
+        let Turnover { opened, refused, reused, waited, spare, closed, dial_time } = gauges.turnover;
+        self.counter("connections_opened_total", "Connections made to endpoints", opened);
+        self.counter("connections_refused_total", "Connections that could not be made", refused);
+        self.counter("connections_reused_total", "Calls that found one standing idle", reused);
+        self.counter(
+            "connection_waits_total",
+            "Calls that waited for one, as enough were being made",
+            waited,
+        );
+        self.counter("connections_spare_total", "Connections made that nobody waited for any more", spare);
+        let count = |(count, endpoint): (&Count, &str)| {
+            [("idle", count.idle), ("busy", count.busy), ("dialling", count.dialling)]
+                .map(|(state, n)| (vec![("endpoint", endpoint.into()), ("state", state.into())], n))
+        };
+        let counts = gauges.links.iter().zip(["usable", "other"]).flat_map(count);
+        self.gauges("connections", "Connections to endpoints that take work, and to others", counts);
+        let reasons = REASONS.iter().map(|&(r, name)| (vec![("reason", name.into())], closed[r as usize]));
+        self.counters("connections_closed_total", "Connections closed, by reason", reasons);
+        let dialled = vec![(Labels::new(), ConstCounter::new(dial_time.as_secs_f64()))];
+        self.family("dial_seconds", "Time in which connections were made", MetricType::Counter, dialled);
+    }
+
+    fn fleet(&mut self, fleet: &Fleet) {
+        let states = fleet.states.iter().map(|&(state, n)| (vec![("state", state.into())], n));
+        self.gauges("fleet_members", "Members of the fleet, as this one sees it", states);
+        self.gauge("fleet_conflicts", "Members whose name another has too", fleet.conflicts);
+        let dropped = fleet.dropped.iter().map(|&(reason, n)| (vec![("reason", reason.into())], n));
+        self.counters("fleet_dropped_total", "Datagrams that are none of the fleet's", dropped);
+    }
+
+    fn text(&self) -> String {
+        let mut text = String::new();
+        // Writing to memory does not fail.
+        let _ = encode(&mut text, &self.0);
+        text
+    }
 }
 
 #[cfg(test)]
 mod tests {
     use super::*;
     use crate::life::Stage;
+    use std::time::Duration;
 
     #[test]
     fn each_class_has_its_three_ends_and_labels_are_escaped() {
@@ -319,8 +345,10 @@
         let sums = STAGES.map(|(_, stage)| of("sum", stage));
         assert!((sums.iter().sum::<f64>() - 9.0).abs() < 1e-9, "{sums:?}");
         assert_eq!(STAGES.map(|(_, stage)| of("count", stage)), [1.0, 1.0, 1.0, 1.0, 0.0]);
-        let queue = "sender_stage_seconds_bucket{lane=\"plain\",stage=\"queue\",le=";
-        assert_eq!((figure(&format!("{queue}\"5\"")), figure(&format!("{queue}\"10\""))), (0.0, 1.0));
+        let below = |le: &str| {
+            figure(&format!("sender_stage_seconds_bucket{{le=\"{le}\",lane=\"plain\",stage=\"queue\"}}"))
+        };
+        assert_eq!((below("5.0"), below("10.0"), below("+Inf")), (0.0, 1.0, 1.0));
         let ran_out =
             STAGES.map(|(_, s)| figure(&format!("sender_expired_total{{lane=\"plain\",stage=\"{s}\"")));
         assert_eq!(ran_out, [0.0, 1.0, 0.0, 0.0, 0.0]);
