--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -66,10 +66,10 @@
         #[arg(value_name = "ADDRESS", group = "which")]
         addresses: Vec<SocketAddr>,
         /// How long to wait; with --evacuate that time and five seconds if it is not given, else a minute.
-        #[arg(long, value_name = "TIME", value_parser = span)]
+        #[arg(long, value_name = "TIME", value_parser = humantime::parse_duration)]
         wait: Option<Duration>,
         /// The machine goes for good: what can't be delivered within this time is handed back or given up.
-        #[arg(long, value_name = "TIME", value_parser = span)]
+        #[arg(long, value_name = "TIME", value_parser = humantime::parse_duration)]
         evacuate: Option<Duration>,
         /// What this machine is called where permits are kept; its host name if not given.
         #[arg(long, value_name = "NAME")]
@@ -86,19 +86,6 @@
     },
 }
 
-/// `30s`, `1500ms` or `2m`.
-fn span(text: &str) -> Result<Duration, String> {
-    let digits = text.len() - text.trim_start_matches(|c: char| c.is_ascii_digit()).len();
-    let (number, unit) = text.split_at(digits);
-    let number: u64 = number.parse().map_err(|_| "a time like 30s, 1500ms or 2m is needed")?;
-    match unit {
-        "ms" => Ok(Duration::from_millis(number)),
-        "s" => Ok(Duration::from_secs(number)),
-        "m" => Ok(Duration::from_secs(number.saturating_mul(60))),
-        _ => Err("the unit is ms, s or m".to_string()),
-    }
-}
-
 #[derive(Subcommand)]
 enum Journal {
     /// Tells whether all journals of a folder are sound: exit code 0, 1 if one is damaged (each place a line, with what
--- a/crates/sender/src/control.rs
+++ b/crates/sender/src/control.rs
@@ -52,21 +52,16 @@
 
 /// How long the store may take where a caller waits.
 const STORE: Duration = Duration::from_millis(900);
+/// What an evacuation may take.
+const MS: Duration = Duration::from_millis(1);
+const DAY: Duration = Duration::from_secs(86_400);
 /// How often the drain is looked after.
 const STEP: Duration = Duration::from_millis(50);
 
-/// `30s`, `1500ms` or `2m`.
+/// A span with its unit, `1500ms` or `2m 30s` say, of a day at most.
 fn span(text: &str) -> Option<Duration> {
-    let digits = text.len() - text.trim_start_matches(|c: char| c.is_ascii_digit()).len();
-    let (number, unit) = text.split_at(digits);
-    let ms = match unit {
-        "ms" => 1,
-        "s" => 1_000,
-        "m" => 60_000,
-        _ => return None,
-    };
-    let span = number.parse::<u64>().ok()?.checked_mul(ms).filter(|ms| (1..=86_400_000).contains(ms))?;
-    Some(Duration::from_millis(span))
+    let span = humantime::parse_duration(text).ok()?;
+    (MS..=DAY).contains(&span).then_some(span)
 }
 
 impl Control {
