--- a/crates/ctl/src/members.rs
+++ b/crates/ctl/src/members.rs
@@ -1,5 +1,6 @@
 //! `nickelctl members`: who is present, as senders see it.
 use crate::Verdict;
+use comfy_table::{presets, Table};
 use remote::control::call;
 use serde_json::{json, Value};
 use std::collections::{BTreeMap, BTreeSet};
@@ -17,15 +18,28 @@
     value[key].as_str().unwrap_or_default()
 }
 
-fn row(m: &Value) -> String {
-    let (name, address, version) = (text(m, "name"), text(m, "address"), text(m, "version"));
-    let (state, by) = (text(m, "state"), text(m, "by"));
-    let (process, incarnation, ms) =
-        (&m["process"], &m["incarnation"], m["for_ms"].as_u64().unwrap_or_default());
-    let conflict =
-        if m["conflicts"] == json!(true) { "  CONFLICT: another process has this name" } else { "" };
-    let seconds = ms as f64 / 1e3;
-    format!("{name:12} {process:14} {address:21} {version:8} {state:8} {incarnation:4} {seconds:8.1} s  by {by}{conflict}")
+const HEAD: [&str; 8] = ["name", "process", "address", "version", "state", "incarnation", "for", "by"];
+
+/// One line a member, in columns.
+fn table(members: &Value) -> Table {
+    let mut table = Table::new();
+    table.load_preset(presets::NOTHING).set_header(HEAD);
+    for m in members.as_array().into_iter().flatten() {
+        let seconds = m["for_ms"].as_u64().unwrap_or_default() as f64 / 1e3;
+        let is_doubled = m["conflicts"] == json!(true);
+        let conflict = if is_doubled { "  CONFLICT: another process has this name" } else { "" };
+        table.add_row([
+            text(m, "name"),
+            &m["process"].to_string(),
+            text(m, "address"),
+            text(m, "version"),
+            text(m, "state"),
+            &m["incarnation"].to_string(),
+            &format!("{seconds:.1} s"),
+            &format!("{}{conflict}", text(m, "by")),
+        ]);
+    }
+    table
 }
 
 /// By member: its state in the eyes of each that was asked.
@@ -77,7 +91,7 @@
     } else {
         for answer in answers.values() {
             println!("fleet {}, as {} sees it", text(answer, "fleet"), text(answer, "name"));
-            answer["members"].as_array().into_iter().flatten().for_each(|m| println!("{}", row(m)));
+            println!("{}", table(&answer["members"]).trim_fmt());
         }
     }
     match (failed, compare && !differing.is_empty()) {
