--- a/crates/policy/src/settings.rs
+++ b/crates/policy/src/settings.rs
@@ -82,17 +82,9 @@
     items.iter().map(name).collect()
 }
 
-pub fn read(value: &Value) -> Result<(Settings, Around), String> {
-    let root = At { value, path: String::new() };
-    if !value.is_object() {
-        return Err("not an object".to_string());
-    }
-    let limits = root.get("Limits");
-    let safety = root.get("Safety");
-    let prices = root.get("Prices");
-    let family = root.get("FamilyInfo");
+fn classes(root: &At) -> Result<Vec<Class>, String> {
     let mut classes = Vec::new();
-    let max_attempts = limits.get("MaxAttempts").number(1.0)? as u32;
+    let max_attempts = root.get("Limits").get("MaxAttempts").number(1.0)? as u32;
     for c in root.get("Services").list()? {
         let effect = match c.get("Effect").word()? {
             "safe" => Effect::Safe,
@@ -120,20 +112,37 @@
             max_attempts,
         });
     }
-    if classes.is_empty() {
-        return root.get("Services").fail("is missing or empty");
-    }
+    Ok(classes)
+}
+
+fn kinds(root: &At, family: &At) -> Result<Vec<Kind>, String> {
     let batches = family.get("KindBatch").list()?;
     let separate = family.get("SeparateRoutes").list()?;
     let kinds = batches.len().max(separate.len()).max(root.get("Kinds").list()?.len());
-    let kinds = (0..kinds)
+    (0..kinds)
         .map(|i| {
             Ok(Kind {
                 batch: batches.get(i).map_or(Ok(1.0), |b| b.number(0.0))?.max(1.0) as usize,
                 separate_routes: separate.get(i).map_or(Ok(false), |s| s.flag())?,
             })
         })
-        .collect::<Result<Vec<_>, String>>()?;
+        .collect()
+}
+
+pub fn read(value: &Value) -> Result<(Settings, Around), String> {
+    let root = At { value, path: String::new() };
+    if !value.is_object() {
+        return Err("not an object".to_string());
+    }
+    let limits = root.get("Limits");
+    let safety = root.get("Safety");
+    let prices = root.get("Prices");
+    let family = root.get("FamilyInfo");
+    let classes = classes(&root)?;
+    if classes.is_empty() {
+        return root.get("Services").fail("is missing or empty");
+    }
+    let kinds = kinds(&root, &family)?;
     let tenants = root.get("Realms").list()?;
     let tenants = tenants
         .iter()
--- a/crates/sender/src/calls.rs
+++ b/crates/sender/src/calls.rs
@@ -79,6 +79,22 @@
     rest: Option<Incoming>,
 }
 
+/// What matters of a call once it is written.
+struct Sent {
+    several: bool,
+    /// How long its connection had been idle, if it had carried calls before.
+    idle: Option<Duration>,
+    /// When it is given up.
+    until: Instant,
+}
+
+impl Sent {
+    /// A first line with 200 is true, whatever follows it; for several the whole answer counts.
+    fn is_served(&self, link: &Connection) -> bool {
+        !self.several && says_200(&link.socket.head())
+    }
+}
+
 pub struct Client {
     pub core: mpsc::Sender<Input>,
     pub figures: Rc<Figures>,
@@ -102,110 +118,16 @@
         cancel: &Cancel,
         started: Instant,
     ) {
-        let tell = |outcome| move |m: &Member| end(m, endpoint, outcome, started);
-        let dialled_by = close_at(&members, started).unwrap_or(started);
+        let call = (endpoint, started);
         let (mut link, answer) = loop {
-            let found = tokio::select! {
-                biased;
-                () = cancel.wait() => Err(Outcome::NotSent),
-                link = self.pool.connect(endpoint) => link,
-                () = sleep_until(dialled_by) => Err(Outcome::NoConnection),
-            };
-            let mut link = match found {
-                Ok(link) => link,
-                Err(outcome) => return self.report(members.iter().map(tell(outcome)).collect()).await,
-            };
-            // A drain, a wait or the end of a window may have come while the connection was being made.
-            let now = Instant::now();
-            let may = self.pool.may_write(endpoint);
-            let (go, stay): (Vec<_>, Vec<_>) =
-                members.into_iter().partition(|m| may && now < dialled_by && m.time.tell(now).is_some());
-            members = go;
-            self.report(stay.iter().map(tell(Outcome::NotSent)).collect()).await;
-            // Told is the least that any of them may be waited for.
-            let wait = members.iter().filter_map(|m| m.time.tell(now)).min();
-            let (Some(wait), Some(close_at)) = (wait, close_at(&members, now)) else {
-                return self.pool.give_back(endpoint, link);
-            };
-            members.iter().for_each(|m| m.written.set(Some(now)));
-            let request = build(&members, link.at, wait);
-            let several = members.len() > 1;
-            let (bytes, count) = (least_length(&request), &self.figures.written);
-            link.socket.count_when_written(bytes, count, members.len() as u64);
-            let idle = link.idle();
-            // A first line with 200 is true, whatever follows it; for several the whole answer counts.
-            let served = |link: &Connection| !several && says_200(&link.socket.head());
-            let answer = {
-                let mut answer = pin!(self.answer(&mut link, request, endpoint, several));
-                loop {
-                    let next = members.iter().map(|m| m.time.end.instant()).min();
-                    let next = next.unwrap_or(close_at).min(close_at);
-                    tokio::select! {
-                        biased;
-                        answer = &mut answer => break Ok(answer),
-                        () = cancel.wait() => break Err((std::mem::take(&mut members), Outcome::CalledOff)),
-                        () = sleep_until(next) => {}
-                    }
-                    let now = Instant::now();
-                    let (late, rest): (Vec<_>, Vec<_>) =
-                        members.into_iter().partition(|m| m.time.end.is_over(now) || now >= close_at);
-                    members = rest;
-                    if members.is_empty() {
-                        break Err((late, Outcome::NoAnswer));
-                    }
-                    self.report(late.iter().map(tell(Outcome::NoAnswer)).collect()).await;
-                }
-            };
-            let answer = match answer {
-                Ok(answer) => answer,
-                Err((left, outcome)) => {
-                    // An answer that is here is true, though nobody has looked at it yet; above all a wait binds
-                    // from when it was written.
-                    let came = self.hear_rest(&link, endpoint);
-                    if let Some(Heard { status, headers, .. }) = came.filter(|heard| heard.whole && !several)
-                    {
-                        tracing::debug!(endpoint, status, "answer as the call was given up");
-                        let answer =
-                            Answer { fresh: idle.is_none(), status, headers, ends: None, rest: None };
-                        let ends = read_ends(&left, &answer, endpoint, started);
-                        link.close().await;
-                        self.pool.count_closed(Reason::Spoilt, 1);
-                        return self.report(ends).await;
-                    }
-                    let outcome = if served(&link) { Outcome::Served } else { outcome };
-                    // Closed before it is told: the next attempt of a message that is still out on an open
-                    // connection would be a second copy, and the call would still hold its slot.
-                    link.close().await;
-                    self.pool.count_closed(Reason::Spoilt, 1);
-                    return self.report(left.iter().map(tell(outcome)).collect()).await;
-                }
-            };
-            match answer {
+            let Some((mut link, wait, until)) = self.reach(call, &mut members, cancel).await else { return };
+            let sent = Sent { several: members.len() > 1, idle: link.idle(), until };
+            match self.ask(&mut link, call, &mut members, &sent, wait, cancel).await {
+                Ok(Ok(answer)) => break (link, answer),
                 // The pooled connection had ended: nothing was written, so another one may carry it.
-                Err(Fault::Unsent) => drop(link),
-                Err(fault) => {
-                    // Its body or the connection may be spoilt: the wait in its head is true.
-                    let came = self.hear_rest(&link, endpoint);
-                    let wait =
-                        came.and_then(|heard| wait_told(&heard.headers)).map_or(0, |w| w.as_nanos() as Ns);
-                    let served = served(&link);
-                    let kept = idle.filter(|_| link.socket.head().is_empty());
-                    link.close().await;
-                    self.pool.count_closed(Reason::Spoilt, 1);
-                    tracing::debug!(%fault, served, "no answer that can be read");
-                    let outcome = match fault {
-                        _ if served => Outcome::Served,
-                        Fault::Broken(_) => Outcome::ConnectionLost,
-                        _ => Outcome::NoConnection,
-                    };
-                    if let Some(idle) = kept.filter(|_| outcome == Outcome::ConnectionLost) {
-                        self.pool.distrust(endpoint, idle);
-                    }
-                    let lost =
-                        |m| AttemptEnd { wait, kept: kept.is_some(), ..end(m, endpoint, outcome, started) };
-                    return self.report(members.iter().map(lost).collect()).await;
-                }
-                Ok(answer) => break (link, answer),
+                Ok(Err(Fault::Unsent)) => drop(link),
+                Ok(Err(fault)) => return self.broke(link, call, members, &sent, fault).await,
+                Err((left, outcome)) => return self.gave_up(link, call, left, &sent, outcome).await,
             }
         };
         let closes = says_close(&answer.headers);
@@ -221,6 +143,139 @@
         self.report(ends).await;
     }
 
+    /// A connection for a call, how long its endpoint is told that it will be waited for, and when it is given up. None
+    /// once nothing of the call may be written; its messages are told how they ended.
+    async fn reach(
+        &self,
+        (endpoint, started): (EndpointId, Instant),
+        members: &mut Vec<Member>,
+        cancel: &Cancel,
+    ) -> Option<(Connection, u64, Instant)> {
+        let tell = |outcome| move |m: &Member| end(m, endpoint, outcome, started);
+        let dialled_by = close_at(members, started).unwrap_or(started);
+        let found = tokio::select! {
+            biased;
+            () = cancel.wait() => Err(Outcome::NotSent),
+            link = self.pool.connect(endpoint) => link,
+            () = sleep_until(dialled_by) => Err(Outcome::NoConnection),
+        };
+        let link = match found {
+            Ok(link) => link,
+            Err(outcome) => {
+                self.report(members.iter().map(tell(outcome)).collect()).await;
+                return None;
+            }
+        };
+        // A drain, a wait or the end of a window may have come while the connection was being made.
+        let now = Instant::now();
+        let may = self.pool.may_write(endpoint);
+        let goes = |m: &Member| may && now < dialled_by && m.time.tell(now).is_some();
+        let (go, stay): (Vec<_>, Vec<_>) = std::mem::take(members).into_iter().partition(goes);
+        *members = go;
+        self.report(stay.iter().map(tell(Outcome::NotSent)).collect()).await;
+        // Told is the least that any of them may be waited for.
+        let wait = members.iter().filter_map(|m| m.time.tell(now)).min();
+        let (Some(wait), Some(until)) = (wait, close_at(members, now)) else {
+            self.pool.give_back(endpoint, link);
+            return None;
+        };
+        members.iter().for_each(|m| m.written.set(Some(now)));
+        Some((link, wait, until))
+    }
+
+    /// Writes a call and waits for its answer; or, if it is given up first, which messages were left, and why. Those whose
+    /// own time is up before are told so meanwhile.
+    async fn ask(
+        &self,
+        link: &mut Connection,
+        (endpoint, started): (EndpointId, Instant),
+        members: &mut Vec<Member>,
+        sent: &Sent,
+        wait: u64,
+        cancel: &Cancel,
+    ) -> Result<Result<Answer, Fault>, (Vec<Member>, Outcome)> {
+        let request = build(members, link.at, wait);
+        let (bytes, count) = (least_length(&request), &self.figures.written);
+        link.socket.count_when_written(bytes, count, members.len() as u64);
+        let mut answer = pin!(self.answer(link, request, endpoint, sent.several));
+        loop {
+            let next = members.iter().map(|m| m.time.end.instant()).min();
+            let next = next.unwrap_or(sent.until).min(sent.until);
+            tokio::select! {
+                biased;
+                answer = &mut answer => return Ok(answer),
+                () = cancel.wait() => return Err((std::mem::take(members), Outcome::CalledOff)),
+                () = sleep_until(next) => {}
+            }
+            let now = Instant::now();
+            let is_late = |m: &Member| m.time.end.is_over(now) || now >= sent.until;
+            let (late, rest): (Vec<_>, Vec<_>) = std::mem::take(members).into_iter().partition(is_late);
+            *members = rest;
+            if members.is_empty() {
+                return Err((late, Outcome::NoAnswer));
+            }
+            let tell = |m: &Member| end(m, endpoint, Outcome::NoAnswer, started);
+            self.report(late.iter().map(tell).collect()).await;
+        }
+    }
+
+    /// A call that was given up.
+    async fn gave_up(
+        &self,
+        link: Connection,
+        (endpoint, started): (EndpointId, Instant),
+        left: Vec<Member>,
+        sent: &Sent,
+        outcome: Outcome,
+    ) {
+        // An answer that is here is true, though nobody has looked at it yet; above all a wait binds from when it was
+        // written.
+        let came = self.hear_rest(&link, endpoint);
+        let whole = came.filter(|heard| heard.whole && !sent.several);
+        let ends = if let Some(Heard { status, headers, .. }) = whole {
+            tracing::debug!(endpoint, status, "answer as the call was given up");
+            let answer = Answer { fresh: sent.idle.is_none(), status, headers, ends: None, rest: None };
+            read_ends(&left, &answer, endpoint, started)
+        } else {
+            let outcome = if sent.is_served(&link) { Outcome::Served } else { outcome };
+            left.iter().map(|m| end(m, endpoint, outcome, started)).collect()
+        };
+        // Closed before it is told: the next attempt of a message that is still out on an open connection would be a
+        // second copy, and the call would still hold its slot.
+        link.close().await;
+        self.pool.count_closed(Reason::Spoilt, 1);
+        self.report(ends).await;
+    }
+
+    /// A call whose answer can't be read.
+    async fn broke(
+        &self,
+        link: Connection,
+        (endpoint, started): (EndpointId, Instant),
+        members: Vec<Member>,
+        sent: &Sent,
+        fault: Fault,
+    ) {
+        // Its body or the connection may be spoilt: the wait in its head is true.
+        let came = self.hear_rest(&link, endpoint);
+        let wait = came.and_then(|heard| wait_told(&heard.headers)).map_or(0, |w| w.as_nanos() as Ns);
+        let served = sent.is_served(&link);
+        let kept = sent.idle.filter(|_| link.socket.head().is_empty());
+        link.close().await;
+        self.pool.count_closed(Reason::Spoilt, 1);
+        tracing::debug!(%fault, served, "no answer that can be read");
+        let outcome = match fault {
+            _ if served => Outcome::Served,
+            Fault::Broken(_) => Outcome::ConnectionLost,
+            _ => Outcome::NoConnection,
+        };
+        if let Some(idle) = kept.filter(|_| outcome == Outcome::ConnectionLost) {
+            self.pool.distrust(endpoint, idle);
+        }
+        let lost = |m| AttemptEnd { wait, kept: kept.is_some(), ..end(m, endpoint, outcome, started) };
+        self.report(members.iter().map(lost).collect()).await;
+    }
+
     async fn answer(
         &self,
         link: &mut Connection,
