--- /dev/null
+++ b/src/bin/nickellab.rs
@@ -0,0 +1,4 @@
+//! nickellab: the lab.
+fn main() -> std::process::ExitCode {
+    lab::main()
+}
