--- a/crates/sender/src/discovery.rs
+++ b/crates/sender/src/discovery.rs
@@ -85,8 +85,9 @@
                 known = Some(list.generation);
                 let (whole, news) = (list.reset, list.has_news());
                 tracing::debug!(generation = list.generation, whole, news, path, "discovery answers");
-                // The first one tells that the list held is fresh, also where it has no news.
-                let news = news || std::mem::take(&mut first);
+                // The first one tells that the list held is fresh, also where it has no news. Whatever it says, the next
+                // one is a watch: an agent may answer with the whole list each time.
+                let news = std::mem::take(&mut first) || news;
                 if news && core.send(Input::List(list)).await.is_err() {
                     return;
                 }
--- a/tests/sender.rs
+++ b/tests/sender.rs
@@ -1068,3 +1068,19 @@
         assert!(discovery.notices().is_empty() && calls.try_recv().is_err(), "{kind}");
     }
 }
+
+#[test]
+fn an_agent_that_always_answers_with_the_whole_list_is_watched_and_not_asked_again_and_again() {
+    let endpoint = Peer::new(|_| ok());
+    let list = json!([ready("e-1", endpoint.address, 7)]);
+    let discovery = Discovery::new(list.clone());
+    let whole = json!({"generation": 1, "reset": true, "instances": list}).to_string();
+    discovery.peer.script(move |request| match request.first.contains("wait=5000") {
+        true => Reply::Hang,
+        false => answer("200 OK", "", &whole),
+    });
+    let _node = Node::with(&discovery, list, |_| {});
+    let watched = |seen: &[Request]| seen.iter().any(|r| r.first.contains("wait=5000"));
+    let seen = discovery.peer.wait("a watch", watched);
+    assert!(seen.len() <= 3, "asked {} times", seen.len());
+}
