--- a/crates/world/src/baselines.rs
+++ b/crates/world/src/baselines.rs
@@ -136,6 +136,8 @@
 /// How often what waits is looked at, and the first pause after a refusal.
 const LOOK: Ns = 25 * MS;
 const PAUSE: Ns = 100 * MS;
+/// What has no more time left than this is given up.
+const GIVE_UP: Ns = 60 * MS;
 
 impl Plain {
     pub fn new(settings: &Settings, seed: u64, baseline: &Baseline) -> Plain {
@@ -179,7 +181,8 @@
         }
         let pause = (PAUSE << held.attempts.min(5)) as f64 * self.random.random_range(0.5..1.5);
         held.not_before = now + pause as Ns;
-        let at = held.not_before;
+        // Its time may be up before that.
+        let at = held.not_before.min(held.end - GIVE_UP).max(now);
         match e.done {
             true => _ = self.held.remove(&e.id),
             false => _ = self.due.insert((at, e.id)),
@@ -206,7 +209,7 @@
         let held = &self.held[&id];
         let class = &self.settings.classes[held.message.class];
         let is_unsafe = class.effect == Effect::Unsafe && held.may_have_run;
-        let late = held.end - now < 50 * MS;
+        let late = held.end - now <= GIVE_UP;
         let wait = self.waits.get(&held.message.dest).is_some_and(|&until| until >= held.end);
         if !(late || is_unsafe || wait || held.attempts >= class.max_attempts) {
             return false;
@@ -233,7 +236,10 @@
                 self.due.remove(&(at, id));
                 continue;
             }
-            let dest = self.held[&id].message.dest;
+            let (dest, not_before) = (self.held[&id].message.dest, self.held[&id].not_before);
+            if not_before > now {
+                continue;
+            }
             let waits = self.waits.get(&dest).is_some_and(|&until| until > now);
             if waits || self.out >= self.settings.slots || full.contains(&dest) {
                 continue;
