--- a/crates/lab/src/demo.rs
+++ b/crates/lab/src/demo.rs
@@ -168,12 +168,9 @@
             let body = request.into_body().collect().await.map(|b| b.to_bytes()).unwrap_or_default();
             for line in body.split(|b| *b == b'\n').filter_map(|l| serde_json::from_slice::<Value>(l).ok()) {
                 let (id, outcome) = (line["message"].as_str(), line["outcome"].as_str());
-                if let (Some(seen), Some(outcome)) =
-                    (id.and_then(|id| self.messages.borrow_mut().remove(id)), outcome)
-                {
-                    let seen = Seen { ended: Some(outcome.into()), ..seen };
-                    self.messages.borrow_mut().insert(id.unwrap_or_default().into(), seen);
-                }
+                let mut messages = self.messages.borrow_mut();
+                let seen = id.and_then(|id| messages.get_mut(id));
+                seen.into_iter().for_each(|seen| seen.ended = outcome.map(String::from));
             }
             return answer(StatusCode::NO_CONTENT, String::new());
         }
--- a/crates/lab/src/report.rs
+++ b/crates/lab/src/report.rs
@@ -110,7 +110,7 @@
         let slowest = days.iter().filter_map(|d| d.classes.iter().map(|c| c.latency_ms[i]).max());
         slowest.map(|ms| ms as f64).sum::<f64>() / days.len().max(1) as f64
     };
-    [0.5, 0.9, 0.99, 0.999].iter().enumerate().map(|(i, _)| (i as f64 + 1.0, at(i))).collect()
+    (0..4).map(|i| (i as f64 + 1.0, at(i))).collect()
 }
 
 /// One scenario's part of the report.
--- a/crates/lab/src/sweep.rs
+++ b/crates/lab/src/sweep.rs
@@ -2,7 +2,7 @@
 use crate::days::{self, Cost, Key, Row};
 use indicatif::{ProgressBar, ProgressStyle};
 use rayon::prelude::*;
-use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::fs::{self, File, OpenOptions};
 use std::io::Write;
 use std::path::{Path, PathBuf};
@@ -53,8 +53,8 @@
     }
     // A torn last line goes before anything is written behind it.
     order(out)?;
-    let had: BTreeMap<Key, ()> = rows(out)?.into_iter().map(|row| (row.key, ())).collect();
-    let left: Vec<_> = wanted.iter().filter(|(key, _)| !had.contains_key(key)).collect();
+    let had: BTreeSet<Key> = rows(out)?.into_iter().map(|row| row.key).collect();
+    let left: Vec<_> = wanted.iter().filter(|(key, _)| !had.contains(key)).collect();
     eprintln!("{} days, {} of them in {} already", wanted.len(), wanted.len() - left.len(), out.display());
     let cannot = |e| format!("{} can't be written: {e}", out.display());
     let file = OpenOptions::new().create(true).append(true).open(out).map_err(cannot)?;
--- a/crates/world/src/fleet.rs
+++ b/crates/world/src/fleet.rs
@@ -130,7 +130,6 @@
     /// Of a first try: it was delivered, or some later try of it.
     delivered: bool,
     tries: u32,
-    at_partners: Ns,
 }
 
 struct Call {
@@ -169,7 +168,7 @@
     wait_until: Vec<Ns>,
     /// Partners that it has seen fail in the outage that runs.
     informed: Vec<bool>,
-    held: BTreeMap<MsgId, ()>,
+    held: BTreeSet<MsgId>,
     /// PROTOCOL: no end is overdue from a restart until 1.5 s after the sender is ready again.
     excused: Ns,
 }
@@ -265,7 +264,7 @@
             closed: vec![None; endpoints],
             wait_until: vec![Ns::MIN; partners],
             informed: vec![false; partners],
-            held: BTreeMap::new(),
+            held: BTreeSet::new(),
             excused: 0,
         };
         let of_class = |class: usize| {
@@ -415,7 +414,6 @@
             over: false,
             delivered: false,
             tries: 1,
-            at_partners: 0,
         });
         self.queue.push(at, Occurrence::HandIn(first as MsgId));
     }
@@ -438,7 +436,7 @@
         }
         let message = self.message(id, left);
         self.messages[id as usize].taken = true;
-        self.nodes[node].held.insert(id, ());
+        self.nodes[node].held.insert(id);
         self.tell(node, vec![Event::Message(message)]);
     }
 
@@ -459,22 +457,8 @@
         let (first, node, class, dest) = (msg.first, msg.node, msg.class, msg.dest);
         let (born, end, work, tries) = (msg.born, msg.end, msg.work, msg.tries + 1);
         let attempts = Vec::new();
-        let (taken, over, delivered, at_partners) = (false, false, false, 0);
-        let next = Msg {
-            first,
-            node,
-            class,
-            dest,
-            born,
-            end,
-            work,
-            attempts,
-            taken,
-            over,
-            delivered,
-            tries,
-            at_partners,
-        };
+        let (taken, over, delivered) = (false, false, false);
+        let next = Msg { first, node, class, dest, born, end, work, attempts, taken, over, delivered, tries };
         self.messages.push(next);
         self.queue.push(at, Occurrence::HandIn((self.messages.len() - 1) as MsgId));
     }
@@ -703,12 +687,9 @@
         let informed = self.nodes[node].informed[place.partner];
         let was = self.partners[place.partner].state;
         let heard = self.partners[place.partner].offer(self.now, place.desk, call, work, informed);
-        if self.partners[place.partner].state == State::Fallen && was != State::Fallen {
-            if self.partners[place.partner].pushed_over {
-                self.referee.pushed_over(place.partner as DestId, self.now);
-            }
-            let lost = self.partners[place.partner].strike(State::Fallen);
-            drop(lost);
+        let fell = self.partners[place.partner].state == State::Fallen && was != State::Fallen;
+        if fell && self.partners[place.partner].pushed_over {
+            self.referee.pushed_over(place.partner as DestId, self.now);
         }
         let trip = self.delay();
         match heard {
@@ -766,7 +747,6 @@
             self.account.wasted += took;
             return;
         }
-        self.messages[msg].at_partners += self.now - since;
         self.account.spent.at_partners += took / 1e9;
         let at = self.now + self.delay();
         self.queue.push(at, Occurrence::Back { call, outcome: Outcome::Served, wait: 0 });
@@ -875,8 +855,9 @@
         self.queue.push(happening.ends, Occurrence::End(i));
         let strike = |state: State, world: &mut World<'a>| {
             for &p in &happening.partners {
-                let lost = world.partners[p].strike(state);
-                world.forget(p, state, lost);
+                // Their senders hear of it as of all other calls there.
+                let _ = world.partners[p].strike(state);
+                world.forget(p, state);
             }
         };
         match happening.what {
@@ -940,8 +921,7 @@
     }
 
     /// An outage takes a partner's connections with it; who had calls there hears that they broke, or nothing.
-    fn forget(&mut self, partner: usize, state: State, lost: Vec<CallId>) {
-        drop(lost);
+    fn forget(&mut self, partner: usize, state: State) {
         let silent = matches!(state, State::Silent | State::Fallen);
         if !matches!(state, State::Down) && !silent {
             return;
@@ -1048,7 +1028,7 @@
         at.wait_until.iter_mut().for_each(|w| *w = Ns::MIN);
         let entries = (0..self.plan.endpoints.len()).map(|place| self.entry(node, place)).collect();
         let mut events = vec![Event::List { whole: true, entries }];
-        let held: Vec<MsgId> = self.nodes[node].held.keys().copied().collect();
+        let held: Vec<MsgId> = self.nodes[node].held.iter().copied().collect();
         for id in held {
             let msg = &mut self.messages[id as usize];
             msg.attempts.iter_mut().for_each(|a| a.out = false);
