Ask discovery again within 3.5 s of a question that failed, however many senders

After a refusal, a connection closed unread, a 503 or an answer that can't be read, the pause was drawn up to 100 ms x NInstances, doubled twice: up to 204 s among 510 (`Asking::failed`, span << k). A watch was 5 s and 1.5 s of grace, so one begun just before discovery's return and never answered was given up after 6.5 s (`WAIT`, `GRACE` in discovery.rs); what it missed binds after 6 s.

Now the next question begins at most 3.5 s behind the start of one that failed, whatever it took: the pause is drawn from the upper half of what is left. A watch is 2.3 to 2.5 s and 0.8 s of grace; behind a failure a question does not wait. 1 s for a slow connection and 0.5 s for the answer make 5 s, and the build asserts the sum. A lost watch, or a list that counts its versions anew, is asked for again within 200 ms, but not twice running without a watch answered between: who answers at once and breaks each watch would make a storm. The wait of a watch differs by up to 200 ms, as a change answers all watches at once and they would go on in step.

--- a/crates/sender/src/discovery.rs
+++ b/crates/sender/src/discovery.rs
@@ -3,19 +3,23 @@
 use crate::inbox::Input;
 use crate::list::List;
 use machine::Machine;
+use policy::api::Ns;
 use policy::rules::Asking;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::{mpsc, watch};
-use tokio::time::{sleep, timeout};
+use tokio::time::{sleep, timeout, Instant};
 
-/// How long a watch waits, and how much longer for its answer: the agent is silent while discovery is down,
-/// and a watch begun in that time may never be answered.
-const WAIT: Duration = Duration::from_secs(5);
-const GRACE: Duration = Duration::from_millis(1_500);
+/// How long a watch waits at most, and how much longer for its answer: the agent is silent while discovery is down,
+/// and a watch begun in that time may never be answered, though discovery is back the next moment.
+const WAIT: Duration = Duration::from_millis(2_500);
+const GRACE: Duration = Duration::from_millis(800);
+const _: () = assert!((WAIT.as_nanos() + GRACE.as_nanos()) as Ns <= Asking::EVERY - Asking::SOON);
 /// Any call waits so long for its answer: one that was given up is still work for discovery, and its next one more.
 const PATIENCE: Duration = Duration::from_millis(2_500);
+/// What is left of the 5 s for a connection to discovery.
+const DIAL: Duration = Duration::from_secs(1);
 const MAX_LIST: usize = 1 << 20;
 
 /// Why a call for a list has brought none.
@@ -24,6 +28,8 @@
     Silence,
     /// A connection that had answered before has ended under it, as it does where its other end starts again.
     Broken(String),
+    /// Versions are counted anew: changes since the one held would never come.
+    Older(u64),
     Other(String),
 }
 
@@ -31,6 +37,7 @@
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         match self {
             Failure::Silence => write!(f, "is silent"),
+            Failure::Older(version) => write!(f, "version {version} is older than the list held"),
             Failure::Broken(why) | Failure::Other(why) => write!(f, "{why}"),
         }
     }
@@ -43,7 +50,7 @@
     path: &str,
 ) -> Result<List, Failure> {
     let has_answered = connection.is_some();
-    let kept = Connection::kept_or_new(machine, connection, at, Duration::from_secs(1)).await;
+    let kept = Connection::kept_or_new(machine, connection, at, DIAL).await;
     let mut link = kept.map_err(|e| Failure::Other(e.to_string()))?;
     let request = connections::request("GET", path, at, &[], Default::default());
     let (status, _, body) = link.exchange(request, MAX_LIST).await.map_err(|fault| match has_answered {
@@ -58,10 +65,14 @@
     Ok(list)
 }
 
+fn nanos(span: Ns) -> Duration {
+    Duration::from_nanos(span.max(0) as u64)
+}
+
 /// Never ends: while discovery is silent the sender goes on with the list it has. Of that one (`known`) only what
-/// has changed is asked for, at once, as the whole is much work for discovery when all senders start together. Where
-/// its address changes, what is under way at the old one is dropped at once, and the new one is first asked for a
-/// whole list.
+/// has changed is asked for, at once, as the whole is much work for discovery when all senders start together; so it is
+/// after a failure, as a watch without news says nothing for long. Where its address changes, what is under way at the
+/// old one is dropped at once, and the new one is first asked for a whole list.
 pub async fn follow(
     machine: Rc<dyn Machine>,
     mut place: watch::Receiver<SocketAddr>,
@@ -72,14 +83,19 @@
     let mut connection = None;
     let mut failing = false;
     let mut first = true;
-    sleep(Duration::from_nanos(asking.first() as u64)).await;
+    let mut watches = false;
+    // The failure before was answered in haste: the next one is not, or one that comes again and again would be a storm.
+    let mut hurried = false;
+    sleep(nanos(asking.first())).await;
     loop {
         let at = *place.borrow_and_update();
-        let wait = if first || known.is_none() { Duration::ZERO } else { WAIT };
+        // Changes are answered to all at once: a little less each time, or all would go on in step.
+        let wait = if watches && known.is_some() { WAIT - nanos(asking.first()) } else { Duration::ZERO };
         let path = known.map_or("/v1/servers".to_string(), |generation| {
             format!("/v1/servers?index={generation}&wait={}", wait.as_millis())
         });
         let allowed = (wait + GRACE).max(PATIENCE);
+        let begun = Instant::now();
         let asked = tokio::select! {
             biased;
             Ok(()) = place.changed() => None,
@@ -96,22 +112,26 @@
             Some(Ok(list)) if !list.reset && known.is_none() => {
                 Some(Failure::Other("not a whole list".into()))
             }
-            // It counts anew: changes since the version held would never come.
             Some(Ok(list)) if known.is_some_and(|held| list.generation < held) => {
                 known = None;
-                Some(Failure::Other(format!("version {} is older than the list held", list.generation)))
+                Some(Failure::Older(list.generation))
             }
             Some(Ok(list)) => {
                 if std::mem::take(&mut failing) {
                     tracing::info!("discovery answers again");
                 }
-                asking.answered();
+                // Who answers at once and loses each watch is no better than who fails.
+                if wait > Duration::ZERO {
+                    asking.answered();
+                    hurried = false;
+                }
                 known = Some(list.generation);
                 let (whole, news) = (list.reset, list.has_news());
                 tracing::debug!(generation = list.generation, whole, news, path, "discovery answers");
                 // The first one tells that the list held is fresh, also where it has no news. Whatever it says, the next
                 // one is a watch: an agent may answer with the whole list each time.
                 let news = std::mem::take(&mut first) || news;
+                watches = true;
                 if news && core.send(Input::List(list)).await.is_err() {
                     return;
                 }
@@ -124,13 +144,13 @@
             if !std::mem::replace(&mut failing, true) {
                 tracing::warn!(%error, "discovery fails; going on with the list held");
             }
-            // A watch that is lost is opened anew at once: what it misses binds within seconds, however many senders there
-            // are. A refusal, or a connection that never answered, keeps the long spread.
-            let pause = match error {
-                Failure::Silence | Failure::Broken(_) => asking.first(),
-                Failure::Other(_) => asking.failed(),
-            };
-            let pause = Duration::from_nanos(pause as u64);
+            watches = false;
+            // What a lost watch misses binds within seconds, and so does the list of a discovery that is back and counts
+            // anew. All else is spread.
+            let hurry = matches!(error, Failure::Broken(_) | Failure::Older(_));
+            hurried = hurry && !hurried;
+            let took = begun.elapsed().as_nanos() as Ns;
+            let pause = nanos(if hurried { asking.first() } else { asking.failed(took) });
             tokio::select! {
                 Ok(()) = place.changed() => (connection, known) = (None, None),
                 () = sleep(pause) => {}
