Trials with a window for repeats of one second, and a judge that counts it over processes

No trial had classes that bear a key, and no judge looked at how late a repeat comes.

The judge window counts from the first attempt that may have run, by whichever process, with the 50 ms that every limit on sockets is longer.

--- a/crates/trial/src/file.rs
+++ b/crates/trial/src/file.rs
@@ -487,6 +487,25 @@
         assert!(Trial::read(&both).is_err_and(|e| e.contains("a sender at one end")));
     }
 
+    #[test]
+    fn a_class_has_a_window_only_where_it_may_be_repeated() {
+        let keyed = USUAL.replacen("repeat = \"repeat\"", "repeat = \"repeat\"\nwindow = \"1s\"", 1);
+        let day = Scenario::read(&keyed).unwrap();
+        assert_eq!(day.classes[0].effect(), policy::api::Effect::Keyed);
+        assert_eq!(day.classes[1].effect(), policy::api::Effect::Unsafe);
+        let settings = &world::plan::Plan::draw(&day, 1).settings[0];
+        let windows: Vec<i64> = settings.classes.iter().map(|c| c.window).collect();
+        assert_eq!(windows, [1_000_000_000, 0]);
+        for bad in
+            [keyed.replace("window = \"1s\"", "window = \"0s\""), keyed.replace("\"repeat\"", "\"never\"")]
+        {
+            assert!(Scenario::read(&bad).is_err_and(|e| e.contains("update: window")));
+        }
+        assert!(
+            Scenario::read(&keyed.replace("window", "windows")).is_err_and(|e| e.contains("unknown field"))
+        );
+    }
+
     #[test]
     fn who_is_struck_is_drawn_by_the_seed() {
         let drawn = |seed| strikes(Who::Share(0.4), 30, None, &mut world::plan::random(seed, 100));
--- a/crates/trial/src/history.rs
+++ b/crates/trial/src/history.rs
@@ -37,12 +37,15 @@
 #[serde(tag = "what", rename_all = "snake_case")]
 pub enum What {
     /// Clients.
-    /// `once`: it must never take effect twice. The message is the part of `id` before its point.
+    /// `once`: it must never take effect twice. `window`: it bears a key under which repeats are dropped for so long. The
+    /// message is the part of `id` before its point.
     HandedIn {
         id: String,
         sender: usize,
         dest: usize,
         once: bool,
+        #[serde(default)]
+        window: Option<Us>,
         left: Us,
         aim: Us,
     },
--- a/crates/trial/src/judges.rs
+++ b/crates/trial/src/judges.rs
@@ -32,10 +32,11 @@
 type Said = (Us, Option<String>, String);
 
 /// Every judge by name.
-pub const JUDGES: [(&str, Judge); 14] = [
+pub const JUDGES: [(&str, Judge); 15] = [
     ("one_end_in_time", one_end_in_time),
     ("no_two_ends", no_two_ends),
     ("nothing_unsafe_twice", nothing_unsafe_twice),
+    ("window", window),
     ("attempts", attempts),
     ("right_partner", right_partner),
     ("waits", waits),
@@ -66,6 +67,8 @@
     pub sender: usize,
     pub dest: usize,
     pub once: bool,
+    /// Under its key repeats are dropped for so long.
+    pub window: Option<Us>,
     pub handed: Us,
     pub due: Us,
     pub aim: Us,
@@ -122,10 +125,10 @@
     fn take(&mut self, event: &Event) {
         let at = event.at;
         match &event.what {
-            What::HandedIn { id, sender, dest, once, left, aim } => {
-                let (sender, dest, once, aim) = (*sender, *dest, *once, *aim);
-                let new =
-                    Message { sender, dest, once, handed: at, due: at + left, aim, ..Message::default() };
+            What::HandedIn { id, sender, dest, once, window, left, aim } => {
+                let (sender, dest, once, window, aim) = (*sender, *dest, *once, *window, *aim);
+                let (handed, due) = (at, at + left);
+                let new = Message { sender, dest, once, window, handed, due, aim, ..Message::default() };
                 self.messages.insert(id.clone(), new);
             }
             What::Answered { id, status, .. } => {
@@ -216,6 +219,9 @@
 /// PROTOCOL: calls so soon behind a told wait are let through.
 const CROSSING: Us = 100 * MS;
 
+/// PROTOCOL: on sockets every limit is so much longer.
+const WINDOW_GRACE: Us = 50 * MS;
+
 fn stretched(span: Us, terms: &Terms) -> Us {
     (span as f64 * terms.stretch) as Us
 }
@@ -336,6 +342,25 @@
     said
 }
 
+/// Nothing goes again once repeats of it are dropped no more: so long after the first attempt that may have run, by
+/// whichever process of its sender.
+fn window(book: &Book<'_>, terms: &Terms) -> Vec<Said> {
+    let mut said = Vec::new();
+    for (id, message) in &book.messages {
+        let Some(window) = message.window else { continue };
+        let calls = || message.calls.iter().map(|c| &book.calls[c]);
+        let Some(ran) = calls().filter(|c| c.may_have_run).map(|c| c.at).min() else { continue };
+        let bound = ran + window + stretched(WINDOW_GRACE, terms);
+        if let Some(again) = calls().find(|c| c.at > bound) {
+            let later = (again.at - ran) / MS;
+            let says =
+                format!("sent by {} {later} ms after it may have run, beyond its window", again.sender);
+            said.push((again.at, Some(id.clone()), says));
+        }
+    }
+    said
+}
+
 /// The settings allow so many attempts.
 const ATTEMPTS: usize = 8;
 
--- a/crates/trial/src/stage.rs
+++ b/crates/trial/src/stage.rs
@@ -10,7 +10,7 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
-use policy::api::Ns;
+use policy::api::{Effect, Ns};
 use rand::RngExt;
 use rand_distr::{Distribution, Exp1};
 use serde_json::{json, Value};
@@ -330,6 +330,7 @@
         self.trying.set(self.trying.get() + 1);
         let spec = &self.plan.classes[class];
         let (due, once, aim) = (Instant::now(), spec.repeat == May::Never, spec.aim.0 as Us / 1_000);
+        let window = spec.window.map(|w| w.0 as Us / 1_000);
         let others = self.plan.weights.len();
         for attempt in 0..TRIES {
             let left = spec.deadline.0 - due.elapsed().as_nanos() as Ns;
@@ -342,9 +343,10 @@
             let sender = if attempt == 0 { first } else { (first + step * attempt) % others };
             self.classes.borrow_mut().insert(id.clone(), class);
             let left_us = left as Us / 1_000 / MS * MS;
-            let event = What::HandedIn { id: id.clone(), sender, dest, once, left: left_us, aim };
+            let event = What::HandedIn { id: id.clone(), sender, dest, once, window, left: left_us, aim };
             self.fabric.history.add(event);
-            let asked = self.post(sender, &id, &spec.name, left_us / MS, dest);
+            let key = spec.window.map(|_| format!("m{number}"));
+            let asked = self.post((sender, dest), &id, key, &spec.name, left_us / MS);
             let status = timeout(PATIENCE, asked).await.ok().flatten().map(|s| s.as_u16());
             self.fabric.history.add(What::Answered { id, sender, status });
             match status {
@@ -357,21 +359,23 @@
 
     async fn post(
         &self,
-        sender: usize,
+        (sender, dest): (usize, usize),
         id: &str,
+        key: Option<String>,
         class: &str,
         left_ms: u64,
-        dest: usize,
     ) -> Option<StatusCode> {
-        let request = Request::post(format!("/{class}"))
+        let mut request = Request::post(format!("/{class}"))
             .header("host", "sender")
             .header("x-trace-id", id)
             .header("x-qos", class)
             .header("x-expires-in-ms", left_ms.to_string())
-            .header("x-consignee", format!("dest={dest}"))
-            .body(Full::new(Bytes::from_static(b"a desk")));
-        let answer =
-            exchange(&self.fabric, Party::Client, sender, self.listens[sender], request.ok()?).await?;
+            .header("x-consignee", format!("dest={dest}"));
+        if let Some(key) = key {
+            request = request.header("idempotency-key", key);
+        }
+        let request = request.body(Full::new(Bytes::from_static(b"a desk"))).ok()?;
+        let answer = exchange(&self.fabric, Party::Client, sender, self.listens[sender], request).await?;
         Some(answer.0)
     }
 
@@ -379,8 +383,13 @@
     pub fn configuration(&self, sender: usize, list: &Value) -> Value {
         let s = &self.plan.settings[sender];
         let class = |c: &world::scenario::Class| {
-            let effect = if c.repeat == May::Repeat { "safe" } else { "unsafe" };
+            let effect = match c.effect() {
+                Effect::Safe => "safe",
+                Effect::Keyed => "keyed",
+                Effect::Unsafe => "unsafe",
+            };
             json!({"Name": c.name, "PromiseNs": c.aim.0, "DeadlineNs": c.deadline.0, "Effect": effect,
+                "DedupScope": "all", "WindowNs": c.window.map_or(0, |w| w.0),
                 "Worth": c.worth, "LateWorth": c.late_worth.0})
         };
         json!({"seed": format!("{:x}", self.plan.seed.wrapping_mul(1_000) + sender as u64),
--- a/crates/trial/tests/judges.rs
+++ b/crates/trial/tests/judges.rs
@@ -7,7 +7,12 @@
 }
 
 fn handed(id: &str, sender: usize, once: bool) -> What {
-    What::HandedIn { id: id.into(), sender, dest: 3, once, left: 4 * SECOND, aim: SECOND }
+    What::HandedIn { id: id.into(), sender, dest: 3, once, window: None, left: 4 * SECOND, aim: SECOND }
+}
+
+fn keyed(id: &str, sender: usize) -> What {
+    let (dest, once, window) = (3, false, Some(SECOND));
+    What::HandedIn { id: id.into(), sender, dest, once, window, left: 4 * SECOND, aim: SECOND }
 }
 
 fn answered(id: &str, sender: usize) -> What {
@@ -147,6 +152,17 @@
             "nothing_unsafe_twice",
             without(is_notice).into_iter().chain([at(4_500, notice("m2.0", "handed_back"))]).collect(),
         ),
+        (
+            "window",
+            with(vec![
+                at(4_000, keyed("m9.0", 0)),
+                at(4_010, called(20, "m9.0", 0, false)),
+                at(4_100, called(21, "m9.0", 0, true)),
+                at(4_700, called(22, "m9.0", 0, true)),
+                // Inside the window of the second attempt, and outside that of the first.
+                at(5_160, called(23, "m9.0", 0, false)),
+            ]),
+        ),
         ("attempts", with(attempts)),
         ("right_partner", with(vec![at(1_000, called(9, "m0.0", 0, true))])),
         ("waits", with(vec![at(900, handed("m9.0", 0, false)), at(400, called(9, "m9.0", 0, true))])),
@@ -191,6 +207,22 @@
     }
 }
 
+#[test]
+fn a_repeat_inside_its_window_is_none_beyond_it() {
+    // Turned away at first: that one never ran, and its window has not begun.
+    let mut history = with(vec![
+        at(4_000, keyed("m9.0", 0)),
+        at(4_010, called(20, "m9.0", 0, false)),
+        at(4_100, called(21, "m9.0", 0, true)),
+        at(5_140, called(22, "m9.0", 0, true)),
+    ]);
+    assert_eq!(judge(&history, &terms()), []);
+    history.push(at(5_210, called(23, "m9.0", 0, true)));
+    assert_eq!(found(&history, &terms()), ["window"]);
+    // On a busy machine what is read late may have been written in time.
+    assert_eq!(judge(&history, &Terms { stretch: 3.0, ..terms() }), []);
+}
+
 #[test]
 fn what_a_fault_excuses_is_excused_until_shortly_after_it_and_no_longer() {
     let frozen = |notice_at: u64| {
--- a/crates/world/src/scenario.rs
+++ b/crates/world/src/scenario.rs
@@ -221,6 +221,9 @@
     /// Of all messages.
     pub share: Share,
     pub repeat: May,
+    /// What may be repeated bears a key, under which repeats are dropped for so long from the first attempt that may have
+    /// run. Judged in trials; the lab's referee counts no window.
+    pub window: Option<Span>,
     /// Wanted within this time, worth less and less until `deadline`, where `late_worth` of it is left.
     pub aim: Span,
     pub deadline: Span,
@@ -233,6 +236,12 @@
     pub only: Option<String>,
 }
 
+impl Class {
+    pub fn effect(&self) -> Effect {
+        self.window.map_or(self.repeat.effect(), |_| Effect::Keyed)
+    }
+}
+
 /// Two classes, not those of any customer.
 fn classes() -> Vec<Class> {
     let ms = |ms: Ns| Span(ms * 1_000_000);
@@ -242,6 +251,7 @@
                 name: name.into(),
                 share: Share(share),
                 repeat,
+                window: None,
                 aim: ms(aim),
                 deadline: ms(deadline),
                 late_worth: Share(late),
@@ -399,6 +409,9 @@
             if class.aim > class.deadline {
                 return fault(format!("class {}: aim is after deadline", class.name));
             }
+            if class.window.is_some_and(|window| window.0 == 0 || class.repeat == May::Never) {
+                return fault(format!("class {}: window is a time in which it may be repeated", class.name));
+            }
         }
         for trouble in &scenario.troubles {
             if trouble.at > scenario.length {
--- a/tests/trials.rs
+++ b/tests/trials.rs
@@ -84,6 +84,16 @@
     is_good("part-roll", 1);
 }
 
+#[test]
+fn kills_and_signals_inside_a_window_of_a_second_repeat_nothing_beyond_it() {
+    is_good("window-short", 1);
+}
+
+#[test]
+fn upgrades_inside_a_window_of_a_second_repeat_nothing_beyond_it() {
+    is_good("window-upgrade", 1);
+}
+
 #[test]
 fn every_trial_of_the_folder_is_one() {
     let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("scenarios/trials");
