Test that every stream sends small pieces at once

Need: without TCP_NODELAY a small answer waits for the other side's acknowledgement, and no test noticed its absence.

Change: the test looks for the socket of each kind of stream (accepted, accepted as the listener closes, dialled) among the process's own descriptors and asks the system for the option.

--- a/crates/machine/src/real.rs
+++ b/crates/machine/src/real.rs
@@ -100,3 +100,7 @@
         self.local_addr()
     }
 }
+
+#[cfg(test)]
+#[path = "real_tests.rs"]
+mod tests;
