Force the moment in which a new client gets another connection's place

Need: connections_that_ask_once_and_stay_take_no_place_from_others passes though no place is made, as places come free by a second bound (2.5 s without a first request); nothing forced the crossing of a request with the close of its connection.

Change: one test fills all places with who can't leave by that bound yet, and asks that the next client is served at once and that just the one who has stood longest goes. Another halts the process, so that the newcomer comes before the request on the connection that is to go for it, and asks for that request's answer.

Seen to fail: the first with no place made, with a place made and nobody closed, and with the youngest closed; the second with both looks for a request that has come since taken out (each alone holds it).

--- a/tests/sender.rs
+++ b/tests/sender.rs
@@ -967,6 +967,59 @@
     assert_eq!(all_read(last).matches("HTTP/1.1 202").count(), 2);
 }
 
+/// All 23 places for clients are taken: 17 that have asked once and long enough ago to be closed for another, in this order,
+/// and six that have just come and may still ask.
+fn full_house() -> (Peer, Discovery, Node, Vec<TcpStream>, Vec<TcpStream>) {
+    let endpoint = Peer::new(|_| ok());
+    let discovery = Discovery::new(json!([ready("e-1", endpoint.address, 7)]));
+    let node = Node::with(&discovery, json!([]), |c| c["limits"]["sockets"] = json!(64));
+    let ask = |i: usize| {
+        let mut stream = TcpStream::connect(node.address).unwrap();
+        stream.write_all((message(&format!("m{i}"), "Content-Length: 1\r\n") + "x").as_bytes()).unwrap();
+        endpoint.wait_for(&format!("m{i}"), 1);
+        stream
+    };
+    let kept: Vec<TcpStream> = (0..17).map(ask).collect();
+    // Only time makes them old enough: two seconds without a request.
+    std::thread::sleep(Duration::from_millis(2_100));
+    let silent = (0..6).map(|_| TcpStream::connect(node.address).unwrap()).collect();
+    (endpoint, discovery, node, kept, silent)
+}
+
+fn is_open(stream: &TcpStream) -> bool {
+    stream.set_nonblocking(true).unwrap();
+    let mut answers = [0; 4096];
+    loop {
+        match (&*stream).read(&mut answers) {
+            Ok(0) => return false,
+            Ok(_) => {}
+            Err(e) => return e.kind() == std::io::ErrorKind::WouldBlock,
+        }
+    }
+}
+
+#[test]
+fn a_new_client_gets_the_place_of_whoever_has_stood_longest_without_a_request() {
+    let (_endpoint, _discovery, node, kept, silent) = full_house();
+    assert_eq!(node.hand_in("alert", "new", 7, 16_000, b"x"), 202, "at once, without coming again");
+    assert_eq!(all_read(&kept[0]).matches("HTTP/1.1 202").count(), 1, "closed behind its one answer");
+    assert!(kept[1..].iter().chain(&silent).all(is_open), "nobody else had to go");
+}
+
+/// The process stands still while both come, the new client first: it looks for a place before it has read the request.
+#[test]
+fn a_request_that_crosses_the_close_of_its_connection_for_a_new_client_is_answered() {
+    let (endpoint, _discovery, node, kept, _silent) = full_house();
+    node.signal("-STOP");
+    let _newcomer = TcpStream::connect(node.address).unwrap();
+    let mut first = &kept[0];
+    let again = message("again", "Content-Length: 1\r\nConnection: close\r\n") + "x";
+    first.write_all(again.as_bytes()).unwrap();
+    node.signal("-CONT");
+    assert_eq!(all_read(first).matches("HTTP/1.1 202").count(), 2);
+    endpoint.wait_for("again", 1);
+}
+
 fn all_read(mut stream: &TcpStream) -> String {
     stream.set_read_timeout(Some(BOUND)).unwrap();
     let mut answer = String::new();
