--- a/crates/sender/src/fleet.rs
+++ b/crates/sender/src/fleet.rs
@@ -70,7 +70,7 @@
 }
 
 /// Tells fleets apart, so that datagrams of one are not taken by another.
-fn number(fleet: &str) -> u64 {
+pub fn number(fleet: &str) -> u64 {
     let half = |text: String| u64::from(crc32fast::hash(text.as_bytes()));
     half(fleet.to_string()) << 32 | half(format!("fleet {fleet}"))
 }
@@ -126,7 +126,7 @@
 }
 
 /// The roster's file in the folder, and what is put aside of a later program's.
-const ROSTER: &str = "roster";
+pub const ROSTER: &str = "roster";
 const NEWER: &str = "roster.newer";
 /// How often the sender's own work is looked after, and how long an answer of its core may take.
 const LOOK: Duration = Duration::from_secs(1);
