Scale: hollow and real senders in one fleet, measured as a plan says

nickellab scale plays plans of scenarios/scale: fleets of hollow senders on threads beside real processes, cuts between members, changes of the configuration, and lists of any size for one sender; within bounds of time, memory and processes.

--- a/crates/scale/src/lib.rs
+++ b/crates/scale/src/lib.rs
@@ -2,5 +2,21 @@
 //!
 //! | module | what it is |
 //! | --- | --- |
+//! | [`plan`] | what a run does, as a strict file |
+//! | [`net`] | what lies between members: cuts, and counts of what passes |
+//! | [`agent`] | discovery's stand-in, with a list of any size |
+//! | [`hollows`] | hollow senders, many on each of a few threads |
+//! | [`real`] | real senders: processes that none outlives |
+//! | [`fleet`] | one fleet of both, its folders and configurations |
+//! | [`run`] | plays a plan on fleets, within its bounds |
+//! | [`lists`] | what a list costs one real sender |
 //! | [`measurement`] | one line of results |
+pub mod agent;
+pub mod fleet;
+pub mod hollows;
+mod lists;
 pub mod measurement;
+pub mod net;
+pub mod plan;
+pub mod real;
+pub mod run;
