Count what passes over the connections and datagrams that a machine gives

Need: no figure tells what control costs a sender, in bytes or datagrams, so that its budget can't be held against it.

Change: `Metered` is a machine around another: its streams, listeners and datagrams count what is read and written, once, where it passes; its users need not know. What is not given through it (clients and endpoints) costs nothing more. `process` tells processor time (the system's clock of the process, no file) and resident memory (`/proc/self/statm`, read when asked).

Tests: counts against sockets of the standard library, partial writes, what is only looked at, connections accepted by a listener that closes, datagrams that can't be sent.

--- a/crates/machine/src/lib.rs
+++ b/crates/machine/src/lib.rs
@@ -2,13 +2,17 @@
 //!
 //! This is the one place through which they enter: whoever starts a sender hands it a [`Machine`]. [`Real`] is the
 //! system's; another one may be simulated. Time that only rises is tokio's clock throughout, which a test may pause, so
-//! it is not here. Nothing here decides anything, keeps state between two calls, or knows of messages.
+//! it is not here. Nothing here decides anything, keeps state between two calls but the counts of a [`Metered`] machine, or
+//! knows of messages. What the process itself takes of its machine is told by [`process`].
 //!
 //! A byte's way in: [`Machine::listen`] or [`Machine::dial`] gives a [`Stream`], whose owner polls it for readiness and
 //! reads what is there. [`Conn`] is that for libraries that want `AsyncRead` and `AsyncWrite`.
 mod listen;
+mod metered;
+pub mod process;
 mod real;
 
+pub use metered::{Flow, Metered, Traffic};
 pub use real::Real;
 use std::future::{poll_fn, Future};
 use std::io::{self, IoSlice};
