Tell what control costs a sender, in bytes and datagrams by role

Need: the budget of control (a share of a core, memory, bytes a second) can't be held against a live process: no figure has any.

Change: `sender_control_bytes_total{role,direction}` for membership, discovery, store, notices and operators, and `sender_control_datagrams_total` for membership; `process_cpu_seconds_total` and `process_resident_memory_bytes` under their usual names. Each role is given a metered machine where it is wired (start.rs); no caller changes, and no client's or endpoint's connection is counted. A figure of the process that can't be read is left out.

--- a/crates/sender/src/control.rs
+++ b/crates/sender/src/control.rs
@@ -251,6 +251,7 @@
         let Ok(mut gauges) = gauges.await else {
             return text(StatusCode::SERVICE_UNAVAILABLE, "the core has ended\n");
         };
+        gauges.process = figures::Process::now();
         gauges.fleet = self.fleet.as_ref().map(|fleet| {
             let members = fleet.members();
             let count = |state| members.iter().filter(|m| m.state == state).count();
--- a/crates/sender/src/core/mod.rs
+++ b/crates/sender/src/core/mod.rs
@@ -307,7 +307,7 @@
             journal_bytes: self.journal.size(),
             links: self.client.pool.counts(),
             turnover: self.client.pool.turnover(),
-            fleet: None,
+            ..Gauges::default()
         }
     }
 
--- a/crates/sender/src/figures.rs
+++ b/crates/sender/src/figures.rs
@@ -2,7 +2,8 @@
 use crate::connections::Turnover;
 use crate::life::{Life, STAGES};
 use crate::pool::{Count, REASONS};
-use prometheus_client::encoding::text::encode;
+use machine::{process, Machine, Metered, Traffic};
+use prometheus_client::encoding::text::{encode_eof, encode_registry};
 use prometheus_client::encoding::{EncodeGaugeValue, EncodeMetric, MetricEncoder};
 use prometheus_client::metrics::counter::ConstCounter;
 use prometheus_client::metrics::histogram::Histogram;
@@ -12,6 +13,7 @@
 use std::collections::BTreeMap;
 use std::fmt;
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::time::Instant;
 
 /// How a message has ended.
@@ -26,6 +28,28 @@
 const ENDS: [(End, &str); 3] =
     [(End::Completed, "completed"), (End::Rejected, "rejected"), (End::Failed, "failed")];
 
+/// For what a sender spends on control: what is neither a client's nor an endpoint's.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Role {
+    /// The fleet's datagrams.
+    Membership,
+    /// The list, and the watch of it.
+    Discovery,
+    /// Duties.
+    Store,
+    Notices,
+    /// The control address.
+    Operators,
+}
+
+const ROLES: [(Role, &str); 5] = [
+    (Role::Membership, "membership"),
+    (Role::Discovery, "discovery"),
+    (Role::Store, "store"),
+    (Role::Notices, "notices"),
+    (Role::Operators, "operators"),
+];
+
 /// Upper bounds of the buckets of a span, in seconds: from what the program itself takes to the longest deadlines.
 const BUCKETS: [f64; 12] = [0.001, 0.005, 0.025, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 20.0, 60.0];
 
@@ -53,6 +77,20 @@
     pub turnover: Turnover,
     /// Members of the fleet by state, and those of them whose name another has too; None while that is off.
     pub fleet: Option<Fleet>,
+    pub process: Process,
+}
+
+/// What the whole process takes of its machine, other senders in it too; None where the system does not tell.
+#[derive(Default)]
+pub struct Process {
+    pub cpu: Option<Duration>,
+    pub memory: Option<u64>,
+}
+
+impl Process {
+    pub fn now() -> Process {
+        Process { cpu: process::cpu_time(), memory: process::resident_memory() }
+    }
 }
 
 #[derive(Default)]
@@ -79,6 +117,8 @@
     pub written: Rc<Cell<u64>>,
     pub reloads: Cell<u64>,
     pub reload_errors: Cell<u64>,
+    /// By role, counted where the bytes pass.
+    control: [Rc<Traffic>; ROLES.len()],
 }
 
 pub fn bump(count: &Cell<u64>) {
@@ -118,6 +158,11 @@
         classes.iter().for_each(|class| self.of(class, |_| {}));
     }
 
+    /// The machine as a role has it: what passes there is counted for that role.
+    pub fn metered(&self, machine: &Rc<dyn Machine>, role: Role) -> Rc<dyn Machine> {
+        Rc::new(Metered::new(machine.clone(), self.control[role as usize].clone()))
+    }
+
     /// In the Prometheus text format.
     pub fn text(&self, gauges: &Gauges) -> String {
         let mut page = Page(Registry::with_prefix("sender"));
@@ -142,8 +187,22 @@
         page.gauge("journal_bytes", "Size of the journal's file", gauges.journal_bytes as usize);
         page.connections(gauges);
         gauges.fleet.iter().for_each(|fleet| page.fleet(fleet));
+        self.write_control(&mut page);
         self.write_times(&mut page);
-        page.text()
+        page.text(&gauges.process)
+    }
+
+    fn write_control(&self, page: &mut Page) {
+        let rows = |(role, name): (Role, &'static str)| {
+            let Traffic { sent, received } = &*self.control[role as usize];
+            [(sent, "out"), (received, "in")]
+                .map(|(flow, direction)| (vec![("role", name.into()), ("direction", direction.into())], flow))
+        };
+        let bytes = ROLES.into_iter().flat_map(rows).map(|(labels, flow)| (labels, flow.bytes()));
+        page.counters("control_bytes_total", "Bytes that control took, by role", bytes);
+        let fleet = ROLES.into_iter().filter(|(role, _)| *role == Role::Membership);
+        let datagrams = fleet.flat_map(rows).map(|(labels, flow)| (labels, flow.datagrams()));
+        page.counters("control_datagrams_total", "Datagrams that control took, by role", datagrams);
     }
 
     fn write_times(&self, page: &mut Page) {
@@ -284,14 +343,29 @@
         self.counters("fleet_dropped_total", "Datagrams that are none of the fleet's", dropped);
     }
 
-    fn text(&self) -> String {
+    /// The figures of the process have the names that they have in every program.
+    fn text(&self, process: &Process) -> String {
+        let mut own = Page(Registry::with_prefix("process"));
+        if let Some(cpu) = process.cpu {
+            let spent = vec![(Labels::new(), ConstCounter::new(cpu.as_secs_f64()))];
+            own.family("cpu_seconds", "Processor time of the process", MetricType::Counter, spent);
+        }
+        if let Some(memory) = process.memory {
+            own.gauge("resident_memory_bytes", "Memory of the process in the machine's", memory as usize);
+        }
         let mut text = String::new();
         // Writing to memory does not fail.
-        let _ = encode(&mut text, &self.0);
+        let _ = encode_registry(&mut text, &self.0);
+        let _ = encode_registry(&mut text, &own.0);
+        let _ = encode_eof(&mut text);
         text
     }
 }
 
+#[cfg(test)]
+#[path = "figures_tests.rs"]
+mod cost_tests;
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -316,9 +390,12 @@
         };
         let text = figures.text(&gauges);
         let of_links = |l: &&str| l.contains("connection") || l.contains("sender_dial");
+        let of_control = |l: &&str| l.contains("_control_");
         let (links, lines): (Vec<&str>, Vec<&str>) =
             text.lines().filter(|l| !l.starts_with('#')).partition(|l| of_links(l));
         assert_eq!(links.len(), 5 + 6 + REASONS.len() + 1);
+        let (control, lines): (Vec<&str>, Vec<&str>) = lines.into_iter().partition(|l| of_control(l));
+        assert_eq!(control.len(), ROLES.len() * 2 + 2);
         let odd = r#"sender_downstream_requests{lane="o\"d\\d\n",result="#;
         let expected = [
             format!("{odd}\"completed\"}} 0"),
@@ -341,7 +418,7 @@
         ];
         assert_eq!(lines, expected);
         let families = text.lines().filter(|l| l.starts_with("# TYPE sender_")).count();
-        assert_eq!(families, 22);
+        assert_eq!(families, 24);
     }
 
     #[test]
--- a/crates/sender/src/start.rs
+++ b/crates/sender/src/start.rs
@@ -3,6 +3,7 @@
 use crate::core::{Core, Parts};
 use crate::deadline::Clock;
 use crate::drain::{Drain, Evacuation};
+use crate::figures::Role;
 use crate::handover::{Dead, Folder, Handover};
 use crate::inbox::{Input, INBOX};
 use crate::memory::Budget;
@@ -146,8 +147,10 @@
         }
         let (discovery, place) = watch::channel(config.discovery);
         let (asking, known) = (Asking::new(&settings, config.seed), std::mem::take(&mut config.known));
-        spawn_local(discovery::follow(machine.clone(), place.clone(), core.clone(), known.version(), asking));
-        spawn_local(notices::run(machine.clone(), place, noticing, core.clone()));
+        let [watching, telling] =
+            [Role::Discovery, Role::Notices].map(|role| figures.metered(&machine, role));
+        spawn_local(discovery::follow(watching, place.clone(), core.clone(), known.version(), asking));
+        spawn_local(notices::run(telling, place, noticing, core.clone()));
         let terms = Terms::new(&settings, config.around.clone());
         let parts = Parts {
             machine: machine.clone(),
@@ -244,11 +247,12 @@
             let life = machine.wall_ms().max(0) as u64;
             let (drain, core, state) = (drain.clone(), self.core.clone(), config.state.clone());
             let host = fleet::Host { drain, core, state };
-            Rc::new(fleet::Fleet::new(machine.clone(), host, settings, name, life, nonce))
+            let machine = self.figures.metered(machine, Role::Membership);
+            Rc::new(fleet::Fleet::new(machine, host, settings, name, life, nonce))
         });
         let duties = config.duties.clone().map(|settings| {
-            let fleet = fleet.clone();
-            Rc::new(duties::Duties::new(machine.clone(), settings, name, drain.clone(), fleet, nonce))
+            let (fleet, machine) = (fleet.clone(), self.figures.metered(machine, Role::Store));
+            Rc::new(duties::Duties::new(machine, settings, name, drain.clone(), fleet, nonce))
         });
         fleet.iter().for_each(|fleet| _ = spawn_local(fleet.clone().run()));
         duties.iter().for_each(|duties| _ = spawn_local(duties.clone().run()));
@@ -275,7 +279,8 @@
         });
         spawn_local(control.clone().lead());
         let Some(at) = config.control else { return Ok(None) };
-        let listener = machine.listen(at, false).map_err(|e| format!("cannot listen on {at}: {e}"))?;
+        let listener = self.figures.metered(machine, Role::Operators).listen(at, false);
+        let listener = listener.map_err(|e| format!("cannot listen on {at}: {e}"))?;
         spawn_local(control.serve(listener));
         let enter = |folder: &std::path::PathBuf| {
             let entry =
