--- a/crates/machine/src/process_tests.rs
+++ b/crates/machine/src/process_tests.rs
@@ -1,14 +1,16 @@
 //! What a process is told of itself follows what it does.
 use super::*;
+use std::time::Instant;
 
 #[test]
-fn processor_time_grows_with_work_and_is_not_the_clocks() {
-    let before = cpu_time().unwrap();
-    let mut sum = 0u64;
+fn processor_time_grows_with_work_and_is_no_clock() {
+    let (begun, before) = (Instant::now(), cpu_time().unwrap());
+    // A clock shows how long the machine has been up, or the date.
+    assert!(before < Duration::from_secs(60), "{before:?}");
+    // Other tests' threads may add to it.
     while cpu_time().unwrap() < before + Duration::from_millis(5) {
-        sum = std::hint::black_box(sum.wrapping_add(1));
+        assert!(begun.elapsed() < Duration::from_secs(60), "it stands still");
     }
-    assert!(sum > 0);
 }
 
 #[test]
