Scale: the tables of the capacity page, from lines of results

Need: anybody must be able to renew the tables from a run's results, and what is extrapolated must be called so.

--- a/crates/scale/src/lib.rs
+++ b/crates/scale/src/lib.rs
@@ -11,12 +11,14 @@
 //! | [`run`] | plays a plan on fleets, within its bounds |
 //! | [`lists`] | what a list costs one real sender |
 //! | [`measurement`] | one line of results |
+//! | [`page`] | the tables of docs/CAPACITY.md from such lines |
 pub mod agent;
 pub mod fleet;
 pub mod hollows;
 mod lists;
 pub mod measurement;
 pub mod net;
+pub mod page;
 pub mod plan;
 pub mod real;
 pub mod run;
