--- /dev/null
+++ b/crates/policy/tests/common/counting.rs
@@ -0,0 +1,45 @@
+//! An allocator that counts, for what memory is held and how often it is asked for.
+use std::alloc::{GlobalAlloc, Layout, System};
+use std::sync::atomic::{AtomicUsize, Ordering::Relaxed};
+
+pub struct Counting {
+    held: AtomicUsize,
+    most: AtomicUsize,
+    calls: AtomicUsize,
+}
+
+impl Counting {
+    pub const fn new() -> Counting {
+        Counting { held: AtomicUsize::new(0), most: AtomicUsize::new(0), calls: AtomicUsize::new(0) }
+    }
+
+    /// Bytes held now.
+    pub fn held(&self) -> usize {
+        self.held.load(Relaxed)
+    }
+
+    /// The most bytes held at once since the last call.
+    pub fn most(&self) -> usize {
+        self.most.swap(self.held(), Relaxed)
+    }
+
+    /// Allocations so far.
+    pub fn calls(&self) -> usize {
+        self.calls.load(Relaxed)
+    }
+}
+
+// SAFETY: all is left to the system's allocator; only the sizes are added up.
+unsafe impl GlobalAlloc for Counting {
+    unsafe fn alloc(&self, layout: Layout) -> *mut u8 {
+        self.calls.fetch_add(1, Relaxed);
+        let held = self.held.fetch_add(layout.size(), Relaxed) + layout.size();
+        self.most.fetch_max(held, Relaxed);
+        System.alloc(layout)
+    }
+
+    unsafe fn dealloc(&self, at: *mut u8, layout: Layout) {
+        self.held.fetch_sub(layout.size(), Relaxed);
+        System.dealloc(at, layout);
+    }
+}
