Keep figures of those levels alone that were measured, and choose a cap by spans of them

Cause: `Dest::new` made a figure for each level of calls in flight and class at once: 19 KB for a destination with 400 slots and 2 classes, whether anything was ever sent there. `choose_cap` scored each of the 300 levels against each measured one, and read all 300 figures, for every class: once when a destination gets work and again in each period of 100 ms. With 30 destinations and 1,000 messages a second that is some 300 times a second, as they are nearly always busy; with 1,000 or more it is twice a message. This is what a message costs more among many destinations in the module; the profile shows choose_cap, its list of measured levels and exp2 at 38% of all, and no other part over 7%.

Change: `levels` keeps the booked levels sorted, and drops one that weighs nothing (2^-129) when a new one comes. The score only grows between two levels where a class turns from meeting its aim to missing it, so that only the ends of such spans are scored. The same sums in the same order, the same ties.

Tests: the plain formula, written out, against the module over 300 seeds of random bookings, gaps and new settings. Seen to fail with the nearest level rounded to the other side, with the first of two equal levels, with figures dropped that still weigh, with a level above the top, and with cells above a lowered top kept.

--- /dev/null
+++ b/crates/policy/src/caps_tests.rs
@@ -0,0 +1,170 @@
+//! The choice of a cap against its plain formula, which keeps a figure for every level and scores each.
+use crate::api::*;
+use crate::lot::Lot;
+use crate::rules::{Dest, Stat, MEASURED};
+
+/// The rule as the paper has it, over all levels.
+struct Plain {
+    cap: usize,
+    classes: Vec<(Stat, Vec<Stat>)>,
+}
+
+fn top(cfg: &Settings) -> usize {
+    (cfg.slots * 3 / 4).max(1)
+}
+
+impl Plain {
+    fn new(cfg: &Settings) -> Plain {
+        let seen = (Stat::default(), vec![Stat::default(); top(cfg) + 1]);
+        Plain { cap: top(cfg), classes: vec![seen; cfg.classes.len()] }
+    }
+
+    fn reset(&mut self, old: &Settings, new: &Settings) {
+        for (c, (arrivals, levels)) in self.classes.iter_mut().enumerate() {
+            if old.classes[c] != new.classes[c] {
+                (*arrivals, *levels) = Default::default();
+            }
+            levels.resize(top(new) + 1, Stat::default());
+        }
+        self.cap = if self.cap == top(old) { top(new) } else { self.cap.min(top(new)) };
+    }
+
+    fn choose(&mut self, cfg: &Settings, now: Ns) {
+        let top = top(cfg);
+        let mut scores = vec![0.0; top + 1];
+        let mut all = 0.0;
+        for ((arrivals, levels), class) in self.classes.iter().zip(&cfg.classes) {
+            let share = arrivals.aged(now);
+            all += share;
+            let measured: Vec<usize> = (1..=top).filter(|&l| levels[l].aged(now) >= MEASURED).collect();
+            for (level, score) in scores.iter_mut().enumerate().skip(1) {
+                let meets = match measured.iter().min_by_key(|&&m| (m.abs_diff(level), m)) {
+                    Some(&nearest) => levels[nearest].bound(1.0) < class.aim as f64,
+                    None => level <= self.cap,
+                };
+                if meets {
+                    *score += level as f64 * share;
+                }
+            }
+        }
+        let best = (1..=top).max_by(|&a, &b| scores[a].total_cmp(&scores[b])).unwrap_or(1);
+        if scores[best] <= 0.0 && all > MEASURED {
+            self.cap = 1;
+        } else if scores[best] > scores[self.cap] * (1.0 + 1e-9) {
+            self.cap = best;
+        }
+    }
+}
+
+struct Draws(Lot);
+
+impl Draws {
+    /// From 0, under `n`.
+    fn under(&mut self, n: usize) -> usize {
+        (self.0.draw() * n as f64) as usize
+    }
+
+    fn one_of<T: Copy>(&mut self, all: &[T]) -> T {
+        all[self.under(all.len())]
+    }
+
+    fn class(&mut self) -> Class {
+        Class {
+            aim: self.one_of(&[SECOND, 2 * SECOND, 3 * SECOND]),
+            aim_stretch: 0.0,
+            deadline: 16 * SECOND,
+            effect: Effect::Safe,
+            scope: DedupScope::All,
+            window: 0,
+            worth: 1.0,
+            late_worth: 0.0,
+            in_order: false,
+            max_attempts: 8,
+        }
+    }
+
+    fn slots(&mut self) -> usize {
+        self.one_of(&[1, 2, 3, 5, 8, 12, 12, 40, 100])
+    }
+}
+
+#[test]
+fn the_cap_is_that_of_the_plain_formula_whatever_is_booked() {
+    const OUTCOMES: [Outcome; 6] = [
+        Outcome::Served,
+        Outcome::Served,
+        Outcome::Served,
+        Outcome::NoAnswer,
+        Outcome::TurnedAway,
+        Outcome::CalledOff,
+    ];
+    let mut caps = std::collections::BTreeMap::<usize, usize>::new();
+    for seed in 0..300 {
+        let mut draws = Draws(Lot::seeded(seed));
+        let classes = (0..1 + draws.under(4)).map(|_| draws.class()).collect();
+        let mut cfg = Settings { classes, slots: draws.slots(), ..Settings::default() };
+        let (mut dest, mut plain, mut now) = (Dest::new(&cfg), Plain::new(&cfg), 1_000 * SECOND);
+        for step in 0..400 {
+            // Mostly close to each other, and now and then so far apart that figures fade, or weigh nothing at all.
+            now += draws.one_of(&[0, MS, 50 * MS, 50 * MS, 200 * MS]);
+            if draws.under(60) == 0 {
+                now += draws.one_of(&[5 * SECOND, 15 * SECOND, 120 * SECOND, 1_000 * SECOND]);
+            }
+            let class = draws.under(cfg.classes.len());
+            // With equal shares levels come out exactly equal.
+            let arrivals = if seed % 3 == 0 { 0..cfg.classes.len() } else { class..class + draws.under(2) };
+            for class in arrivals {
+                dest.classes[class].arrivals.book(now, 1.0);
+                plain.classes[class].0.book(now, 1.0);
+            }
+            // As a change of the slots leaves it, a call may have been sent at a level above the highest.
+            let level = 1 + draws.under(top(&cfg) + 1);
+            let (outcome, kept) = (draws.one_of(&OUTCOMES), draws.under(10) == 0);
+            let took = draws.one_of(&[100 * MS, 900 * MS, 1_500 * MS, 2_500 * MS, 4_000 * MS]);
+            let end = AttemptEnd {
+                id: 0,
+                attempt: 0,
+                endpoint: 0,
+                outcome,
+                took,
+                done: false,
+                wait: 0,
+                report: None,
+                kept,
+            };
+            dest.book(&end, class, level, now - took, &cfg, now);
+            if outcome.tells_of_load() && !kept {
+                let x = if outcome == Outcome::Served { took } else { cfg.classes[class].aim };
+                plain.classes[class].1[level.min(top(&cfg))].book(now, x as f64);
+            }
+            dest.choose_cap(&cfg, now);
+            plain.choose(&cfg, now);
+            assert_eq!(dest.cap, plain.cap, "seed {seed}, step {step}");
+            *caps.entry(dest.cap).or_default() += 1;
+            if draws.under(100) == 0 {
+                let mut new = Settings { slots: draws.slots(), ..cfg.clone() };
+                new.classes[class] = draws.class();
+                dest.reset(&cfg, &new);
+                plain.reset(&cfg, &new);
+                cfg = new;
+            }
+        }
+    }
+    assert!(caps.len() > 30 && caps[&1] > 1_000, "caps of all sizes are chosen: {caps:?}");
+}
+
+#[test]
+fn levels_that_were_never_measured_take_no_room_and_faded_ones_give_theirs_up() {
+    let mut levels = crate::levels::Levels::<3_000>::default();
+    let measured = |levels: &crate::levels::Levels<3_000>, now| levels.nearest(now, 0.0, 300).count();
+    let first = 1_000 * SECOND;
+    for level in [7, 300, 1, 7, 299] {
+        levels.book(level, first, 1e9);
+    }
+    assert_eq!(measured(&levels, first), 4, "one for each level that was booked");
+    levels.book(7, first + 300 * SECOND, 1e9);
+    levels.book(50, first + 600 * SECOND, 1e9);
+    assert_eq!(measured(&levels, first + 600 * SECOND), 2, "what was booked 600 s ago weighs nothing");
+    levels.cut(49);
+    assert_eq!(measured(&levels, first + 600 * SECOND), 1);
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -5,7 +5,7 @@
 //! | [`api`] | the interface: settings, events in, actions out; data only |
 //! | [`settings`] | reads the settings object that the platform writes |
 //! | [`rules`] | every decision, and the state that decisions rest on |
-//! | `aged`, `bucket`, `agenda`, `lot` | figures whose weight halves with time, a token bucket, times by key, random numbers |
+//! | `aged`, `levels`, `bucket`, `agenda`, `lot` | figures whose weight halves with time, and those by level, a token bucket, times by key, random numbers |
 //! | [`view`] | what operators may see of that state; nothing is decided by it |
 //!
 //! It must not touch files, sockets, clocks or threads, nor share anything between two senders: time comes with each
@@ -16,7 +16,11 @@
 mod agenda;
 pub mod api;
 mod bucket;
+mod levels;
 mod lot;
 pub mod rules;
 pub mod settings;
 pub mod view;
+
+#[cfg(test)]
+mod caps_tests;
--- a/crates/policy/src/rules/caps.rs
+++ b/crates/policy/src/rules/caps.rs
@@ -12,8 +12,7 @@
 
 impl Dest {
     pub fn new(cfg: &Settings) -> Dest {
-        let seen = Seen { arrivals: Stat::default(), levels: vec![Stat::default(); top(cfg) + 1] };
-        Dest { cap: top(cfg), classes: vec![seen; cfg.classes.len()], ..Dest::default() }
+        Dest { cap: top(cfg), classes: vec![Seen::default(); cfg.classes.len()], ..Dest::default() }
     }
 
     /// New settings: what was measured of a class stands while its rules do; caps keep to new slots.
@@ -23,49 +22,46 @@
         let kept = (0..new.classes.len()).map(|c| seen.next().filter(|_| same(c)).unwrap_or_default());
         self.classes = kept.collect();
         let (before, after) = (top(old), top(new));
-        self.classes.iter_mut().for_each(|seen| seen.levels.resize(after + 1, Stat::default()));
+        self.classes.iter_mut().for_each(|seen| seen.levels.cut(after));
         self.cap = if self.cap == before { after } else { self.cap.min(after) };
     }
 
     /// The design's rule: the level with the best level x share of classes that meet their aim there.
     pub fn choose_cap(&mut self, cfg: &Settings, now: Ns) {
-        let top = top(cfg);
-        let mut scores = vec![0.0; top + 1];
-        let mut all = 0.0;
-        for (seen, settings) in self.classes.iter().zip(&cfg.classes) {
-            let share = seen.arrivals.aged(now);
+        let (top, cap, mut all) = (top(cfg), self.cap, 0.0);
+        let mut spans = Vec::with_capacity(self.classes.len());
+        for (seen, class) in self.classes.iter().zip(&cfg.classes) {
+            let (share, aim) = (seen.arrivals.aged(now), class.aim as f64);
             all += share;
-            let measured: Vec<usize> = (1..=top).filter(|&l| seen.levels[l].aged(now) >= MEASURED).collect();
-            for (level, score) in scores.iter_mut().enumerate().skip(1) {
-                // An unmeasured level borrows the nearest; an unmeasured class just meets its aim at the cap.
-                let meets = match measured.iter().min_by_key(|&&m| (m.abs_diff(level), m)) {
-                    Some(&nearest) => seen.levels[nearest].bound(1.0) < settings.aim as f64,
-                    None => level <= self.cap,
-                };
-                if meets {
-                    *score += level as f64 * share;
-                }
-            }
+            // An unmeasured level borrows the nearest; an unmeasured class just meets its aim at the cap.
+            let meets = move |s: &Stat| if s.bound(1.0) < aim { share } else { 0.0 };
+            let near = seen.levels.nearest(now, MEASURED, top).map(move |(last, s)| (last, meets(s)));
+            spans.push(near.chain([(cap, share), (top, 0.0)]));
         }
-        let best = (1..=top).max_by(|&a, &b| scores[a].total_cmp(&scores[b])).unwrap_or(1);
-        if scores[best] <= 0.0 && all > MEASURED {
+        let (mut best, mut at_cap) = ((1, 0.0), 0.0);
+        levels::common_spans(spans, top, |levels, shares| {
+            let score = |level: usize| shares.iter().fold(0.0, |sum, share| sum + level as f64 * share);
+            // Where the same classes meet their aim the score only grows: the last level is the best.
+            let last = (*levels.end(), score(*levels.end()));
+            best = if last.1 >= best.1 { last } else { best };
+            at_cap = if levels.contains(&cap) { score(cap) } else { at_cap };
+        });
+        if best.1 <= 0.0 && all > MEASURED {
             // Every class misses everywhere (hung): the paper would keep the cap; the slots are others' now.
             self.cap = 1;
-        } else if scores[best] > scores[self.cap] * (1.0 + 1e-9) {
-            self.cap = best;
+        } else if best.1 > at_cap * (1.0 + 1e-9) {
+            self.cap = best.0;
         }
     }
 
-    /// Books how a message's call ended, which was sent at a level; `aim`: its class's.
-    pub fn book(&mut self, e: &AttemptEnd, class: usize, level: usize, sent: Ns, aim: Ns, now: Ns) {
+    /// Books how a message's call ended, which was sent at a level.
+    pub fn book(&mut self, e: &AttemptEnd, class: usize, level: usize, sent: Ns, cfg: &Settings, now: Ns) {
         // Quick errors would read as quick answers: all but a served call books the full aim, so that a
         // class misses there once about half of its calls fail.
-        let took = if e.outcome == Outcome::Served { e.took.max(0) } else { aim };
+        let took = if e.outcome == Outcome::Served { e.took.max(0) } else { cfg.classes[class].aim };
         // What never reached it, and a kept connection that it had closed, tell nothing of its load.
         if e.outcome.tells_of_load() && !e.kept {
-            let levels = &mut self.classes[class].levels;
-            let level = level.min(levels.len() - 1);
-            levels[level].book(now, took as f64);
+            self.classes[class].levels.book(level.min(top(cfg)), now, took as f64);
         }
         if e.outcome == Outcome::Served {
             self.served.book(now, 1.0);
--- a/crates/policy/src/rules/mod.rs
+++ b/crates/policy/src/rules/mod.rs
@@ -19,6 +19,7 @@
 use crate::agenda::Agenda;
 use crate::api::*;
 use crate::bucket::Bucket;
+use crate::levels;
 use crate::lot::Lot;
 pub use asking::Asking;
 use caps::top;
--- a/crates/policy/src/rules/outcomes.rs
+++ b/crates/policy/src/rules/outcomes.rs
@@ -32,7 +32,7 @@
             self.calls.remove(&number);
         }
         let dest = self.dests.get_mut(&dest_id).expect("a call's destination is known");
-        dest.book(e, class, level, sent, self.cfg.classes[class].aim, now);
+        dest.book(e, class, level, sent, &self.cfg, now);
         dest.in_flight -= last as usize;
         self.due(dest_id, LONG_AGO);
         // Members of one call may come back in several batches, and a wait runs from each of these.
--- a/crates/policy/src/rules/state.rs
+++ b/crates/policy/src/rules/state.rs
@@ -2,6 +2,7 @@
 use crate::aged::Aged;
 use crate::api::*;
 use crate::bucket::Bucket;
+use crate::levels::Levels;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 pub const LONG_AGO: Ns = Ns::MIN / 2;
@@ -109,7 +110,7 @@
 #[derive(Clone, Default)]
 pub struct Seen {
     pub arrivals: Stat,
-    pub levels: Vec<Stat>,
+    pub levels: Levels<3_000>,
 }
 
 #[derive(Default)]
