Read discovery's list as it arrives, entry by entry, within a bound from the memory limit

Cause: a list was held whole as bytes and again as a tree of values, and one over 1 MiB (7,000 entries) was turned down by a bound on the body, silently and for good: `length limit exceeded`, with no figure.

Change: `list_reader` finds the ends of values in pieces of any size, without I/O, and leaves what is in them to serde; an entry becomes a compact record (64 bytes, names up to 22 bytes in place, zones and kinds by number), its text is not kept. The bound on a list follows from limits.memory_mb (60% of it at 256 bytes an entry: 300,000 entries at 128 MB). One over it, malformed or cut is turned down whole with a log line and `sender_list_errors_total`. Each piece may take as long as an answer to come, the whole 60 s; others have their turn every 16 KiB. A repeated key is malformed as before; an entry over 4 KiB counts as one that can't be read; of unreadable entries the log has the first and their number instead of a line each.

--- a/crates/sender/src/config.rs
+++ b/crates/sender/src/config.rs
@@ -1,7 +1,7 @@
 //! The environment and config.json: read at the start, and the file whole once more on SIGHUP.
 use crate::duties;
 use crate::fleet;
-use crate::list::List;
+use crate::list::{List, Room};
 use journal::Durability;
 use policy::api::Settings;
 use policy::settings::{self, Around};
@@ -57,6 +57,13 @@
     pub file: Value,
 }
 
+impl Config {
+    /// What a list of endpoints may come to take in memory.
+    pub fn room(&self) -> Room {
+        Room::of(self.limits.memory_mb)
+    }
+}
+
 /// What the platform tells a sender beside its configuration's file.
 #[derive(Clone, Debug, Default)]
 pub struct Environment {
--- a/crates/sender/src/connections.rs
+++ b/crates/sender/src/connections.rs
@@ -128,14 +128,24 @@
         request: Request<Full<Bytes>>,
         most: usize,
     ) -> Result<(u16, HeaderMap, Bytes), Fault> {
-        let (head, body) = self.send(request).await?.into_parts();
-        self.socket.rest();
+        let (head, body) = self.ask(request).await?.into_parts();
         let body = Limited::new(body, most).collect().await.map_err(|e| Fault::Broken(e.to_string()))?;
-        // Else the next request could find the connection still busy with the end of this answer.
-        let _ = timeout(TAIL, self.sender.ready()).await;
+        self.settle().await;
         Ok((head.status.as_u16(), head.headers, body.to_bytes()))
     }
 
+    /// The first part of an exchange whose body is read as it comes; `settle` is the last.
+    pub async fn ask(&mut self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>, Fault> {
+        let answer = self.send(request).await?;
+        self.socket.rest();
+        Ok(answer)
+    }
+
+    /// Else the next request could find the connection still busy with the end of this answer.
+    pub async fn settle(&mut self) {
+        let _ = timeout(TAIL, self.sender.ready()).await;
+    }
+
     /// Reads what is left of an answer whose outcome is known; whether the connection is at rest after it.
     pub async fn finish(&mut self, rest: Option<Incoming>) -> bool {
         let read = async {
--- a/crates/sender/src/core/places.rs
+++ b/crates/sender/src/core/places.rs
@@ -14,28 +14,23 @@
         }
         self.generation = list.generation;
         let mut entries = Vec::new();
-        for instance in list.instances() {
-            let condition = match instance.lifecycle.as_str() {
-                "Ready" => Condition::Ready,
-                "Gone" => Condition::Gone,
-                // Also what is not known: it gets nothing new.
-                _ => Condition::Draining,
-            };
-            let endpoint = *self.names.entry(instance.name.clone()).or_insert_with(|| {
+        for instance in (0..list.len()).filter_map(|entry| list.get(entry)) {
+            let (condition, name) = (instance.condition, instance.name.as_str().to_string());
+            let endpoint = *self.names.entry(name.clone()).or_insert_with(|| {
                 self.next_endpoint += 1;
                 self.next_endpoint
             });
-            let kind = position(&self.around.kinds, &instance.kind).unwrap_or(usize::MAX);
-            let zone = position(&self.around.zones, &instance.zone).unwrap_or(usize::MAX);
+            let kind = position(&self.around.kinds, list.kind(instance)).unwrap_or(usize::MAX);
+            let zone = position(&self.around.zones, list.zone(instance)).unwrap_or(usize::MAX);
             let separate = self.settings.kinds.get(kind).is_some_and(|k| k.separate_routes);
             let ready = condition == Condition::Ready;
             let (dest, hint) = (instance.dest, instance.weight);
             let entry = Entry { endpoint, dest, kind, zone, condition, hint };
-            let new = || Known { name: instance.name.clone(), entry, listed: true, closed: None };
+            let new = || Known { name, entry, listed: true, closed: None };
             let known = self.endpoints.entry(endpoint).or_insert_with(new);
             (known.entry, known.listed) = (entry, condition != Condition::Gone);
             known.closed = if ready { None } else { known.closed.or(Some(now)) };
-            self.client.pool.place(endpoint, instance.address, instance.dest, separate, ready);
+            self.client.pool.place(endpoint, instance.address.get(), instance.dest, separate, ready);
             self.dests.insert(dest);
             entries.push(entry);
         }
--- a/crates/sender/src/discovery.rs
+++ b/crates/sender/src/discovery.rs
@@ -1,7 +1,11 @@
 //! The list of endpoints: what has changed since the one held, or the whole; then a watch that goes out again at once.
 use crate::connections::{self, Connection};
+use crate::figures::{bump, Figures};
 use crate::inbox::Input;
-use crate::list::List;
+use crate::list::{List, Room};
+use crate::list_reader::{Error, Reader};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
 use machine::Machine;
 use policy::api::Ns;
 use policy::rules::Asking;
@@ -20,7 +24,18 @@
 const PATIENCE: Duration = Duration::from_millis(2_500);
 /// What is left of the 5 s for a connection to discovery.
 const DIAL: Duration = Duration::from_secs(1);
-const MAX_LIST: usize = 1 << 20;
+/// A list that goes on coming may take this long in all.
+const LONGEST: Duration = Duration::from_secs(60);
+/// Bytes of a list that are read before others have their turn.
+const TURN: usize = 16 << 10;
+
+/// How lists are taken.
+#[derive(Clone)]
+pub struct Taking {
+    /// What one may come to take in memory.
+    pub room: Room,
+    pub figures: Rc<Figures>,
+}
 
 /// Why a call for a list has brought none.
 enum Failure {
@@ -30,6 +45,8 @@
     Broken(String),
     /// Versions are counted anew: changes since the one held would never come.
     Older(u64),
+    /// A list that is none, or that there is no room for.
+    TurnedDown(String),
     Other(String),
 }
 
@@ -38,29 +55,39 @@
         match self {
             Failure::Silence => write!(f, "is silent"),
             Failure::Older(version) => write!(f, "version {version} is older than the list held"),
-            Failure::Broken(why) | Failure::Other(why) => write!(f, "{why}"),
+            Failure::Broken(why) | Failure::TurnedDown(why) | Failure::Other(why) => write!(f, "{why}"),
         }
     }
 }
 
+/// Asks for a list; its answer must begin within `allowed`.
 async fn get(
     machine: &dyn Machine,
     connection: &mut Option<Connection>,
     at: SocketAddr,
     path: &str,
+    allowed: Duration,
+    taking: &Taking,
 ) -> Result<List, Failure> {
     let has_answered = connection.is_some();
-    let kept = Connection::kept_or_new(machine, connection, at, DIAL).await;
-    let mut link = kept.map_err(|e| Failure::Other(e.to_string()))?;
-    let request = connections::request("GET", path, at, &[], Default::default());
-    let (status, _, body) = link.exchange(request, MAX_LIST).await.map_err(|fault| match has_answered {
-        true => Failure::Broken(fault.to_string()),
-        false => Failure::Other(fault.to_string()),
-    })?;
-    if status != 200 {
-        return Err(Failure::Other(format!("answered {status}")));
+    let ask = async {
+        let kept = Connection::kept_or_new(machine, connection, at, DIAL).await;
+        let mut link = kept.map_err(|e| Failure::Other(e.to_string()))?;
+        let request = connections::request("GET", path, at, &[], Default::default());
+        let answer = link.ask(request).await.map_err(|fault| broken(has_answered, fault.to_string()))?;
+        Ok((link, answer))
+    };
+    let (mut link, answer) = timeout(allowed, ask).await.unwrap_or(Err(Failure::Silence))?;
+    if answer.status() != 200 {
+        return Err(Failure::Other(format!("answered {}", answer.status().as_u16())));
     }
-    let list = serde_json::from_slice(&body).map_err(|e| Failure::Other(format!("not a list: {e}")))?;
+    let read = timeout(LONGEST, read(answer.into_body(), has_answered, taking.room));
+    let list = read.await.unwrap_or(Err(Failure::Silence));
+    if matches!(list, Err(Failure::TurnedDown(_))) {
+        bump(&taking.figures.list_errors);
+    }
+    let list = list?;
+    link.settle().await;
     *connection = Some(link);
     Ok(list)
 }
@@ -69,6 +96,36 @@
     Duration::from_nanos(span.max(0) as u64)
 }
 
+fn broken(has_answered: bool, why: String) -> Failure {
+    if has_answered {
+        Failure::Broken(why)
+    } else {
+        Failure::Other(why)
+    }
+}
+
+/// Reads a list as it arrives; each of its pieces may take as long as an answer.
+async fn read(mut body: Incoming, has_answered: bool, room: Room) -> Result<List, Failure> {
+    let turned_down = |error: Error| Failure::TurnedDown(error.to_string());
+    let mut reader = Reader::new(room);
+    let mut read = 0;
+    loop {
+        let frame = match timeout(PATIENCE, body.frame()).await {
+            Err(_) => return Err(Failure::Silence),
+            Ok(None) => return reader.finish().map_err(turned_down),
+            Ok(Some(frame)) => frame.map_err(|e| broken(has_answered, e.to_string()))?,
+        };
+        for piece in frame.data_ref().into_iter().flat_map(|data| data.chunks(TURN)) {
+            reader.feed(piece).map_err(turned_down)?;
+            read += piece.len();
+            if read >= TURN {
+                read = 0;
+                tokio::task::yield_now().await;
+            }
+        }
+    }
+}
+
 /// Never ends: while discovery is silent the sender goes on with the list it has. Of that one (`known`) only what
 /// has changed is asked for, at once, as the whole is much work for discovery when all senders start together; so it is
 /// after a failure, as a watch without news says nothing for long. Where its address changes, what is under way at the
@@ -79,6 +136,7 @@
     core: mpsc::Sender<Input>,
     mut known: Option<u64>,
     mut asking: Asking,
+    taking: Taking,
 ) {
     let mut connection = None;
     let mut failing = false;
@@ -99,9 +157,7 @@
         let asked = tokio::select! {
             biased;
             Ok(()) = place.changed() => None,
-            asked = timeout(allowed, get(&*machine, &mut connection, at, &path)) => {
-                Some(asked.unwrap_or(Err(Failure::Silence)))
-            }
+            asked = get(&*machine, &mut connection, at, &path, allowed, &taking) => Some(asked),
         };
         let failed = match asked {
             None => {
--- a/crates/sender/src/figures.rs
+++ b/crates/sender/src/figures.rs
@@ -117,6 +117,7 @@
     pub written: Rc<Cell<u64>>,
     pub reloads: Cell<u64>,
     pub reload_errors: Cell<u64>,
+    pub list_errors: Cell<u64>,
     /// By role, counted where the bytes pass.
     control: [Rc<Traffic>; ROLES.len()],
 }
@@ -180,6 +181,7 @@
             "Configurations turned down at SIGHUP",
             self.reload_errors.get(),
         );
+        page.counter("list_errors_total", "Lists turned down: none, or too large", self.list_errors.get());
         page.journal(&gauges.journal);
         page.gauge("pending", "Messages taken on that have not ended", gauges.pending);
         page.gauge("members", "Endpoints in discovery's list", gauges.members);
@@ -379,6 +381,7 @@
         figures.ended("o\"d\\d\n", End::Rejected);
         figures.written.set(5);
         bump(&figures.reload_errors);
+        (0..2).for_each(|_| bump(&figures.list_errors));
         let journal = journal::Figures { writes: 9, syncs: 4, rewrites: 1, faults: 0 };
         let gauges = Gauges {
             pending: 14,
@@ -407,6 +410,7 @@
             "sender_upstream_requests 5".into(),
             "sender_config_reloads 0".into(),
             "sender_config_reload_errors 1".into(),
+            "sender_list_errors_total 2".into(),
             "sender_journal_writes_total 9".into(),
             "sender_journal_syncs_total 4".into(),
             "sender_journal_rewrites_total 1".into(),
@@ -418,7 +422,7 @@
         ];
         assert_eq!(lines, expected);
         let families = text.lines().filter(|l| l.starts_with("# TYPE sender_")).count();
-        assert_eq!(families, 24);
+        assert_eq!(families, 25);
     }
 
     #[test]
--- a/crates/sender/src/hollow.rs
+++ b/crates/sender/src/hollow.rs
@@ -55,14 +55,16 @@
         let (discovery, place) = watch::channel(config.discovery);
         let asking = Asking::new(&config.settings, config.seed);
         let known = std::mem::take(&mut config.known).version();
-        spawn_local(discovery::follow(machine.clone(), place, core.clone(), known, asking));
+        let figures = Rc::new(figures::Figures::default());
+        let taking = discovery::Taking { room: config.room(), figures: figures.clone() };
+        spawn_local(discovery::follow(machine.clone(), place, core.clone(), known, asking, taking));
         let fleet = config.membership.take().map(|settings| {
             let life = machine.wall_ms().max(0) as u64;
             let host = fleet::Host { drain: drain.clone(), core: core.clone(), state: config.state.clone() };
             Rc::new(Fleet::new(machine.clone(), host, settings, &config.name, life, config.seed))
         });
         fleet.iter().for_each(|fleet| _ = spawn_local(fleet.clone().run()));
-        spawn_local(reloading(environment, config, machine, core, drain, discovery).run(reload));
+        spawn_local(reloading(environment, config, machine, core, drain, discovery, figures).run(reload));
         Ok(Hollow { fleet, told })
     }
 
@@ -105,8 +107,8 @@
     core: mpsc::Sender<Input>,
     drain: Rc<Drain>,
     discovery: watch::Sender<SocketAddr>,
+    figures: Rc<figures::Figures>,
 ) -> Reload {
-    let figures = Rc::new(figures::Figures::default());
     let (settings, budget) = (&config.settings, Budget::new(config.limits.memory_mb));
     let pool = connections::Pool::new(machine, settings.dial_timeout, settings.idle_close, 0);
     let terms = Terms::new(settings, config.around);
@@ -124,7 +126,7 @@
             Input::Gauges(reply) => _ = reply.send(figures::Gauges::default()),
             Input::List(list) => {
                 now.lists += 1;
-                now.entries += list.instances().count() as u64;
+                now.entries += list.len() as u64;
             }
             Input::Settings(new) => {
                 now.settings += 1;
--- a/crates/sender/src/lib.rs
+++ b/crates/sender/src/lib.rs
@@ -28,6 +28,7 @@
 mod inbox;
 mod life;
 mod list;
+mod list_reader;
 mod memory;
 mod notices;
 mod pool;
--- a/crates/sender/src/start.rs
+++ b/crates/sender/src/start.rs
@@ -147,9 +147,11 @@
         }
         let (discovery, place) = watch::channel(config.discovery);
         let (asking, known) = (Asking::new(&settings, config.seed), std::mem::take(&mut config.known));
+        let taking = discovery::Taking { room: config.room(), figures: figures.clone() };
         let [watching, telling] =
             [Role::Discovery, Role::Notices].map(|role| figures.metered(&machine, role));
-        spawn_local(discovery::follow(watching, place.clone(), core.clone(), known.version(), asking));
+        let (at, held) = (place.clone(), known.version());
+        spawn_local(discovery::follow(watching, at, core.clone(), held, asking, taking));
         spawn_local(notices::run(telling, place, noticing, core.clone()));
         let terms = Terms::new(&settings, config.around.clone());
         let parts = Parts {
