Read the configuration without a tree of its list, and on SIGHUP by a thread of its own

Change: the file is read in pieces of 64 KiB by serde visitors. `file` keeps all but the entries of `known`, which are checked to be JSON only, so SIGHUP finds the same missing keys as before. At the start `known` is read in a second pass, within the room that the memory limit gives; if it is over that it is turned down with a log line (file and place) and the figure, and discovery is asked for a whole list. SIGHUP reads the file on a blocking thread.

--- a/crates/sender/src/config.rs
+++ b/crates/sender/src/config.rs
@@ -1,14 +1,17 @@
 //! The environment and config.json: read at the start, and the file whole once more on SIGHUP.
 use crate::duties;
 use crate::fleet;
-use crate::list::{List, Room};
+use crate::list::{List, ListSeed, Room};
 use journal::Durability;
 use policy::api::Settings;
 use policy::settings::{self, Around};
+use serde::de::{DeserializeSeed, Deserializer, IgnoredAny, MapAccess, SeqAccess, Visitor};
 use serde::Deserialize;
-use serde_json::Value;
+use serde_json::{Map, Value};
+use std::io::BufReader;
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::{fmt, fs};
 
 #[derive(Deserialize)]
 pub struct Limits {
@@ -50,10 +53,11 @@
     pub limits: Limits,
     /// What the journal outlasts; as it was at the start.
     pub durability: Durability,
-    pub known: List,
+    /// Why there is none, where it could not be taken.
+    pub known: Result<List, String>,
     pub settings: Settings,
     pub around: Around,
-    /// The file as it was read.
+    /// The file as it was read, without the entries of `known`.
     pub file: Value,
 }
 
@@ -92,12 +96,141 @@
         }
     }
 
+    /// The file but for the entries of `known`, which are only checked to be JSON.
     fn file(&self) -> Result<(String, Value), String> {
         let path = self.config.clone().ok_or("EDGE_CONFIG is not set")?;
-        let text = std::fs::read_to_string(&path).map_err(|e| format!("cannot read {path}: {e}"))?;
-        let file = serde_json::from_str(&text).map_err(|e| format!("{path}: {e}"))?;
+        let file = read_with(&path, FileSeed)?;
         Ok((path, file))
     }
+
+    /// The list of endpoints that the sender had last; none where the file has none. It is read by itself, as the
+    /// memory limit that bounds it may stand behind it.
+    fn known(&self, room: Room) -> Result<List, String> {
+        let path = self.config.clone().ok_or("EDGE_CONFIG is not set")?;
+        read_with(&path, KnownSeed(room))
+    }
+}
+
+/// Reads a file piece by piece, as it may be many times larger than what is kept of it.
+fn read_with<S: DeserializeSeed<'static>>(path: &str, seed: S) -> Result<S::Value, String> {
+    let file = fs::File::open(path).map_err(|e| format!("cannot read {path}: {e}"))?;
+    let mut text = serde_json::Deserializer::from_reader(BufReader::with_capacity(BUFFER, file));
+    let read = seed.deserialize(&mut text).and_then(|value| text.end().map(|()| value));
+    read.map_err(|e| if e.is_io() { format!("cannot read {path}: {e}") } else { format!("{path}: {e}") })
+}
+
+const BUFFER: usize = 64 << 10;
+
+/// A configuration but for the entries of `known`.
+struct FileSeed;
+
+impl<'de> DeserializeSeed<'de> for FileSeed {
+    type Value = Value;
+
+    fn deserialize<D: Deserializer<'de>>(self, from: D) -> Result<Value, D::Error> {
+        from.deserialize_map(self)
+    }
+}
+
+impl<'de> Visitor<'de> for FileSeed {
+    type Value = Value;
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "a configuration")
+    }
+
+    fn visit_map<A: MapAccess<'de>>(self, mut map: A) -> Result<Value, A::Error> {
+        let mut file = Map::new();
+        while let Some(key) = map.next_key::<String>()? {
+            let value = match key.as_str() {
+                "known" => map.next_value::<WithoutEntries>()?.0,
+                _ => map.next_value()?,
+            };
+            file.insert(key, value);
+        }
+        Ok(Value::Object(file))
+    }
+}
+
+/// A list of endpoints with no entries in the place of its own, which are only checked to be JSON.
+struct WithoutEntries(Value);
+
+impl<'de> Deserialize<'de> for WithoutEntries {
+    fn deserialize<D: Deserializer<'de>>(from: D) -> Result<WithoutEntries, D::Error> {
+        struct Keys;
+        impl<'de> Visitor<'de> for Keys {
+            type Value = WithoutEntries;
+
+            fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                write!(f, "a list of endpoints")
+            }
+
+            fn visit_map<A: MapAccess<'de>>(self, mut map: A) -> Result<WithoutEntries, A::Error> {
+                let mut list = Map::new();
+                while let Some(key) = map.next_key::<String>()? {
+                    let value = match key.as_str() {
+                        "instances" => map.next_value::<Passed>().map(|Passed| Value::Array(Vec::new()))?,
+                        _ => map.next_value()?,
+                    };
+                    list.insert(key, value);
+                }
+                Ok(WithoutEntries(Value::Object(list)))
+            }
+        }
+        from.deserialize_map(Keys)
+    }
+}
+
+/// Entries that were passed over.
+struct Passed;
+
+impl<'de> Deserialize<'de> for Passed {
+    fn deserialize<D: Deserializer<'de>>(from: D) -> Result<Passed, D::Error> {
+        struct Entries;
+        impl<'de> Visitor<'de> for Entries {
+            type Value = Passed;
+
+            fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                write!(f, "the entries of a list")
+            }
+
+            fn visit_seq<A: SeqAccess<'de>>(self, mut seq: A) -> Result<Passed, A::Error> {
+                while seq.next_element::<IgnoredAny>()?.is_some() {}
+                Ok(Passed)
+            }
+        }
+        from.deserialize_seq(Entries)
+    }
+}
+
+/// The list of endpoints of a configuration.
+struct KnownSeed(Room);
+
+impl<'de> DeserializeSeed<'de> for KnownSeed {
+    type Value = List;
+
+    fn deserialize<D: Deserializer<'de>>(self, from: D) -> Result<List, D::Error> {
+        from.deserialize_map(self)
+    }
+}
+
+impl<'de> Visitor<'de> for KnownSeed {
+    type Value = List;
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "a configuration")
+    }
+
+    fn visit_map<A: MapAccess<'de>>(self, mut map: A) -> Result<List, A::Error> {
+        let mut known = List::default();
+        while let Some(key) = map.next_key::<String>()? {
+            match key.as_str() {
+                "known" => known = map.next_value_seed(ListSeed(self.0))?,
+                _ => _ = map.next_value::<IgnoredAny>()?,
+            }
+        }
+        Ok(known)
+    }
 }
 
 /// `first` if it is there, else `second`.
@@ -146,9 +279,12 @@
     }
 }
 
+/// The file as it is at the start, with the list of endpoints that the sender had last.
 pub fn read(environment: &Environment) -> Result<Config, String> {
     let (path, file) = environment.file()?;
-    parse(environment, path, file)
+    let mut config = parse(environment, path, file)?;
+    config.known = environment.known(config.room());
+    Ok(config)
 }
 
 fn parse(environment: &Environment, path: String, value: Value) -> Result<Config, String> {
@@ -180,7 +316,7 @@
         seed: file.seed.as_ref().map_or(0, seed),
         limits: file.limits,
         durability: durability(file.durability.as_deref()).map_err(|e| format!("{path}: {e}"))?,
-        known: file.known,
+        known: Ok(file.known),
         settings,
         around,
         file: value,
--- a/crates/sender/src/reload.rs
+++ b/crates/sender/src/reload.rs
@@ -8,10 +8,11 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::sync::{mpsc, watch};
+use tokio::task::spawn_blocking;
 
 pub struct Reload {
     pub environment: config::Environment,
-    /// The file that was taken last.
+    /// The file that was taken last, without the entries of `known`.
     pub in_force: Value,
     pub discovery: watch::Sender<SocketAddr>,
     pub core: mpsc::Sender<Input>,
@@ -24,7 +25,10 @@
     /// A bad file is no reason to end, or to lose what works.
     pub async fn run(mut self, mut told: mpsc::Receiver<()>) {
         while told.recv().await.is_some() {
-            match config::reread(&self.environment, &self.in_force) {
+            // By a thread of its own: a file with a long list takes a second, and all else goes on meanwhile.
+            let (environment, in_force) = (self.environment.clone(), self.in_force.clone());
+            let read = move || config::reread(&environment, &in_force);
+            match spawn_blocking(read).await.unwrap_or_else(|failed| Err(failed.to_string())) {
                 Ok(config) => self.swap(config).await,
                 Err(reason) => {
                     bump(&self.figures.reload_errors);
--- a/crates/sender/src/start.rs
+++ b/crates/sender/src/start.rs
@@ -6,6 +6,7 @@
 use crate::figures::Role;
 use crate::handover::{Dead, Folder, Handover};
 use crate::inbox::{Input, INBOX};
+use crate::list::List;
 use crate::memory::Budget;
 use crate::server::{Server, Terms};
 use crate::*;
@@ -146,7 +147,13 @@
             drain.inherit(evacuation);
         }
         let (discovery, place) = watch::channel(config.discovery);
-        let (asking, known) = (Asking::new(&settings, config.seed), std::mem::take(&mut config.known));
+        let asking = Asking::new(&settings, config.seed);
+        // Discovery is then asked for a whole one.
+        let known = std::mem::replace(&mut config.known, Ok(List::default())).unwrap_or_else(|reason| {
+            figures::bump(&figures.list_errors);
+            tracing::error!(%reason, "the list known is turned down whole; going on without");
+            List::default()
+        });
         let taking = discovery::Taking { room: config.room(), figures: figures.clone() };
         let [watching, telling] =
             [Role::Discovery, Role::Notices].map(|role| figures.metered(&machine, role));
