Take lists by what differs, in slices, over one compact record for each endpoint

Need: a listed endpoint was held in four tables with its name twice; a whole list marked and sent all of it to the module again in one round; every list, scrape, 100 ms step of the pool and kept connection walked all endpoints.

An identical list says nothing. - The pool's book has endpoints in use alone; calls that wait are found by a set of their own. Before, each connection that came back to rest walked all endpoints that a list had named (`Book::due`). - Discovery hands in the next list once the one before is taken. - Endpoints that were closed for a minute are forgotten on time, not with the next list.

--- a/crates/sender/src/connections.rs
+++ b/crates/sender/src/connections.rs
@@ -1,4 +1,5 @@
 //! Connections to endpoints, discovery and the platform: the pool, its bounds, and whom nothing may be written.
+use crate::endpoints::{Change, Endpoint, Endpoints};
 use crate::pool::{Book, Bounds, Choice, Count, LinkId, Reason, REASONS};
 use crate::wire::{Io, Socket, MAX_BODY, MAX_HEAD, MAX_HEADERS};
 use bytes::Bytes;
@@ -9,7 +10,7 @@
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use machine::Machine;
-use policy::api::{DestId, EndpointId, Ns, Outcome, MS};
+use policy::api::{Condition, DestId, EndpointId, Entry, Ns, Outcome, MS};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::io;
@@ -180,12 +181,6 @@
     request
 }
 
-struct Place {
-    address: SocketAddr,
-    route: (DestId, Option<EndpointId>),
-    usable: bool,
-}
-
 /// Connections that may be made at a time, in all and to one endpoint: what wants more waits for these or for one that
 /// comes back.
 const DIALS: usize = 32;
@@ -214,7 +209,9 @@
     idle: RefCell<HashMap<LinkId, Connection>>,
     waiters: RefCell<HashMap<u64, oneshot::Sender<Result<Connection, Outcome>>>>,
     ticket: Cell<u64>,
-    places: RefCell<HashMap<EndpointId, Place>>,
+    pub endpoints: RefCell<Endpoints>,
+    /// Nothing is written to any endpoint any more.
+    is_shut: Cell<bool>,
     waits: RefCell<HashMap<(DestId, Option<EndpointId>), Instant>>,
 }
 
@@ -241,7 +238,8 @@
             idle: RefCell::default(),
             waiters: RefCell::default(),
             ticket: Cell::default(),
-            places: RefCell::default(),
+            endpoints: RefCell::new(Endpoints::new(Instant::now())),
+            is_shut: Cell::default(),
             waits: RefCell::default(),
         };
         pool.set_times(dial, idle);
@@ -291,22 +289,14 @@
         self.close(links.into_iter().map(|id| (id, Reason::Withdrawn)));
     }
 
-    /// Follows the list; what it no longer names as ready gets nothing more, from now on.
-    pub fn place(
-        &self,
-        endpoint: EndpointId,
-        address: SocketAddr,
-        dest: DestId,
-        separate: bool,
-        usable: bool,
-    ) {
-        let place = Place { address, route: (dest, separate.then_some(endpoint)), usable };
-        let old = self.places.borrow_mut().insert(endpoint, place);
-        if old.is_some_and(|old| old.address != address) {
+    /// Follows a change of the list; what it no longer names as ready gets nothing more, from now on.
+    pub fn follow(&self, change: &Change) {
+        let Entry { endpoint, condition, .. } = change.entry;
+        if change.moved {
             let links = self.book.borrow_mut().moved(endpoint);
             self.withdraw_idle(links);
         }
-        self.set_usable(endpoint, usable);
+        self.set_usable(endpoint, condition == Condition::Ready);
     }
 
     fn set_usable(&self, endpoint: EndpointId, usable: bool) {
@@ -318,27 +308,26 @@
         }
     }
 
-    /// A whole list replaces the one before: what is not in it is gone.
-    pub fn withdraw_all(&self) {
-        self.places.borrow_mut().values_mut().for_each(|p| p.usable = false);
+    /// Nothing more is written to any endpoint, and no connection is kept.
+    pub fn shut(&self) {
+        self.is_shut.set(true);
+        let endpoints = self.book.borrow().in_use();
+        endpoints.into_iter().for_each(|endpoint| self.set_usable(endpoint, false));
     }
 
     /// Nothing more is written to an endpoint until a list names it as ready.
     pub fn withdraw(&self, endpoint: EndpointId) {
-        self.places.borrow_mut().get_mut(&endpoint).into_iter().for_each(|place| place.usable = false);
         self.set_usable(endpoint, false);
     }
 
-    /// Whether nothing more may be written to an endpoint, and no wait is kept under its number.
-    pub fn is_done_with(&self, endpoint: EndpointId) -> bool {
-        let places = self.places.borrow();
-        let Some(place) = places.get(&endpoint) else { return true };
-        !place.usable && (place.route.1.is_none() || !self.waits.borrow().contains_key(&place.route))
+    /// Whether no wait is kept under an endpoint's number.
+    pub fn is_done_with(&self, endpoint: &Endpoint) -> bool {
+        let route = endpoint.route();
+        route.1.is_none() || !self.waits.borrow().contains_key(&route)
     }
 
     /// The list has not named it for so long that its number means nothing any more.
     pub fn forget(&self, endpoint: EndpointId) {
-        self.places.borrow_mut().remove(&endpoint);
         self.set_usable(endpoint, false);
         let links = self.book.borrow_mut().forget(endpoint);
         self.withdraw_idle(links);
@@ -349,19 +338,14 @@
         self.withdraw_idle(links);
     }
 
-    pub fn close_all_idle(&self) {
-        let endpoints: Vec<EndpointId> = self.places.borrow().keys().copied().collect();
-        endpoints.into_iter().for_each(|endpoint| self.close_idle(endpoint));
-    }
-
     /// Closes what has stood idle too long or was closed from the other side, and forgets waits that are over.
     pub async fn keep(self: Rc<Self>) {
         let mut every = tokio::time::interval(Duration::from_millis(100));
         loop {
             every.tick().await;
             let now = Instant::now();
-            let gone: Vec<EndpointId> =
-                self.places.borrow().iter().filter(|(_, p)| !p.usable).map(|(&e, _)| e).collect();
+            let used = self.book.borrow().in_use().into_iter();
+            let gone: Vec<EndpointId> = used.filter(|&endpoint| self.address(endpoint).is_none()).collect();
             gone.into_iter().for_each(|endpoint| self.set_usable(endpoint, false));
             let expired = self.book.borrow_mut().expire(now);
             self.close(expired);
@@ -375,17 +359,17 @@
     }
 
     pub fn may_write(&self, endpoint: EndpointId) -> bool {
-        let places = self.places.borrow();
-        let Some(place) = places.get(&endpoint).filter(|p| p.usable) else { return false };
-        self.waits.borrow().get(&place.route).is_none_or(|&until| until <= Instant::now())
+        let endpoints = self.endpoints.borrow();
+        let Some(known) = self.usable(&endpoints, endpoint) else { return false };
+        self.waits.borrow().get(&known.route()).is_none_or(|&until| until <= Instant::now())
     }
 
     pub fn heed_wait(&self, endpoint: EndpointId, wait: Duration) {
-        let places = self.places.borrow();
-        let Some(place) = places.get(&endpoint) else { return };
+        let endpoints = self.endpoints.borrow();
+        let Some(known) = endpoints.get(endpoint) else { return };
         let until = Instant::now() + wait;
         let mut waits = self.waits.borrow_mut();
-        let held = waits.entry(place.route).or_insert(until);
+        let held = waits.entry(known.route()).or_insert(until);
         *held = until.max(*held);
     }
 
@@ -395,8 +379,13 @@
         self.withdraw_idle(links);
     }
 
+    fn usable<'a>(&self, endpoints: &'a Endpoints, endpoint: EndpointId) -> Option<&'a Endpoint> {
+        endpoints.get(endpoint).filter(|known| known.is_usable() && !self.is_shut.get())
+    }
+
+    /// None of one that takes nothing new.
     fn address(&self, endpoint: EndpointId) -> Option<SocketAddr> {
-        self.places.borrow().get(&endpoint).filter(|p| p.usable).map(|p| p.address)
+        self.usable(&self.endpoints.borrow(), endpoint).map(|known| known.said.address.get())
     }
 
     /// A connection for a call: an idle one, else the first of those that are being made or come back.
--- a/crates/sender/src/core/mod.rs
+++ b/crates/sender/src/core/mod.rs
@@ -24,11 +24,12 @@
 use crate::life::{Life, Stage};
 use journal::{first_id, Record, Stamp, Taken};
 use machine::Machine;
+use places::Lists;
 use policy::api::*;
 use policy::rules::Sender;
 use policy::settings::Around;
 use std::cell::Cell;
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -62,17 +63,6 @@
     due: Option<Instant>,
 }
 
-/// An endpoint that a list has named.
-struct Known {
-    name: String,
-    /// As the list had it last.
-    entry: Entry,
-    /// In the list, in whatever state.
-    listed: bool,
-    /// Since when it takes nothing new.
-    closed: Option<Instant>,
-}
-
 /// What a core is made of.
 pub struct Parts {
     pub machine: Rc<dyn Machine>,
@@ -106,14 +96,7 @@
     own: Clock,
     /// As it was last written.
     last_stamp: Stamp,
-    names: HashMap<String, EndpointId>,
-    endpoints: HashMap<EndpointId, Known>,
-    /// The version of the list.
-    generation: u64,
-    /// Numbers are never used again: calls and the module may know an endpoint longer than the list.
-    next_endpoint: EndpointId,
-    /// All destinations that a list has named: as many as there are customers' systems.
-    dests: HashSet<DestId>,
+    lists: Lists,
     held: BTreeMap<u64, Held>,
     traces: HashMap<String, u64>,
     noticing: HashMap<u64, Noticing>,
@@ -150,8 +133,6 @@
 const CLOCK_START: Ns = 1_000_000 * SECOND;
 /// Events of one round at most, so that a flood of them does not hold up the answers.
 const ROUND: usize = 512;
-/// For so long after it was closed an endpoint is remembered, as long as the module does: new ones come all day.
-const FORGET: Duration = Duration::from_secs(60);
 /// How often a journal that has failed may be tried to be replaced.
 const RENEW_EVERY: Duration = Duration::from_secs(1);
 /// A delivery so shortly before a message's end, or behind it, may be too late by the platform's clock: that one counts
@@ -184,11 +165,7 @@
             own,
             last_stamp: own.stamp(start, machine.wall_ms()),
             machine,
-            names: HashMap::new(),
-            dests: HashSet::new(),
-            endpoints: HashMap::new(),
-            generation: 0,
-            next_endpoint: 0,
+            lists: Lists::default(),
             held: BTreeMap::new(),
             traces: HashMap::new(),
             noticing: HashMap::new(),
@@ -223,7 +200,7 @@
             }
             let wake = self.timer.map(|at| self.instant(at));
             let wake = if self.next.is_empty() { wake } else { Some(Instant::now()) };
-            let wake = [wake, self.wind, self.renew_at]
+            let wake = [wake, self.wind, self.renew_at, self.next_to_forget()]
                 .into_iter()
                 .flatten()
                 .filter(|&w| self.started_before(w))
@@ -231,6 +208,8 @@
             tokio::select! {
                 biased;
                 count = self.inbox.recv_many(&mut inputs, ROUND) => if count == 0 { return },
+                // A list goes on with the next round; all that is ready comes before that.
+                () = std::future::ready(()), if !self.lists.is_empty() => {}
                 () = async { match wake { Some(at) => sleep_until(at).await, None => std::future::pending().await } } => {}
             }
             // Whatever else is ready on the sockets comes into the same round.
@@ -297,12 +276,13 @@
     }
 
     fn gauges(&self, now: Ns) -> Gauges {
-        let avoided: HashSet<EndpointId> = self.sender.avoided(now).collect();
-        let listed = || self.endpoints.iter().filter(|(_, known)| known.listed);
+        let endpoints = self.client.pool.endpoints.borrow();
+        let (members, closed) = endpoints.counts();
+        let open = |id: &EndpointId| endpoints.get(*id).is_some_and(|known| known.is_usable());
         Gauges {
             pending: self.held.len() + self.noticing.len(),
-            members: listed().count(),
-            unavailable: listed().filter(|(id, k)| k.closed.is_some() || avoided.contains(id)).count(),
+            members,
+            unavailable: closed + self.sender.avoided(now).filter(open).count(),
             journal: self.journal.figures,
             journal_bytes: self.journal.size(),
             links: self.client.pool.counts(),
--- a/crates/sender/src/core/passing.rs
+++ b/crates/sender/src/core/passing.rs
@@ -4,6 +4,7 @@
 use crate::deadline::{left, Shift};
 use crate::inbox::Reply;
 use crate::list::List;
+use crate::listing::SLICE;
 use journal::{seen, Begun, Ending, Inheritance, Left, Live, Release};
 use serde_json::Value;
 use tokio::time::timeout;
@@ -11,12 +12,13 @@
 impl Core {
     /// Takes up what earlier processes left; false if it could not be written down. `known` may be old, so a fresh
     /// list is waited for, but not for long. While an earlier one `sends` nothing goes out from here.
-    pub async fn resume(&mut self, known: List, left: Left, sends: bool) -> bool {
-        let mut events = vec![self.list(known, true)];
+    pub async fn resume(&mut self, mut known: List, left: Left, sends: bool) -> bool {
+        let mut events = Vec::new();
+        known.reset = true;
+        self.take_list(known, &mut events).await;
         let first = timeout(FIRST_LIST, self.inbox.recv()).await;
         if let Ok(Some(Input::List(list))) = first {
-            let whole = list.reset;
-            events.push(self.list(list, whole));
+            self.take_list(list, &mut events).await;
         }
         events.push(Event::Elsewhere { sends, calls: Vec::new() });
         let count = left.messages.len();
@@ -32,6 +34,16 @@
         written
     }
 
+    /// Takes a list in full. One of many slices is told to the module on the way, and others have their turn meanwhile.
+    async fn take_list(&mut self, list: List, events: &mut Vec<Event>) {
+        self.lists.push(list);
+        self.follow_lists(&mut { SLICE }, events);
+        while !self.lists.is_empty() {
+            self.round(Vec::new(), std::mem::take(events)).await;
+            tokio::task::yield_now().await;
+        }
+    }
+
     /// Makes messages of an earlier process this one's.
     pub(super) async fn take_over(&mut self, left: Left, events: &mut Vec<Event>) -> bool {
         let Left { messages: mut left, seen: ended, .. } = left;
@@ -76,7 +88,7 @@
             return Err((taken, ending, false));
         }
         let past = |a: &Begun| PastAttempt {
-            endpoint: self.names.get(&a.endpoint).copied(),
+            endpoint: self.client.pool.endpoints.borrow().id_of(&a.endpoint),
             sent: now - left(own, a.at).clamp(0, CLOCK_START),
             may_have_run: !a.never_ran,
         };
@@ -102,19 +114,17 @@
         let out: Vec<(u64, u32)> =
             self.calls.keys().copied().filter(|(id, _)| self.held.contains_key(id)).collect();
         let standings = self.sender.standings(self.clock(Instant::now())).into_iter();
+        let endpoints = self.client.pool.endpoints.borrow();
         let named = |s: Standing| {
-            (s.endpoint.and_then(|e| self.endpoints.get(&e)).map(|known| known.name.clone()), s)
-        };
-        let closed = self.endpoints.values().filter(|known| known.closed.is_some());
-        let closed = closed.map(|known| known.name.clone()).collect();
-        let (calls, generation) = (out.len(), self.generation);
-        let named = |s: Standing| {
-            let (endpoint, standing) = named(s);
+            let known = s.endpoint.and_then(|e| endpoints.get(e));
             // Figures that are no numbers can't be written; none of these is one.
-            Some((endpoint, serde_json::to_value(standing).ok()?))
+            Some((known.map(|known| known.name.as_str().to_string()), serde_json::to_value(s).ok()?))
         };
+        let (calls, generation) = (out.len(), self.lists.generation);
+        let closed = endpoints.closed().map(str::to_string).collect();
         let inheritance =
             Inheritance { standings: standings.filter_map(named).collect(), generation, closed };
+        drop(endpoints);
         let kept: HashSet<u64> = out.iter().map(|(id, _)| *id).collect();
         let (record, stamp) = (Record::Yielded(out, inheritance), self.stamp());
         let written = self.journal.run(move |journal| journal.give_over(record, stamp)).await;
@@ -127,8 +137,8 @@
         (self.has_yielded, self.timer) = (true, None);
         self.next.clear();
         // No call begins from here any more, and no connection is kept.
-        self.client.pool.withdraw_all();
-        self.client.pool.close_all_idle();
+        self.client.pool.shut();
+        self.lists.clear();
         tracing::info!(messages = given.len(), calls, "work is yielded to the next process");
         true
     }
@@ -156,7 +166,7 @@
 
     /// Takes a message on for the next process, which finds it in this one's journal.
     async fn pass_on(&mut self, mut taken: Taken, end: Deadline, reply: oneshot::Sender<Reply>) {
-        if !self.dests.contains(&taken.dest) {
+        if !self.client.pool.endpoints.borrow().has_dest(taken.dest) {
             let _ = reply.send(Reply::NoDestination);
             return;
         }
@@ -188,7 +198,10 @@
         if !self.held.contains_key(&end.id) {
             return;
         }
-        let endpoint = self.endpoints.get(&end.endpoint).map_or(String::new(), |known| known.name.clone());
+        let known = self.client.pool.endpoints.borrow();
+        let name_of = |known: &crate::endpoints::Endpoint| known.name.as_str().to_string();
+        let endpoint = known.get(end.endpoint).map_or(String::new(), name_of);
+        drop(known);
         let (id, attempt, took, wait) = (end.id, end.attempt, end.took, end.wait);
         let outcome = name(end.outcome);
         records.push(Record::Released(Release { id, attempt, endpoint, outcome, took, wait }));
@@ -199,19 +212,23 @@
 
     pub(super) fn inherit(&mut self, inheritance: Inheritance, events: &mut Vec<Event>) {
         let Inheritance { standings, generation, closed } = inheritance;
-        if generation > self.generation {
-            tracing::info!(generation, own = self.generation, "the process before this one has a newer list");
+        if generation > self.lists.generation {
+            tracing::info!(
+                generation,
+                own = self.lists.generation,
+                "the process before this one has a newer list"
+            );
             events.push(self.close(&closed));
         }
         let named = |(name, standing): (Option<String>, Value)| {
-            let endpoint = name.and_then(|name| self.names.get(&name).copied());
+            let endpoint = name.and_then(|name| self.client.pool.endpoints.borrow().id_of(&name));
             Some(Standing { endpoint, ..serde_json::from_value(standing).ok()? })
         };
         events.push(Event::Inherited(standings.into_iter().filter_map(named).collect()));
     }
 
     pub(super) fn ended_elsewhere(&self, r: &Release) -> Option<Event> {
-        let endpoint = *self.names.get(&r.endpoint)?;
+        let endpoint = self.client.pool.endpoints.borrow().id_of(&r.endpoint)?;
         let outcome = serde_json::from_value(Value::from(r.outcome.as_str())).ok()?;
         let (id, attempt, took, wait) = (r.id, r.attempt, r.took, r.wait);
         let (done, report, kept) = (false, None, false);
--- a/crates/sender/src/core/places.rs
+++ b/crates/sender/src/core/places.rs
@@ -1,66 +1,105 @@
-//! Endpoints as lists name them: numbers for the module, places for the pool.
+//! Endpoints as lists name them: lists are taken in slices, and only what differs goes to the module and the pool.
 use super::*;
-use crate::list::List;
+use crate::endpoints::{Change, Said, UNKNOWN};
+use crate::list::{Instance, List};
+use crate::listing::Listing;
+
+/// Endpoints that are forgotten in a round at most.
+const FORGOTTEN: usize = 2_000;
+
+/// Lists that have come and are not yet taken in full.
+#[derive(Default)]
+pub(super) struct Lists {
+    waiting: VecDeque<List>,
+    current: Option<Listing>,
+    /// The version of the list held.
+    pub generation: u64,
+}
+
+impl Lists {
+    pub fn push(&mut self, list: List) {
+        self.waiting.push_back(list);
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.waiting.is_empty() && self.current.is_none()
+    }
+
+    pub fn clear(&mut self) {
+        self.waiting.clear();
+        self.current = None;
+    }
+}
 
 impl Core {
-    pub(super) fn list(&mut self, list: List, whole: bool) -> Event {
+    /// Goes on with the lists that have come, as far as `work` lasts.
+    pub(super) fn follow_lists(&mut self, work: &mut usize, events: &mut Vec<Event>) {
         let now = Instant::now();
-        if whole {
-            self.client.pool.withdraw_all();
-            for known in self.endpoints.values_mut() {
-                known.listed = false;
-                known.closed.get_or_insert(now);
+        let (settings, around) = (&self.settings, &self.around);
+        let terms = |list: &List, instance: &Instance| said(settings, around, list, instance);
+        let mut changes = Vec::new();
+        while *work > 0 {
+            let mut endpoints = self.client.pool.endpoints.borrow_mut();
+            let next = || self.lists.waiting.pop_front().map(|list| Listing::new(list, &mut endpoints));
+            let Some(mut listing) = self.lists.current.take().or_else(next) else { break };
+            let is_taken = listing.step(&mut endpoints, &terms, now, work, &mut changes);
+            if listing.is_binding() {
+                self.lists.generation = listing.generation();
+            }
+            match is_taken {
+                true => listing.tell(),
+                false => self.lists.current = Some(listing),
             }
         }
-        self.generation = list.generation;
-        let mut entries = Vec::new();
-        for instance in (0..list.len()).filter_map(|entry| list.get(entry)) {
-            let (condition, name) = (instance.condition, instance.name.as_str().to_string());
-            let endpoint = *self.names.entry(name.clone()).or_insert_with(|| {
-                self.next_endpoint += 1;
-                self.next_endpoint
-            });
-            let kind = position(&self.around.kinds, list.kind(instance)).unwrap_or(usize::MAX);
-            let zone = position(&self.around.zones, list.zone(instance)).unwrap_or(usize::MAX);
-            let separate = self.settings.kinds.get(kind).is_some_and(|k| k.separate_routes);
-            let ready = condition == Condition::Ready;
-            let (dest, hint) = (instance.dest, instance.weight);
-            let entry = Entry { endpoint, dest, kind, zone, condition, hint };
-            let new = || Known { name, entry, listed: true, closed: None };
-            let known = self.endpoints.entry(endpoint).or_insert_with(new);
-            (known.entry, known.listed) = (entry, condition != Condition::Gone);
-            known.closed = if ready { None } else { known.closed.or(Some(now)) };
-            self.client.pool.place(endpoint, instance.address.get(), instance.dest, separate, ready);
-            self.dests.insert(dest);
-            entries.push(entry);
+        changes.iter().for_each(|change| self.client.pool.follow(change));
+        if !changes.is_empty() {
+            let entries = changes.iter().map(|change: &Change| change.entry).collect();
+            events.push(Event::List { whole: false, entries });
         }
-        self.forget_endpoints(now);
-        Event::List { whole, entries }
     }
 
     /// Sends nothing new to these endpoints until a list says otherwise.
     pub(super) fn close(&mut self, names: &[String]) -> Event {
-        let mut entries = Vec::new();
-        for endpoint in names.iter().filter_map(|name| self.names.get(name)) {
-            let Some(known) = self.endpoints.get_mut(endpoint) else { continue };
-            known.closed.get_or_insert_with(Instant::now);
-            self.client.pool.withdraw(*endpoint);
-            entries.push(Entry { condition: Condition::Draining, ..known.entry });
-        }
+        let (now, pool) = (Instant::now(), &self.client.pool);
+        let mut endpoints = pool.endpoints.borrow_mut();
+        let close = |name: &String| endpoints.id_of(name).and_then(|id| endpoints.close(id, now));
+        let entries: Vec<Entry> = names.iter().filter_map(close).collect();
+        drop(endpoints);
+        entries.iter().for_each(|entry| pool.withdraw(entry.endpoint));
         Event::List { whole: false, entries }
     }
 
-    fn forget_endpoints(&mut self, now: Instant) {
+    /// When an endpoint may next be forgotten; never while a list is taken, which refers to them, or once all is
+    /// yielded.
+    pub(super) fn next_to_forget(&self) -> Option<Instant> {
+        let may = self.lists.is_empty() && !self.has_yielded;
+        self.client.pool.endpoints.borrow().next_to_forget().filter(|_| may)
+    }
+
+    pub(super) fn forget_endpoints(&mut self, now: Instant) {
+        if self.next_to_forget().is_none_or(|due| due > now) {
+            return;
+        }
         let pool = &self.client.pool;
         let busy: HashSet<EndpointId> = self.calls.values().map(|out| out.endpoint).collect();
-        self.endpoints.retain(|id, known| {
-            let keep = known.closed.is_none_or(|at| now - at < FORGET) || busy.contains(id);
-            if keep || !pool.is_done_with(*id) {
-                return true;
-            }
-            pool.forget(*id);
-            self.names.remove(&known.name);
-            false
-        });
+        let mut endpoints = pool.endpoints.borrow_mut();
+        let forgotten =
+            endpoints.forget(now, FORGOTTEN, |id, known| busy.contains(&id) || !pool.is_done_with(known));
+        drop(endpoints);
+        forgotten.into_iter().for_each(|endpoint| pool.forget(endpoint));
+    }
+}
+
+fn said(settings: &Settings, around: &Around, list: &List, instance: &Instance) -> Said {
+    let place = |names: &[String], name| position(names, name).map_or(UNKNOWN, |n| n as u16);
+    let (kind, zone) = (place(&around.kinds, list.kind(instance)), place(&around.zones, list.zone(instance)));
+    Said {
+        address: instance.address.clone(),
+        dest: instance.dest,
+        hint: instance.weight,
+        kind,
+        zone,
+        condition: instance.condition,
+        separate: settings.kinds.get(usize::from(kind)).is_some_and(|k| k.separate_routes),
     }
 }
--- a/crates/sender/src/core/round.rs
+++ b/crates/sender/src/core/round.rs
@@ -6,6 +6,7 @@
 use crate::calls::{self, Member};
 use crate::deadline::Allowance;
 use crate::inbox::{Elsewhere, Reply};
+use crate::listing::SLICE;
 use journal::{Begun, Ending, Fault};
 
 struct Offered {
@@ -81,12 +82,15 @@
     async fn gather(&mut self, at: Instant, inputs: Vec<Input>, events: Vec<Event>) -> Round {
         let (offered, claimed, records) = (BTreeMap::new(), 0, Vec::new());
         let mut round = Round { at, events, offered, claimed, records };
+        let mut work = SLICE;
+        self.follow_lists(&mut work, &mut round.events);
+        self.forget_endpoints(at);
         for input in inputs {
             match input {
                 Input::Offer { taken, end, life, reply } => self.offer(*taken, end, life, reply, &mut round),
                 Input::List(list) => {
-                    let whole = list.reset;
-                    round.events.push(self.list(list, whole));
+                    self.lists.push(list);
+                    self.follow_lists(&mut work, &mut round.events);
                 }
                 Input::Ended(ends) => ends.into_iter().for_each(|end| self.attempt_ended(end, &mut round)),
                 Input::Noticed(ids) => self.noticed(ids, &mut round.records),
@@ -182,9 +186,9 @@
         by: Ns,
         decided: &mut Decided,
     ) {
-        let known = self.endpoints.get(&endpoint);
-        let (Some(held), Some(known)) = (self.held.get_mut(&id), known) else { return };
-        let (name, kind) = (known.name.clone(), known.entry.kind);
+        let endpoints = self.client.pool.endpoints.borrow();
+        let (Some(held), Some(known)) = (self.held.get_mut(&id), endpoints.get(endpoint)) else { return };
+        let (name, kind) = (known.name.as_str().to_string(), known.kind());
         let attempt = held.attempts;
         let time = Allowance::new(held.end, limit, held.told, self.start + since_start(by));
         let wait = time.wait.map(|w| w.as_millis() as u64);
@@ -327,11 +331,13 @@
             return;
         }
         // Nothing could ever be sent for it. Before the first list nothing is known of any destination.
-        if !self.dests.contains(&taken.dest) {
-            let first = self.dests.is_empty();
+        let endpoints = self.client.pool.endpoints.borrow();
+        if !endpoints.has_dest(taken.dest) {
+            let first = endpoints.is_blank();
             let _ = reply.send(if first { Reply::Refused(None) } else { Reply::NoDestination });
             return;
         }
+        drop(endpoints);
         taken.id = self.next_id;
         let room = self.journal.has_room(&taken, round.claimed);
         self.told.no_journal += usize::from(room.is_none());
--- a/crates/sender/src/discovery.rs
+++ b/crates/sender/src/discovery.rs
@@ -12,7 +12,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{sleep, timeout, Instant};
 
 /// How long a watch waits at most, and how much longer for its answer: the agent is silent while discovery is down,
@@ -144,6 +144,8 @@
     let mut watches = false;
     // The failure before was answered in haste: the next one is not, or one that comes again and again would be a storm.
     let mut hurried = false;
+    // Ends once the list before is taken.
+    let (_, mut before) = oneshot::channel::<()>();
     sleep(nanos(asking.first())).await;
     loop {
         let at = *place.borrow_and_update();
@@ -172,7 +174,7 @@
                 known = None;
                 Some(Failure::Older(list.generation))
             }
-            Some(Ok(list)) => {
+            Some(Ok(mut list)) => {
                 if std::mem::take(&mut failing) {
                     tracing::info!("discovery answers again");
                 }
@@ -188,8 +190,14 @@
                 // one is a watch: an agent may answer with the whole list each time.
                 let news = std::mem::take(&mut first) || news;
                 watches = true;
-                if news && core.send(Input::List(list)).await.is_err() {
-                    return;
+                if news {
+                    // One at a time, or a core that is held up would have many of them before it.
+                    let (tell, taken) = oneshot::channel();
+                    let _ = std::mem::replace(&mut before, taken).await;
+                    list.taken = Some(tell);
+                    if core.send(Input::List(list)).await.is_err() {
+                        return;
+                    }
                 }
                 None
             }
--- a/crates/sender/src/hollow.rs
+++ b/crates/sender/src/hollow.rs
@@ -54,7 +54,7 @@
         let drain = Rc::new(Drain::new(Instant::now()));
         let (discovery, place) = watch::channel(config.discovery);
         let asking = Asking::new(&config.settings, config.seed);
-        let known = std::mem::replace(&mut config.known, Err(String::new()))?.version();
+        let known = std::mem::replace(&mut config.known, Ok(Default::default()))?.version();
         let figures = Rc::new(figures::Figures::default());
         let taking = discovery::Taking { room: config.room(), figures: figures.clone() };
         spawn_local(discovery::follow(machine.clone(), place, core.clone(), known, asking, taking));
--- a/crates/sender/src/list.rs
+++ b/crates/sender/src/list.rs
@@ -9,6 +9,7 @@
 use std::collections::HashMap;
 use std::fmt;
 use std::net::{SocketAddr, SocketAddrV4, SocketAddrV6};
+use tokio::sync::oneshot;
 
 /// Part of the memory limit that the endpoints of a list may come to take, and what one of them takes at most in all
 /// tables together: its entry as it comes, its record, the module's, and what is not full of each table.
@@ -111,6 +112,8 @@
     words: Vec<Box<str>>,
     /// Entries, those among them that can't be read.
     count: usize,
+    /// Told, or dropped, once all of it is taken.
+    pub taken: Option<oneshot::Sender<()>>,
 }
 
 impl List {
@@ -133,6 +136,13 @@
         self.chunks.get(entry / CHUNK)?.get(entry % CHUNK)
     }
 
+    /// Gives the room of the entries before this one back, which are not looked at again.
+    pub fn give_back(&mut self, entry: usize) {
+        if entry.is_multiple_of(CHUNK) && entry > 0 {
+            self.chunks[entry / CHUNK - 1] = Vec::new();
+        }
+    }
+
     fn word(&self, word: Word) -> &str {
         self.words.get(usize::from(word)).map_or("", |w| w)
     }
--- a/crates/sender/src/pool.rs
+++ b/crates/sender/src/pool.rs
@@ -1,7 +1,7 @@
 //! Which connections there are to endpoints, and which of them a call gets: the book, without any I/O. Times are passed
 //! in; connections are numbers, and whoever drives this has what is behind them.
 use policy::api::EndpointId;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -73,18 +73,33 @@
     since: Instant,
 }
 
-#[derive(Default)]
+/// An endpoint that has connections, or calls that wait for one.
 struct Endpoint {
     usable: bool,
     /// Those that stand idle, the one used last at the end.
     idle: Vec<LinkId>,
     dialling: usize,
+    busy: usize,
     /// Calls that wait for a connection, the first to get one in front.
     waiting: VecDeque<u64>,
     /// Connections idle for so long are not used there, until then.
     brief: Option<(Duration, Instant)>,
 }
 
+impl Default for Endpoint {
+    fn default() -> Endpoint {
+        let (idle, waiting) = (Vec::new(), VecDeque::new());
+        Endpoint { usable: true, idle, dialling: 0, busy: 0, waiting, brief: None }
+    }
+}
+
+impl Endpoint {
+    fn is_used(&self) -> bool {
+        let has_links = self.dialling + self.busy > 0 || !self.idle.is_empty();
+        has_links || !self.waiting.is_empty() || self.brief.is_some()
+    }
+}
+
 #[derive(Clone, Copy, Debug)]
 pub struct Bounds {
     /// Connections at a time, those that are being made among them.
@@ -106,14 +121,18 @@
 pub struct Book {
     pub bounds: Bounds,
     links: BTreeMap<LinkId, Link>,
+    /// Those in use. Any other counts as usable: nothing is asked for one that the list does not name as ready.
     endpoints: BTreeMap<EndpointId, Endpoint>,
+    /// Those that calls wait for.
+    queued: BTreeSet<EndpointId>,
     dialling: usize,
     next: u64,
 }
 
 impl Book {
     pub fn new(bounds: Bounds) -> Book {
-        Book { bounds, links: BTreeMap::new(), endpoints: BTreeMap::new(), dialling: 0, next: 0 }
+        let (links, endpoints, queued) = (BTreeMap::new(), BTreeMap::new(), BTreeSet::new());
+        Book { bounds, links, endpoints, queued, dialling: 0, next: 0 }
     }
 
     /// For endpoints that take work, then for all others.
@@ -133,7 +152,9 @@
 
     /// Whether an endpoint takes work. What stands idle at one that does not is to be closed.
     pub fn set_usable(&mut self, endpoint: EndpointId, usable: bool) -> Vec<LinkId> {
-        self.endpoints.entry(endpoint).or_default().usable = usable;
+        if let Some(known) = self.endpoints.get_mut(&endpoint) {
+            known.usable = usable;
+        }
         if usable {
             Vec::new()
         } else {
@@ -141,25 +162,41 @@
         }
     }
 
+    /// Endpoints that have connections, or calls that wait for one.
+    pub fn in_use(&self) -> Vec<EndpointId> {
+        self.endpoints.keys().copied().collect()
+    }
+
+    /// Forgets an endpoint that is not in use, and notes whether calls wait for one that is.
+    fn tidy(&mut self, endpoint: EndpointId) {
+        let known = self.endpoints.get(&endpoint);
+        if known.is_some_and(|e| !e.waiting.is_empty()) {
+            self.queued.insert(endpoint);
+        } else {
+            self.queued.remove(&endpoint);
+        }
+        if known.is_some_and(|e| !e.is_used()) {
+            self.endpoints.remove(&endpoint);
+        }
+    }
+
     /// What stands idle there is to be closed.
     pub fn clear(&mut self, endpoint: EndpointId) -> Vec<LinkId> {
         let idle = self.endpoints.get_mut(&endpoint).map_or(Vec::new(), |e| std::mem::take(&mut e.idle));
         idle.iter().for_each(|id| _ = self.links.remove(id));
+        self.tidy(endpoint);
         idle
     }
 
     /// Its number means nothing any more. Its connections are closed as they come back.
     pub fn forget(&mut self, endpoint: EndpointId) -> Vec<LinkId> {
-        let idle = self.clear(endpoint);
-        if self.endpoints.get(&endpoint).is_some_and(|e| e.dialling == 0 && e.waiting.is_empty()) {
-            self.endpoints.remove(&endpoint);
-        }
-        idle
+        self.moved(endpoint)
     }
 
     /// A kept connection there was reset at a request after so long: those idle for longer are no better.
     pub fn distrust(&mut self, endpoint: EndpointId, idle: Duration, now: Instant) -> Vec<LinkId> {
-        if let Some(known) = self.endpoints.get_mut(&endpoint).filter(|_| idle >= LEAST_IDLE) {
+        if idle >= LEAST_IDLE {
+            let known = self.endpoints.entry(endpoint).or_default();
             known.brief = Some(((idle * 3 / 4).max(LEAST_IDLE), now + DISTRUST));
         }
         self.clear(endpoint)
@@ -187,11 +224,12 @@
     /// A call wants a connection. What is to be closed for it comes with the choice.
     pub fn want(&mut self, endpoint: EndpointId, now: Instant) -> (Choice, Vec<(LinkId, Reason)>) {
         let mut closed = Vec::new();
-        let Some(known) = self.endpoints.get(&endpoint).filter(|e| e.usable) else {
+        let known = self.endpoints.get(&endpoint);
+        if known.is_some_and(|e| !e.usable) {
             return (Choice::None, closed);
-        };
+        }
         // The one used last is the least likely to have been closed there.
-        for id in known.idle.clone().into_iter().rev() {
+        for id in known.map_or(Vec::new(), |e| e.idle.clone()).into_iter().rev() {
             if let Some(reason) = self.unfit(id, now) {
                 self.drop_link(id);
                 closed.push((id, reason));
@@ -232,10 +270,11 @@
     pub fn due(&mut self, now: Instant) -> Vec<(EndpointId, LinkId)> {
         let mut due = Vec::new();
         while self.dialling < self.bounds.dials && self.links.len() < self.bounds.most {
-            let wants = |(&id, e): (&EndpointId, &Endpoint)| {
-                (e.usable && e.waiting.len() > e.dialling && self.may_dial(id)).then_some(id)
+            let wants = |id: &&EndpointId| {
+                let known = self.endpoints.get(id);
+                known.is_some_and(|e| e.usable && e.waiting.len() > e.dialling) && self.may_dial(**id)
             };
-            let Some(endpoint) = self.endpoints.iter().find_map(wants) else { break };
+            let Some(endpoint) = self.queued.iter().find(wants).copied() else { break };
             due.push((endpoint, self.dial(endpoint, now)));
         }
         due
@@ -243,7 +282,9 @@
 
     /// Calls that wait there get nothing.
     pub fn abandon(&mut self, endpoint: EndpointId) -> Vec<u64> {
-        self.endpoints.get_mut(&endpoint).map_or(Vec::new(), |e| e.waiting.drain(..).collect())
+        let told = self.endpoints.get_mut(&endpoint).map_or(Vec::new(), |e| e.waiting.drain(..).collect());
+        self.tidy(endpoint);
+        told
     }
 
     fn take(&mut self, id: LinkId, now: Instant) {
@@ -251,6 +292,7 @@
         (link.state, link.since) = (State::Busy, now);
         if let Some(known) = self.endpoints.get_mut(&link.endpoint) {
             known.idle.retain(|&other| other != id);
+            known.busy += 1;
         }
     }
 
@@ -263,19 +305,22 @@
                 known.dialling -= 1;
                 self.dialling -= 1;
             }
-            State::Busy => {}
+            State::Busy => known.busy -= 1,
         }
+        self.tidy(link.endpoint);
     }
 
     /// A call waits under this ticket for a connection there.
     pub fn wait(&mut self, endpoint: EndpointId, ticket: u64) {
         self.endpoints.entry(endpoint).or_default().waiting.push_back(ticket);
+        self.queued.insert(endpoint);
     }
 
     /// It waits no more.
     pub fn leave(&mut self, endpoint: EndpointId, ticket: u64) {
         if let Some(known) = self.endpoints.get_mut(&endpoint) {
             known.waiting.retain(|&other| other != ticket);
+            self.tidy(endpoint);
         }
     }
 
@@ -287,6 +332,7 @@
         if link.state == State::Dialling {
             known.dialling -= 1;
             self.dialling -= 1;
+            known.busy += 1;
             link.made = now;
         }
         (link.state, link.since) = (State::Busy, now);
@@ -294,10 +340,13 @@
             self.drop_link(id);
             return None;
         }
+        let endpoint = link.endpoint;
         if let Some(ticket) = known.waiting.pop_front() {
+            self.tidy(endpoint);
             return Some(Some(ticket));
         }
         link.state = State::Idle;
+        known.busy -= 1;
         known.idle.push(id);
         Some(None)
     }
@@ -313,7 +362,9 @@
         self.drop_link(id);
         let Some(known) = self.endpoints.get_mut(&endpoint) else { return Vec::new() };
         let over = known.waiting.len().saturating_sub(known.dialling);
-        known.waiting.drain(..over).collect()
+        let told = known.waiting.drain(..over).collect();
+        self.tidy(endpoint);
+        told
     }
 
     /// Idle connections that are to be closed by now.
@@ -321,6 +372,9 @@
         let idle = self.links.iter().filter(|(_, l)| l.state == State::Idle).map(|(&id, _)| id);
         let unfit: Vec<(LinkId, Reason)> = idle.filter_map(|id| Some((id, self.unfit(id, now)?))).collect();
         unfit.iter().for_each(|(id, _)| self.drop_link(*id));
+        let over = |e: &mut Endpoint| e.brief = e.brief.filter(|(_, until)| now < *until);
+        self.endpoints.values_mut().for_each(over);
+        self.endpoints.retain(|_, e| e.is_used());
         unfit
     }
 }
