--- a/crates/trial/src/lib.rs
+++ b/crates/trial/src/lib.rs
@@ -8,11 +8,13 @@
 //! | [`process`] | a sender's processes; none outlives the rig |
 //! | [`stage`] | partners, discovery's agent, the platform and clients, on the lab's model of partners |
 //! | [`etcd`] | the store's stand-in |
+//! | [`agent`] | discovery's agent with lists of any size |
 //! | [`peers`] | smaller stand-ins that a test scripts call by call |
 //! | [`history`] | everything that was seen, on one clock |
 //! | [`judges`] | what is wrong in a history |
 //! | [`run`] | plays a trial |
 //! | [`picture`] | draws one |
+pub mod agent;
 pub mod etcd;
 pub mod file;
 pub mod front;
--- a/crates/trial/src/peers.rs
+++ b/crates/trial/src/peers.rs
@@ -384,8 +384,13 @@
         self.signal("-HUP");
     }
 
+    /// The number of its process.
+    pub fn id(&self) -> u32 {
+        self.child.as_ref().unwrap().id()
+    }
+
     pub fn signal(&self, signal: &str) {
-        let id = self.child.as_ref().unwrap().id().to_string();
+        let id = self.id().to_string();
         assert!(Command::new("kill").args([signal, &id]).status().unwrap().success());
     }
 
