--- /dev/null
+++ b/benches/listed.rs
@@ -0,0 +1,246 @@
+//! What it costs to list destinations, before and after, on real processes over loopback. A run ends by itself, in under
+//! 100 seconds.
+//!
+//!     LISTED_BEFORE=PROGRAM [LISTED_AFTER=PROGRAM] cargo bench --bench listed [-- SIZE...]
+//!
+//! Each program has the same: a file with all destinations but one as `known`, and an agent that tells the whole list,
+//! then the same once more, then single changes. 30, 1,000 and 4,000 destinations have one endpoint each, 140,000 have
+//! 240,000 together. 400 slots, 2 classes. Memory is in MB of 1e6 bytes; a peak is the highest since the step began.
+use serde_json::{json, Value};
+use std::io::{BufReader, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use trial::agent::{entry, list, Agent, Manner};
+use trial::peers::*;
+
+const SIZES: [u64; 4] = [30, 1_000, 4_000, 140_000];
+/// Of the destinations, those that get messages while processor time is measured: each connection serves as many calls.
+const SERVED: u64 = 29;
+const MESSAGES: u64 = 3_000;
+const CHANGES: u64 = 100;
+/// Destinations in use, one message each, where there are as many.
+const IN_USE: u64 = 10_000;
+const CLIENTS: u64 = 8;
+
+fn main() {
+    let sizes: Vec<u64> = std::env::args().skip(1).filter_map(|a| a.parse().ok()).collect();
+    let sizes = if sizes.is_empty() { SIZES.to_vec() } else { sizes };
+    let after = std::env::var("LISTED_AFTER").map_or_else(|_| program("nickelshed"), PathBuf::from);
+    let before = std::env::var("LISTED_BEFORE").ok().map(|p| ("before", PathBuf::from(p)));
+    let begun = Instant::now();
+    let programs: Vec<(&str, PathBuf)> = before.into_iter().chain([("after", after)]).collect();
+    for (name, path) in &programs {
+        for &size in &sizes {
+            let measured = measure(path, size);
+            println!("{}", json!({"program": name, "destinations": size, "measured": measured}));
+        }
+    }
+    println!("{} s in all", begun.elapsed().as_secs());
+}
+
+fn endpoints_of(destinations: u64) -> u64 {
+    if destinations >= 140_000 {
+        destinations * 12 / 7
+    } else {
+        destinations
+    }
+}
+
+/// So many entries; those behind the last destination are second endpoints.
+fn entries(count: u64, destinations: u64, at: SocketAddr) -> impl Iterator<Item = String> {
+    (0..count).map(move |n| entry(&format!("s-{n:08x}"), at, n % destinations + 1, "Ready"))
+}
+
+/// A process that ends with this.
+struct Sender {
+    node: Node,
+    child: Child,
+}
+
+impl Drop for Sender {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+impl Sender {
+    /// Starts one on this list, which stands in its file as text.
+    fn start(program: &PathBuf, agent: &Agent, known: &str) -> Sender {
+        let unused = Discovery::new(json!([]));
+        let node = Node::new(&unused, Value::Null, |config| {
+            Node::controlled(config);
+            config["discovery"] = agent.address.to_string().into();
+            config["limits"] = json!({"cores": 1.0, "memory_mb": 192, "sockets": 2_048, "disk_mb": 8});
+            config["settings"]["FamilyInfo"]["CallsOut"] = 400.into();
+            config["settings"]["Limits"]["MaxOpen"] = 4_000.into();
+            config["known"] = "KNOWN".into();
+        });
+        let environment = node.environment();
+        let text = node.config.to_string().replacen("\"KNOWN\"", known, 1);
+        std::fs::write(node.folder.join("config.json"), text).unwrap();
+        let log = std::fs::File::create(node.folder.join("log")).unwrap();
+        let mut command = Command::new(program);
+        command.envs(environment).stdin(Stdio::null()).stderr(log);
+        let child = command.spawn().expect("the sender starts");
+        let sender = Sender { node, child };
+        sender.node.until("it is ready", || {
+            let health = "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n";
+            sender.node.ask(health.as_bytes()).is_some_and(|r| r.first.contains(" 200"))
+        });
+        sender
+    }
+
+    fn status(&self, key: &str) -> f64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
+        let line = status.lines().find_map(|l| l.strip_prefix(key)).unwrap();
+        round(line.trim().trim_end_matches(" kB").parse::<f64>().unwrap() * 1024.0 / 1e6)
+    }
+
+    fn resident(&self) -> f64 {
+        self.status("VmRSS:")
+    }
+
+    fn peak(&self) -> f64 {
+        self.status("VmHWM:")
+    }
+
+    fn forget_peak(&self) {
+        std::fs::write(format!("/proc/{}/clear_refs", self.child.id()), "5").unwrap();
+    }
+
+    /// Processor time of all its threads, in seconds.
+    fn spent(&self) -> f64 {
+        let tasks = std::fs::read_dir(format!("/proc/{}/task", self.child.id())).unwrap().flatten();
+        let of = |task: std::fs::DirEntry| {
+            let text = std::fs::read_to_string(task.path().join("schedstat")).unwrap_or_default();
+            text.split(' ').next().and_then(|ns| ns.parse::<f64>().ok()).unwrap_or(0.0)
+        };
+        tasks.map(of).sum::<f64>() / 1e9
+    }
+
+    fn figure(&self, name: &str) -> u64 {
+        let (_, text) = self.node.control("GET", "/v1/metrics");
+        text.lines().find_map(|l| l.strip_prefix(name)?.strip_prefix(' ')).map_or(0, |v| v.parse().unwrap())
+    }
+
+    /// Hands in messages for these destinations in turn, by a few clients with kept connections.
+    fn hand_in(&self, run: &str, count: u64, dest: impl Fn(u64) -> u64 + Send + Copy) {
+        let at = self.node.address;
+        std::thread::scope(|scope| {
+            for client in 0..CLIENTS {
+                scope.spawn(move || {
+                    let mut stream = TcpStream::connect(at).unwrap();
+                    stream.set_nodelay(true).unwrap();
+                    let mut reader = BufReader::new(stream.try_clone().unwrap());
+                    for i in (client..count).step_by(CLIENTS as usize) {
+                        let text = format!(
+                            "POST /order HTTP/1.1\r\nHost: x\r\nX-Trace-Id: {run}-{i}\r\nX-Customer: acme\r\n\
+                             X-Expires-In-Ms: 15000\r\nX-Consignee: dest={}\r\nContent-Length: 200\r\n\r\n{}",
+                            dest(i),
+                            "x".repeat(200)
+                        );
+                        stream.write_all(text.as_bytes()).unwrap();
+                        let answer = read_message(&mut reader, 0).expect("an answer");
+                        assert!(answer.first.contains(" 202 "), "{}", answer.first);
+                        std::thread::sleep(Duration::from_millis(2));
+                    }
+                });
+            }
+        });
+        self.node.until("all is delivered", || self.figure("sender_pending") == 0);
+    }
+
+    /// Does something, and the longest that a call through the core took meanwhile, in milliseconds.
+    fn longest_wait(&self, during: impl FnOnce()) -> f64 {
+        let over = Arc::new(AtomicBool::new(false));
+        let at: SocketAddr = self.node.config["control"].as_str().unwrap().parse().unwrap();
+        let ended = over.clone();
+        let prober = std::thread::spawn(move || {
+            let mut longest = Duration::ZERO;
+            while !ended.load(Ordering::SeqCst) {
+                let begun = Instant::now();
+                let Ok(mut stream) = TcpStream::connect(at) else { continue };
+                let _ = stream.write_all(b"GET /v1/metrics HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n");
+                let _ = read_message(&mut BufReader::new(stream), 0);
+                longest = longest.max(begun.elapsed());
+                std::thread::sleep(Duration::from_micros(500));
+            }
+            longest
+        });
+        during();
+        over.store(true, Ordering::SeqCst);
+        round(prober.join().unwrap().as_secs_f64() * 1e3)
+    }
+}
+
+fn round(value: f64) -> f64 {
+    (value * 10.0).round() / 10.0
+}
+
+fn measure(program: &PathBuf, destinations: u64) -> Value {
+    let endpoint = Peer::new(|_| ok());
+    let count = endpoints_of(destinations);
+    let all = || entries(count, destinations, endpoint.address);
+    let known = list(1, true, all().take(count as usize - 1));
+    let agent = Agent::new(1, known.clone());
+    let begun = Instant::now();
+    let sender = Sender::start(program, &agent, &known);
+    let ready = round(begun.elapsed().as_secs_f64() * 1e3);
+    drop(known);
+    let mut measured = json!({"endpoints": count, "ready_ms": ready, "peak_at_start_mb": sender.peak(),
+        "known_mb": sender.resident(), "quiet_wait_ms": sender.longest_wait(|| std::thread::sleep(Duration::from_millis(500)))});
+    let mut set = |key: &str, value: Value| measured[key] = value;
+
+    // What single changes cost, in processor time; each puts another endpoint out of service or back.
+    let before = sender.spent();
+    for change in 0..CHANGES {
+        let (n, lifecycle) =
+            (SERVED.min(count - 2) + change / 2 % 5, ["Terminating", "Ready"][change as usize % 2]);
+        let n = n.min(count - 2);
+        let entry = entry(&format!("s-{n:08x}"), endpoint.address, n % destinations + 1, lifecycle);
+        agent.change(2 + change, list(2 + change, false, [entry].into_iter()));
+        agent.wait_given(1 + change as usize);
+    }
+    set("change_us", round((sender.spent() - before) / CHANGES as f64 * 1e6).into());
+
+    // Messages over few destinations: only the number of the listed ones differs.
+    sender.hand_in("warm", SERVED * 10, |i| i % SERVED + 1);
+    let before = sender.spent();
+    sender.hand_in("served", MESSAGES, |i| i % SERVED + 1);
+    set("message_us", round((sender.spent() - before) / MESSAGES as f64 * 1e6).into());
+    if destinations >= IN_USE {
+        sender.hand_in("used", IN_USE, |i| i + 1);
+    }
+    set("in_use_mb", sender.resident().into());
+
+    // The whole list, with one more; and the same once more.
+    for (step, generation) in [("list", 1_000), ("again", 1_001)] {
+        sender.forget_peak();
+        let (begun, given, errors) =
+            (Instant::now(), agent.given(), sender.figure("sender_list_errors_total"));
+        let mut taken = 0.0;
+        let longest = sender.longest_wait(|| {
+            agent.tell(generation, list(generation, true, all()), None, Manner::AtOnce);
+            agent.wait_given(given + 1);
+            let until = Instant::now() + Duration::from_secs(5);
+            while sender.figure("sender_members") < count && Instant::now() < until {
+                std::thread::sleep(Duration::from_millis(10));
+            }
+            taken = round(begun.elapsed().as_secs_f64() * 1e3);
+            std::thread::sleep(Duration::from_millis(300));
+        });
+        let is_taken = sender.figure("sender_members") == count;
+        let is_turned_down = sender.figure("sender_list_errors_total") > errors;
+        set(
+            step,
+            json!({"taken": is_taken && !is_turned_down, "ms": taken, "longest_wait_ms": longest,
+            "peak_mb": sender.peak(), "resident_mb": sender.resident()}),
+        );
+    }
+    measured
+}
