Count clients that leave for others under the bound on descriptors

Idle clients that come by hundreds took every descriptor: at the bound `Server::welcome` made each of them a place by sending the longest idle one away, and only looked at the number of open connections where it found none. Who is sent away holds its descriptor for up to 300 ms, so a burst had twice the clients' share open. Calls to discovery and notices then shared what was left with them.

--- a/crates/sender/src/server.rs
+++ b/crates/sender/src/server.rs
@@ -148,11 +148,13 @@
     }
 
     fn welcome(self: Rc<Self>, stream: Box<dyn Stream>) {
-        // Never left waiting: a client that is not accepted can't be told anything.
-        let full = self.guests.borrow().len() >= self.most.get() && !self.make_place();
+        // Never left waiting: a client that is not accepted can't be told anything. Who has left for another holds
+        // its descriptor until it is closed, so it counts like one that is turned away.
+        let full = self.guests.borrow().len() >= self.most.get();
         if full && self.open.get() >= self.most.get() + self.turned_away.get() {
             return;
         }
+        let full = full && !self.make_place();
         let number = self.number.replace(self.number.get() + 1);
         self.open.set(self.open.get() + 1);
         let server = self;
--- a/tests/terms_discovery.rs
+++ b/tests/terms_discovery.rs
@@ -2,16 +2,17 @@
 //! the built program against an agent that fails in each way. What is measured is printed.
 
 use serde_json::{json, Value};
-use std::io::{BufReader, Write};
+use std::io::{BufReader, ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::os::fd::AsRawFd;
+use std::os::unix::fs::PermissionsExt;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard};
-use std::thread::{sleep, spawn};
+use std::thread::{sleep, spawn, JoinHandle};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use trial::peers::*;
 
-/// What the terms give, and the share of it that the program gives itself.
-const TOLD: Duration = Duration::from_secs(6);
+/// The terms give 6 s.
 const IN_FORCE: Duration = Duration::from_secs(5);
 
 /// How discovery fails. What was asked in that time is never answered otherwise, also once it is back.
@@ -64,6 +65,18 @@
     fn listen(socket: i32, queue: i32) -> i32;
 }
 
+/// Waits for the address: who listened there is ending, or a process that is being started still has it open.
+fn bind(at: SocketAddr) -> TcpListener {
+    let until = Instant::now() + BOUND;
+    loop {
+        match TcpListener::bind(at) {
+            Ok(listener) => return listener,
+            Err(error) => assert!(Instant::now() < until, "{at}: {error}"),
+        }
+        sleep(Duration::from_millis(1));
+    }
+}
+
 impl Agent {
     fn new(list: Value) -> Agent {
         let state = State {
@@ -81,7 +94,7 @@
             open: Vec::new(),
         };
         let agent = Agent { address: free_address(), state: Arc::new((Mutex::new(state), Condvar::new())) };
-        agent.serve(TcpListener::bind(agent.address).unwrap());
+        agent.serve(bind(agent.address));
         agent
     }
 
@@ -130,14 +143,7 @@
 
     /// Listens with a queue that is full, so that the kernel drops whoever comes, until the return.
     fn fill(&self) {
-        let until = Instant::now() + BOUND;
-        let listener = loop {
-            match TcpListener::bind(self.address) {
-                Ok(listener) => break listener,
-                Err(error) => assert!(Instant::now() < until, "{error}"),
-            }
-            sleep(Duration::from_millis(1));
-        };
+        let listener = bind(self.address);
         // SAFETY: the descriptor is open; a second call only changes the queue's length.
         assert_eq!(unsafe { listen(listener.as_raw_fd(), 0) }, 0);
         let short = Duration::from_millis(100);
@@ -158,14 +164,8 @@
     fn come_back(&self, back: Back, list: Value, changes: Value) -> Instant {
         let failed = self.state().failure.take();
         self.state.1.notify_all();
-        let until = Instant::now() + BOUND;
-        let listener = matches!(failed, Some(Failure::Refuses | Failure::BlackHole)).then(|| loop {
-            match TcpListener::bind(self.address) {
-                Ok(listener) => break listener,
-                Err(error) => assert!(Instant::now() < until, "{error}"),
-            }
-            sleep(Duration::from_millis(1));
-        });
+        let listens = !matches!(failed, Some(Failure::Refuses | Failure::BlackHole));
+        let listener = (!listens).then(|| bind(self.address));
         let mut state = self.state();
         let generation = if back == Back::Anew { 3 } else { state.generation + 1 };
         (state.era, state.generation, state.back) = (state.era + 1, generation, back);
@@ -266,15 +266,24 @@
 
 impl Stage {
     fn new(count: usize, change: impl Fn(&mut Value)) -> Stage {
+        Stage::bounded(count, 0, change)
+    }
+
+    /// The process may hold so many descriptors; 0 leaves the bound that there is.
+    fn bounded(count: usize, descriptors: usize, change: impl Fn(&mut Value)) -> Stage {
         let [opened, drained, after] = [(); 3].map(|()| Peer::new(|_| ok()));
-        let agent = Agent::new(json!([ready("e-1", drained.address, 7), closed(8)]));
+        let agent = Agent::new(json!([ready("e-1", drained.address, 7), closed(8), closed(9)]));
         let seed = number();
-        let node = Node::with(&Discovery::new(json!([])), json!([]), |c| {
+        let mut node = Node::new(&Discovery::new(json!([])), json!([]), |c| {
             c["settings"]["NInstances"] = json!(count);
             c["discovery"] = json!(agent.address.to_string());
             c["seed"] = json!(format!("{seed:016x}"));
             change(c);
         });
+        if descriptors > 0 {
+            bounded(&mut node, descriptors);
+        }
+        node.restart();
         agent.wait("a watch", |s| s.asked.iter().any(|(_, first)| is_watch(first)));
         Stage { agent, node, opened, drained, after, seed }
     }
@@ -375,7 +384,7 @@
     stage.agent.come_back(Back::Changes, stage.change(), stage.change());
     let (_, in_force) = stage.in_force(silent);
     println!("lost watch ({loses}), NInstances {count}: in force after {:.2} s", in_force.as_secs_f64());
-    let late = in_force > IN_FORCE.min(TOLD);
+    let late = in_force > IN_FORCE;
     if late {
         Err(format!("{count}, {loses}, seed {:x}: {in_force:?}", stage.seed))
     } else {
@@ -392,3 +401,166 @@
     }
     side_by_side(plays);
 }
+
+/// Clients that open as many connections as they can, rest on them, and come again where one is closed. Some ask once.
+struct Crowd {
+    ends: Arc<AtomicBool>,
+    running: Vec<JoinHandle<usize>>,
+}
+
+impl Crowd {
+    fn new(at: SocketAddr, threads: usize, each: usize) -> Crowd {
+        let ends = Arc::new(AtomicBool::new(false));
+        let come = |asks: bool| {
+            let ends = ends.clone();
+            spawn(move || {
+                let (mut open, mut opened) = (Vec::new(), 0);
+                while !ends.load(Ordering::SeqCst) {
+                    open.retain(|s: &TcpStream| match s.peek(&mut [0]) {
+                        // One answer may wait there; the end of the connection shows behind it.
+                        Ok(n) => n > 0 && (&*s).read(&mut [0; 512]).is_ok_and(|n| n > 0),
+                        Err(e) => e.kind() == ErrorKind::WouldBlock,
+                    });
+                    while open.len() < each {
+                        let Ok(mut stream) = TcpStream::connect_timeout(&at, Duration::from_millis(50))
+                        else {
+                            break;
+                        };
+                        opened += 1;
+                        if asks && opened % 2 == 0 {
+                            let _ = stream.write_all(b"GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n");
+                        }
+                        stream.set_nonblocking(true).unwrap();
+                        open.push(stream);
+                    }
+                    sleep(Duration::from_millis(20));
+                }
+                opened
+            })
+        };
+        let running = (0..threads).map(|i| come(i % 2 == 1)).collect();
+        Crowd { ends, running }
+    }
+
+    /// How many connections they opened in all.
+    fn end(self) -> usize {
+        self.ends.store(true, Ordering::SeqCst);
+        self.running.into_iter().map(|r| r.join().unwrap()).sum()
+    }
+}
+
+fn descriptors(process: u32) -> usize {
+    std::fs::read_dir(format!("/proc/{process}/fd")).map_or(0, Iterator::count)
+}
+
+/// Processor time that it has used.
+fn used(process: u32) -> Duration {
+    let text = std::fs::read_to_string(format!("/proc/{process}/stat")).unwrap();
+    let fields: Vec<u64> =
+        text.rsplit_once(')').unwrap().1.split_whitespace().map(|f| f.parse().unwrap_or(0)).collect();
+    Duration::from_millis((fields[11] + fields[12]) * 10)
+}
+
+/// The built program under a bound on descriptors of its own.
+fn bounded(node: &mut Node, descriptors: usize) {
+    let (program, script) = (node.program.clone(), node.folder.join("bounded"));
+    let text = format!("#!/bin/sh\nulimit -n {descriptors}\nexec {}\n", program.display());
+    std::fs::write(&script, text).unwrap();
+    std::fs::set_permissions(&script, std::fs::Permissions::from_mode(0o755)).unwrap();
+    node.program = script;
+}
+
+/// Idle clients hold all that they can get while discovery is down and when it comes back; calls to an endpoint that
+/// never answers hold their part.
+fn crowded(failure: Failure) -> Result<(), String> {
+    const SOCKETS: usize = 256;
+    let stage = Stage::bounded(510, SOCKETS, |c| {
+        c["settings"]["FamilyInfo"]["CallsOut"] = json!(400);
+        c["settings"]["Limits"]["MaxOpen"] = json!(400);
+        c["settings"]["Safety"]["StartCapacity"] = json!(400.0);
+    });
+    let (agent, process) = (&stage.agent, stage.node.id());
+    stage.drained.script(|_| Reply::Hang);
+    for i in 0..90 {
+        assert_eq!(stage.node.hand_in("alert", &format!("hung-{i}"), 7, 16_000, b"x"), 202);
+    }
+    // Ends while discovery is down, or as it comes back.
+    assert_eq!(stage.node.hand_in("order", "ends", 9, 5_000, b"x"), 202);
+    let ends = Instant::now() + Duration::from_millis(5_000);
+    let watched = Arc::new(AtomicBool::new(true));
+    let looks = watched.clone();
+    let looking = spawn(move || {
+        let mut most = 0;
+        while looks.load(Ordering::SeqCst) {
+            most = descriptors(process).max(most);
+            sleep(Duration::from_millis(1));
+        }
+        most
+    });
+    let crowd = Crowd::new(stage.node.address, 4, 100);
+    agent.fail(failure);
+    let down = Instant::now();
+    // A client like any other meanwhile: what it is told, or nothing.
+    let mut told_it = std::collections::BTreeMap::new();
+    while down.elapsed() < Duration::from_millis(4_500 + stage.seed % 1_500) {
+        let answer = stage.node.ask(b"GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n");
+        let status =
+            answer.and_then(|a| a.first.split(' ').nth(1).map(String::from)).unwrap_or("nothing".into());
+        *told_it.entry(status).or_insert(0) += 1;
+        sleep(Duration::from_millis(5));
+    }
+    let back = agent.come_back(Back::Changes, stage.change(), stage.change());
+    // All connections for calls are taken, so no call can tell: the next watch is for what is newer than the change.
+    let newer = format!("index={}&", agent.state().generation);
+    let heeds = |(_, first): &&(Instant, String)| first.contains(&newer);
+    agent.wait("the change heeded", |s| s.asked.iter().any(|asked| heeds(&asked)));
+    let in_force = agent.state().asked.iter().find(heeds).unwrap().0 - back;
+    agent.wait("the notice", |s| s.notices.iter().any(|(_, text)| text.contains("\"ends\"")));
+    let told = agent.state().notices.iter().find(|(_, text)| text.contains("\"ends\"")).unwrap().0;
+    let late = told.saturating_duration_since(ends.max(back));
+    watched.store(false, Ordering::SeqCst);
+    let most = looking.join().unwrap();
+    let opened = crowd.end();
+    let calls = stage.drained.connections();
+    let cannot = stage.node.log().matches("cannot accept").count();
+    println!(
+        "{failure:?}, crowded: in force after {:.2} s, notice late by {:.2} s, {most} of {SOCKETS} descriptors, {opened} \
+         connections of clients, {calls} to the endpoint, \"cannot accept\" {cannot} times, told others {told_it:?}",
+        in_force.as_secs_f64(),
+        late.as_secs_f64()
+    );
+    // The protocol's slack where the platform answers all the time; where nobody was there, time for two posts that are
+    // lost (150 ms and 50 ms each) and a busy core.
+    let away = matches!(failure, Failure::Refuses | Failure::ClosesUnread);
+    let slack = Duration::from_millis(if away { 500 } else { 300 });
+    if in_force > IN_FORCE || late > slack || most >= SOCKETS || cannot > 0 {
+        return Err(format!("{failure:?}, seed {:x}: {in_force:?}, {late:?}, {most}, {cannot}", stage.seed));
+    }
+    Ok(())
+}
+
+#[test]
+fn idle_clients_leave_descriptors_to_discovery_and_notices_while_discovery_is_down() {
+    let mut plays: Vec<Box<dyn FnOnce() -> Result<(), String> + Send>> = Vec::new();
+    for failure in [Failure::Refuses, Failure::ClosesUnread, Failure::Unavailable, Failure::Silent] {
+        plays.push(Box::new(move || crowded(failure)));
+    }
+    side_by_side(plays);
+}
+
+#[test]
+fn a_process_with_fewer_descriptors_than_it_was_told_waits_and_does_not_spin() {
+    let stage = Stage::bounded(3, 64, |c| c["limits"]["sockets"] = json!(256));
+    let process = stage.node.id();
+    let clients: Vec<TcpStream> = (0..100).map(|_| TcpStream::connect(stage.node.address).unwrap()).collect();
+    stage.node.until("it is out of descriptors", || stage.node.log().contains("cannot accept"));
+    let (begun, before) = (Instant::now(), used(process));
+    sleep(Duration::from_millis(1_000));
+    let (took, spent) = (begun.elapsed(), used(process) - before);
+    println!("out of descriptors: {spent:?} of processor time in {took:?}");
+    assert!(spent < took / 4, "{spent:?} in {took:?}");
+    drop(clients);
+    stage.hand_in();
+    stage.agent.come_back(Back::Changes, stage.change(), stage.change());
+    stage.in_force(Instant::now() - Duration::from_secs(60));
+}
