--- a/crates/sender/src/core/passing.rs
+++ b/crates/sender/src/core/passing.rs
@@ -109,22 +109,25 @@
         Ok(Event::Resumed { message, past })
     }
 
-    /// Makes all but the calls out the next process's. False if that could not be written down: then all stays here.
-    pub(super) async fn yield_work(&mut self) -> bool {
-        let out: Vec<(u64, u32)> =
-            self.calls.keys().copied().filter(|(id, _)| self.held.contains_key(id)).collect();
-        let standings = self.sender.standings(self.clock(Instant::now())).into_iter();
+    /// What the next process is to know: routes, the list's version, and what takes nothing new.
+    fn inheritance(&self) -> Inheritance {
         let endpoints = self.client.pool.endpoints.borrow();
         let named = |s: Standing| {
             let known = s.endpoint.and_then(|e| endpoints.get(e));
             // Figures that are no numbers can't be written; none of these is one.
             Some((known.map(|known| known.name.as_str().to_string()), serde_json::to_value(s).ok()?))
         };
-        let (calls, generation) = (out.len(), self.lists.generation);
+        let standings = self.sender.standings(self.clock(Instant::now())).into_iter();
+        let standings = standings.filter_map(named).collect();
         let closed = endpoints.closed().map(str::to_string).collect();
-        let inheritance =
-            Inheritance { standings: standings.filter_map(named).collect(), generation, closed };
-        drop(endpoints);
+        Inheritance { standings, generation: self.lists.generation, closed }
+    }
+
+    /// Makes all but the calls out the next process's. False if that could not be written down: then all stays here.
+    pub(super) async fn yield_work(&mut self) -> bool {
+        let out: Vec<(u64, u32)> =
+            self.calls.keys().copied().filter(|(id, _)| self.held.contains_key(id)).collect();
+        let (calls, inheritance) = (out.len(), self.inheritance());
         let kept: HashSet<u64> = out.iter().map(|(id, _)| *id).collect();
         let (record, stamp) = (Record::Yielded(out, inheritance), self.stamp());
         let written = self.journal.run(move |journal| journal.give_over(record, stamp)).await;
