Remember a destination from its first use until nothing in it can matter

Need: a listed destination cost its endpoint, its route and all its measures though nothing was ever sent there, for ever; `forget` walked through all of them every 10 s, and the figures through all endpoints at each scrape.

Change: `listing` holds what the list says, compact: an endpoint, its place, and by route the hint, when it was listed first and among how many a limit was shared then. Endpoint, route and destination records come with the first use (`records`), as the list would have made them: the bucket has filled and the share has grown since then. They go together, 60 s after the last work at the soonest, once waits, pauses, doubt, the cold time, calls here and of another process, and measures are over, and bucket and share are back. Runs of failures, refusals and full endpoints without a doubt go with them: what is a minute apart is no run. A lowered cap goes too: the first answer in time lifts it anyway, as nothing else is measured by then. A doubt stays for as long as it is listed, since only a trial ends it; a limit that was reported is kept beside the list. What another process hands on is in use; all else was at rest there. `forget` looks at what came to rest or left the list, 500 of each in one go; the figures at what is in use. A caller that has nothing to do asks `forgets_at` when a batch lets go of memory. An endpoint whose kind turns separate by new settings has its route at once; before, it got nothing until the next list. Order by key is a container of its own (`turns`).

--- a/crates/policy/src/agenda.rs
+++ b/crates/policy/src/agenda.rs
@@ -25,12 +25,7 @@
     }
 
     /// The keys whose time has come, the earliest first; of equal times the least key.
-    pub fn due(&self, now: Ns) -> Vec<K> {
-        self.order.iter().take_while(|(at, _)| *at <= now).map(|&(_, key)| key).collect()
-    }
-
-    pub fn retain(&mut self, keep: impl Fn(&K) -> bool) {
-        self.times.retain(|key, _| keep(key));
-        self.order.retain(|(_, key)| keep(key));
+    pub fn due(&self, now: Ns) -> impl Iterator<Item = K> + '_ {
+        self.order.iter().take_while(move |(at, _)| *at <= now).map(|&(_, key)| key)
     }
 }
--- a/crates/policy/src/bucket.rs
+++ b/crates/policy/src/bucket.rs
@@ -12,6 +12,11 @@
         Bucket { tokens, filled_at: now }
     }
 
+    pub fn is_full(mut self, rate: f64, depth: f64, now: Ns) -> bool {
+        self.fill(rate, depth, now);
+        self.tokens >= depth
+    }
+
     /// Fills it for the time that has passed, at `rate` tokens a second and up to `depth`. Tells when it holds one: now,
     /// or at so much later a time.
     pub fn fill(&mut self, rate: f64, depth: f64, now: Ns) -> Ns {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -5,7 +5,9 @@
 //! | [`api`] | the interface: settings, events in, actions out; data only |
 //! | [`settings`] | reads the settings object that the platform writes |
 //! | [`rules`] | every decision, and the state that decisions rest on |
-//! | `aged`, `levels`, `bucket`, `agenda`, `lot` | figures whose weight halves with time, and those by level, a token bucket, times by key, random numbers |
+//! | `aged`, `levels`, `bucket`, `agenda`, `turns`, `lot` | figures whose weight halves with time, and those by level, a token bucket, times by key, order by key, random numbers |
+//! | `listing` | the list as it was told, compact: all that is held of what is listed and not in use |
+//! | `records` | records of destinations in use: they come with the first use, and go where the rules say so |
 //! | [`view`] | what operators may see of that state; nothing is decided by it |
 //!
 //! It must not touch files, sockets, clocks or threads, nor share anything between two senders: time comes with each
@@ -17,9 +19,12 @@
 pub mod api;
 mod bucket;
 mod levels;
+mod listing;
 mod lot;
+mod records;
 pub mod rules;
 pub mod settings;
+mod turns;
 pub mod view;
 
 #[cfg(test)]
--- a/crates/policy/src/rules/dispatch.rs
+++ b/crates/policy/src/rules/dispatch.rs
@@ -15,7 +15,7 @@
         if self.is_full() && !periodic {
             return;
         }
-        let mut look = self.agenda.due(self.now);
+        let mut look: Vec<DestId> = self.agenda.due(self.now).collect();
         let mut sendable: Vec<Plan> = Vec::new();
         loop {
             for id in look.drain(..) {
--- a/crates/policy/src/rules/mod.rs
+++ b/crates/policy/src/rules/mod.rs
@@ -20,16 +20,23 @@
 use crate::api::*;
 use crate::bucket::Bucket;
 use crate::levels;
+pub(crate) use crate::listing::RouteId;
+use crate::listing::{Listing, Told};
 use crate::lot::Lot;
+use crate::turns::Turns;
 pub use asking::Asking;
 use caps::top;
 pub(crate) use state::*;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// How often caps are chosen, held messages swept and overdue calls noticed (the paper's control rate).
-const PERIOD: Ns = 100 * MS;
-/// What is gone from the list is remembered for so long after its last failure.
+pub(crate) const PERIOD: Ns = 100 * MS;
+/// What is gone from the list is remembered for so long after its last failure, and all else after its last use:
+/// what was measured has faded by then, and what is further apart is no run of failures.
 const KEEP: Ns = 60 * SECOND;
+/// How often it is looked at what may be forgotten, and at how much of each kind in one go.
+pub(crate) const FORGET_EVERY: Ns = 10 * SECOND;
+const FORGET_AT_ONCE: usize = 500;
 
 #[derive(Default)]
 pub struct Sender {
@@ -38,6 +45,8 @@
     pub(crate) now: Ns,
     pub(crate) messages: BTreeMap<MsgId, Held>,
     open: usize,
+    pub(crate) listing: Listing,
+    /// Endpoints, routes and destinations in use.
     pub(crate) endpoints: BTreeMap<EndpointId, Endpoint>,
     pub(crate) routes: BTreeMap<RouteId, Route>,
     pub(crate) dests: BTreeMap<DestId, Dest>,
@@ -46,19 +55,25 @@
     /// Calls that another process of this sender has out, by destination; it may hold all slots too.
     pub(crate) elsewhere: Vec<DestId>,
     sends_elsewhere: bool,
-    keys: BTreeMap<u64, KeyTurn>,
+    keys: Turns,
     /// Destinations with calls out or work held; no other costs anything.
     pub(crate) active: BTreeSet<DestId>,
     /// Those with work held, by when a call may become possible: an event makes its destination due at once.
-    agenda: Agenda<DestId>,
+    pub(crate) agenda: Agenda<DestId>,
     /// Endpoints whose calls ended in this batch, and all that may have idle connections.
     ended: BTreeSet<EndpointId>,
-    idle: BTreeSet<EndpointId>,
-    next_end: Ns,
+    pub(crate) idle: BTreeSet<EndpointId>,
+    /// Listed endpoints that take no new work.
+    pub(crate) unlisted: BTreeSet<EndpointId>,
+    /// Destinations in use without work, by when they may be at rest.
+    pub(crate) resting: Agenda<DestId>,
+    /// When another process of this sender told what it had in use.
+    pub(crate) inherited_at: Option<Ns>,
+    pub(crate) next_end: Ns,
     /// The machine goes for good: nothing is held any more.
     evacuates: bool,
-    forgot_at: Ns,
-    decided_at: Ns,
+    pub(crate) forgot_at: Ns,
+    pub(crate) decided_at: Ns,
     timer_at: Option<Ns>,
 }
 
@@ -103,7 +118,7 @@
             Event::AttemptEnd(e) => self.attempt_end(e, out),
             Event::Elsewhere { sends, calls } => self.elsewhere(*sends, calls),
             Event::EndedElsewhere(e) => self.ended_elsewhere(e),
-            Event::Inherited(standings) => standings.iter().for_each(|s| self.inherit(s)),
+            Event::Inherited(standings) => self.inherit(standings),
             Event::Settings(new) => self.settings(new),
             Event::Expired { id } => self.close(*id),
             Event::Evacuate(goes) => self.evacuate(*goes, out),
@@ -116,51 +131,72 @@
     fn sweep(&mut self) {
         self.notice_overdue();
         let now = self.now;
-        let dests = &mut self.dests;
+        let (dests, resting) = (&mut self.dests, &mut self.resting);
         self.active.retain(|id| {
             let Some(dest) = dests.get_mut(id) else { return false };
             dest.choose_cap(&self.cfg, now);
-            dest.in_flight > 0 || !dest.held.is_empty()
+            let used = dest.in_flight > 0 || !dest.held.is_empty();
+            if !used {
+                resting.set(*id, Some(now + KEEP));
+            }
+            used
         });
         self.look_at_all();
-        if now - self.forgot_at >= 10 * SECOND {
+        if now - self.forgot_at >= FORGET_EVERY {
             self.forget();
         }
     }
 
-    /// Drops what the list no longer names and nothing depends on: calls out, a told wait, an outage seen.
+    /// Drops what the list no longer names and nothing depends on, and what was used and is at rest. Looks at nothing
+    /// else, and at no more than `FORGET_AT_ONCE` of each in one go.
     fn forget(&mut self) {
         let now = self.now;
-        self.endpoints.retain(|_, e| e.usable || e.in_flight > 0);
-        let endpoints = &self.endpoints;
-        self.idle.retain(|id| endpoints.contains_key(id));
-        let named = endpoints.keys().map(|&e| self.route_of(e));
-        let named: BTreeSet<RouteId> = named.chain(self.calls.values().map(|c| c.route)).collect();
-        self.routes.retain(|id, r| {
-            let seen = r.last_failure.max(r.next_trial).max(r.wait_until);
-            named.contains(id) || now < seen.saturating_add(KEEP.max(self.cfg.cold))
-        });
-        let active = &self.active;
-        self.dests.retain(|id, dest| {
-            dest.places.retain(|e| endpoints.get(e).is_some_and(|e| e.dest == *id));
-            !dest.places.is_empty() || active.contains(id)
-        });
-        // What was held may have ended since its destination became due: nothing is left to look at there.
-        let dests = &self.dests;
-        self.agenda.retain(|id| dests.contains_key(id));
-        self.keys.retain(|_, turn| !turn.queue.is_empty() || turn.rest_until > now);
-        self.forgot_at = now;
+        let gone = self.unlisted.iter().copied().filter(|&id| self.may_go(id));
+        let gone: Vec<EndpointId> = gone.take(FORGET_AT_ONCE).collect();
+        gone.iter().for_each(|&id| self.drop_place(id));
+        let due: Vec<DestId> = self.resting.due(now).take(FORGET_AT_ONCE).collect();
+        for &id in &due {
+            self.resting.set(id, (!self.active.contains(&id)).then_some(now + FORGET_EVERY));
+            if self.is_at_rest(id) {
+                self.drop_dest(id);
+            }
+        }
+        self.keys.forget(now);
+        if gone.len().max(due.len()) < FORGET_AT_ONCE {
+            self.forgot_at = now;
+        }
+    }
+
+    /// Whether nothing depends on an endpoint that takes no new work: calls out; a told wait, an outage seen.
+    fn may_go(&self, id: EndpointId) -> bool {
+        let Some(e) = self.endpoints.get(&id) else { return true };
+        let (route, keep) = (self.routes.get(&self.route_of(id)), KEEP.max(self.cfg.cold));
+        let seen = |r: &Route| r.last_failure.max(r.next_trial).max(r.wait_until).saturating_add(keep);
+        e.in_flight == 0 && (self.shares_route(id) || route.is_none_or(|r| seen(r) <= self.now))
+    }
+
+    /// Whether it would decide the same for a destination if that had been listed long ago and never used.
+    fn is_at_rest(&self, id: DestId) -> bool {
+        let Some(dest) = self.dests.get(&id) else { return true };
+        let (now, cfg, fair) = (self.now, &self.cfg, self.fair());
+        let closed = |e: &Endpoint| e.in_flight == 0 && now - e.used_at.max(e.avoid_until) >= cfg.idle_close;
+        let unused = !self.active.contains(&id) && !self.elsewhere.contains(&id);
+        let faded =
+            dest.latency.aged(now) < MEASURED && dest.places.iter().all(|e| closed(&self.endpoints[e]));
+        unused && faded && self.routes_of(id).all(|(_, route)| route.is_at_rest(cfg.cold, fair, now))
     }
 
     /// Takes new settings: each destination keeps what of its measures still means something.
     fn settings(&mut self, new: &Settings) {
         let old = std::mem::replace(&mut self.cfg, new.clone());
         self.dests.values_mut().for_each(|dest| dest.reset(&old, new));
+        // Other routes may be separate now.
+        self.endpoints.keys().copied().collect::<Vec<_>>().iter().for_each(|&id| self.open_place(id));
         self.look_at_all();
     }
 
     /// Sets when a destination is looked at next; it leaves the agenda while nothing is held for it.
-    fn due(&mut self, id: DestId, at: Ns) {
+    pub(crate) fn due(&mut self, id: DestId, at: Ns) {
         let Some(dest) = self.dests.get(&id) else { return };
         self.agenda.set(id, (!dest.held.is_empty() && at < Ns::MAX).then_some(at));
     }
@@ -176,16 +212,6 @@
         1.0 / self.cfg.n_instances.max(1) as f64
     }
 
-    fn dest(&mut self, id: DestId) -> &mut Dest {
-        self.dests.entry(id).or_insert_with(|| Dest::new(&self.cfg))
-    }
-
-    pub(crate) fn route_of(&self, endpoint: EndpointId) -> RouteId {
-        let e = &self.endpoints[&endpoint];
-        let separate = self.cfg.kinds.get(e.kind).is_some_and(|k| k.separate_routes);
-        (e.dest, if separate { endpoint } else { EndpointId::MAX })
-    }
-
     /// The routes of the endpoints that take a destination's new work.
     pub(crate) fn open_routes<'a>(&'a self, id: DestId, dest: &'a Dest) -> impl Iterator<Item = &'a Route> {
         let usable = move |e: &&EndpointId| self.endpoints.get(e).is_some_and(|e| e.dest == id && e.usable);
--- a/crates/policy/src/rules/pace.rs
+++ b/crates/policy/src/rules/pace.rs
@@ -18,6 +18,11 @@
 /// share to all, however many there are.
 const RISE: f64 = 0.045;
 
+/// How many calls at once a rate in calls a second allows.
+fn burst(rate: f64) -> f64 {
+    (0.4 * rate).clamp(1.0, 4.0)
+}
+
 impl Route {
     /// The limit as it was reported, else as the list has it; 0 where neither tells.
     pub fn rate(&self) -> f64 {
@@ -98,7 +103,7 @@
     pub fn paced(&mut self, ramp: f64, fair: f64, now: Ns) -> Ns {
         let limit = self.rate();
         let mut rate = if limit > 0.0 { limit * self.share_now(now, fair) } else { f64::INFINITY };
-        let mut burst = (0.4 * rate).clamp(1.0, 4.0);
+        let mut burst = burst(rate);
         if self.cold {
             (rate, burst) = (rate.min(ramp), 1.0);
         }
@@ -109,4 +114,17 @@
         }
         self.bucket.fill(rate, burst, now)
     }
+
+    /// Whether it is as if it were made anew, listed long ago: open, warm, with all of its limit for this sender.
+    /// Refusals and failures in a row, and those for want of a place, are none over such a time (`KEEP` at least
+    /// since the last call); a doubt stays, as only a trial can tell.
+    pub fn is_at_rest(&self, cold: Ns, fair: f64, now: Ns) -> bool {
+        let open = !self.doubt && self.wait_until.max(self.not_before) <= now;
+        let rate = self.rate();
+        let full = rate <= 0.0 || self.bucket.is_full(rate, burst(rate), now);
+        // Once warm it begins with an equal share: that is for work that stood, and past in as long again.
+        let warm = self.last_failure.saturating_add(cold).saturating_add(KEEP) <= now;
+        let whole = self.share_now(now, fair) >= 1.0 && self.served.aged(now) < MEASURED;
+        open && full && warm && whole
+    }
 }
--- a/crates/policy/src/rules/queue.rs
+++ b/crates/policy/src/rules/queue.rs
@@ -14,9 +14,7 @@
         let now = self.now;
         let end = now + message.left.clamp(0, self.cfg.classes[message.class].deadline);
         let held = Held { message, arrived: now, end, attempts: Vec::new(), over: false, found: false };
-        if let Some(key) = self.key(&message) {
-            self.keys.entry(key).or_default().queue.push_back(message.id);
-        }
+        self.key(&message).into_iter().for_each(|key| self.keys.join(key, message.id));
         self.messages.insert(message.id, held);
         self.open += 1;
         self.dest(message.dest).classes[message.class].arrivals.book(now, 1.0);
@@ -28,7 +26,7 @@
         self.take(message);
         let Some(held) = self.messages.get_mut(&message.id) else { return };
         held.found = true;
-        let zone = |e: Option<_>| e.and_then(|e| self.endpoints.get(&e)).map_or(usize::MAX, |e| e.zone);
+        let zone = |e: Option<_>| e.and_then(|e| self.listing.get(e)).map_or(usize::MAX, |e| e.zone());
         held.attempts.extend(past.iter().map(|p| Attempt {
             endpoint: p.endpoint.unwrap_or(EndpointId::MAX),
             zone: zone(p.endpoint),
--- a/crates/policy/src/rules/retries.rs
+++ b/crates/policy/src/rules/retries.rs
@@ -17,7 +17,7 @@
             (Effect::Keyed, Some(to)) => may_have_run.all(|a| {
                 let same = match class.scope {
                     DedupScope::All => true,
-                    DedupScope::Zone => self.endpoints.get(&to).is_some_and(|p| p.zone == a.zone),
+                    DedupScope::Zone => self.listing.get(to).is_some_and(|p| p.zone() == a.zone),
                     DedupScope::Endpoint => a.endpoint == to,
                 };
                 same && self.now + self.cfg.tick < a.sent.saturating_add(class.window)
@@ -44,24 +44,17 @@
     /// Order by key: only the oldest of a key may go, and after one that may still run the key rests.
     pub(super) fn has_turn(&self, held: &Held) -> bool {
         let Some(key) = self.key(&held.message) else { return true };
-        self.keys.get(&key).is_some_and(|t| {
-            t.queue.front() == Some(&held.message.id)
-                && (t.rest_until <= self.now || !held.attempts.is_empty())
-        })
+        let first = self.keys.first_after(key, held.message.id);
+        first.is_some_and(|rested| rested <= self.now || !held.attempts.is_empty())
     }
 
     pub(super) fn rest_key(&mut self, message: &Message) {
-        let turn = self.key(message).and_then(|key| self.keys.get_mut(&key));
-        turn.into_iter().for_each(|turn| turn.rest_until = self.now + self.cfg.key_rest);
+        let until = self.now + self.cfg.key_rest;
+        self.key(message).into_iter().for_each(|key| self.keys.rest(key, until));
     }
 
     /// Takes a message that has ended out of its key's order.
     pub(super) fn leave_key(&mut self, message: &Message) {
-        let Some(key) = self.key(message) else { return };
-        let Some(turn) = self.keys.get_mut(&key) else { return };
-        turn.queue.retain(|&q| q != message.id);
-        if turn.queue.is_empty() && turn.rest_until <= self.now {
-            self.keys.remove(&key);
-        }
+        self.key(message).into_iter().for_each(|key| self.keys.leave(key, message.id, self.now));
     }
 }
--- a/crates/policy/src/rules/routing.rs
+++ b/crates/policy/src/rules/routing.rs
@@ -10,27 +10,22 @@
     /// Follows the list. Draining and gone endpoints are unusable before anything of the batch is sent.
     pub(super) fn list(&mut self, whole: bool, entries: &[Entry]) {
         if whole {
+            self.listing.withdraw_all();
             self.endpoints.values_mut().for_each(|e| e.usable = false);
         }
         for entry in entries {
-            let (used_at, served_at) = (LONG_AGO, LONG_AGO);
-            let new = Endpoint { used_at, served_at, gap: Ns::MAX, ..Endpoint::default() };
-            let known = self.endpoints.entry(entry.endpoint).or_insert(new);
-            (known.dest, known.kind, known.zone) = (entry.dest, entry.kind, entry.zone);
-            known.usable = entry.condition == Condition::Ready;
-            let id = self.route_of(entry.endpoint);
-            let (fair, told) = (self.fair(), self.cfg.hints && entry.hint.is_finite());
             // Where the list tells the limit nothing is held back before a refusal: of many senders few have
             // work for a destination at any time, and an equal share of a small limit holds up each message.
-            let share = if told { 1.0 } else { fair };
-            let bucket = Bucket::of(1.0, self.now);
-            let new = Route { share, share_at: self.now, bucket, ..Route::default() };
-            let route = self.routes.entry(id).or_insert(new);
+            let told = self.cfg.hints && entry.hint.is_finite();
             let trust = if self.cfg.rough_hints { ROUGH } else { 1.0 };
-            route.hint = if told { entry.hint.max(0.0) * trust } else { 0.0 };
-            self.dest(entry.dest).places.insert(entry.endpoint);
+            let hint = if told { entry.hint.max(0.0) * trust } else { 0.0 };
+            let among = if told { 1 } else { self.cfg.n_instances };
+            self.open(entry, Told { hint, since: self.now, among });
             self.due(entry.dest, LONG_AGO);
         }
+        if whole {
+            self.unlisted.extend(self.listing.unusable());
+        }
     }
 
     /// The endpoint for a destination's next call, and when another may be possible; or only that.
--- a/crates/policy/src/rules/state.rs
+++ b/crates/policy/src/rules/state.rs
@@ -3,7 +3,8 @@
 use crate::api::*;
 use crate::bucket::Bucket;
 use crate::levels::Levels;
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use crate::listing::RouteId;
+use std::collections::BTreeSet;
 
 pub const LONG_AGO: Ns = Ns::MIN / 2;
 /// Aged figures halve in weight in 3 s; under the second weight a cell counts as unmeasured again.
@@ -52,18 +53,6 @@
     pub cancelled: bool,
 }
 
-impl Call {
-    pub fn call_off(&mut self, number: u64, messages: &BTreeMap<MsgId, Held>, out: &mut Vec<Action>) {
-        self.cancelled = true;
-        for &id in &self.messages {
-            let mut attempts = messages.get(&id).into_iter().flat_map(|h| h.attempts.iter());
-            if let Some(attempt) = attempts.position(|a| a.call == number && a.out) {
-                out.push(Action::Cancel { id, attempt: attempt as u32 });
-            }
-        }
-    }
-}
-
 #[derive(Default)]
 pub struct Endpoint {
     pub dest: DestId,
@@ -125,11 +114,3 @@
     /// Messages served: the rate at which held ones may expect their turn.
     pub served: Stat,
 }
-
-#[derive(Default)]
-pub struct KeyTurn {
-    pub queue: VecDeque<MsgId>,
-    pub rest_until: Ns,
-}
-
-pub type RouteId = (DestId, EndpointId);
--- a/crates/policy/src/view.rs
+++ b/crates/policy/src/view.rs
@@ -1,6 +1,6 @@
 //! What operators may see of a sender's state. Nothing is decided by it, and nothing here changes it.
 use crate::api::*;
-use crate::rules::{Dest, Endpoint, Route, RouteId, Sender};
+use crate::rules::{Dest, Endpoint, Route, RouteId, Sender, FORGET_EVERY, PERIOD};
 
 impl Sender {
     /// Calls out, and what is held for each destination: for the logs.
@@ -28,7 +28,8 @@
         self.endpoints.iter().filter(move |(id, e)| avoids(id, e)).map(|(&id, _)| id)
     }
 
-    /// What one process hands to the next: each wait, doubt and cold route, and the pace, as they stand.
+    /// What one process hands to the next: each wait, doubt and cold route, and the pace, as they stand. What it leaves
+    /// out is at rest.
     pub fn standings(&self, now: Ns) -> Vec<Standing> {
         let left = |at: Ns| at.saturating_sub(now).max(0);
         let standing = |(&(dest, endpoint), r): (&RouteId, &Route)| Standing {
@@ -51,6 +52,12 @@
         self.routes.iter().map(standing).collect()
     }
 
+    /// When a batch without events may let go of memory, while none comes anyway; no decision waits for it.
+    pub fn forgets_at(&self) -> Option<Ns> {
+        let holds = !self.dests.is_empty() || !self.unlisted.is_empty();
+        holds.then(|| (self.decided_at + PERIOD).max(self.forgot_at + FORGET_EVERY))
+    }
+
     fn gate(&self, id: DestId, dest: &Dest) -> Gate {
         let of_route = |r: &Route| match () {
             _ if r.wait_until > self.now => Gate::Wait,
--- a/crates/policy/tests/common/counting.rs
+++ b/crates/policy/tests/common/counting.rs
@@ -1,4 +1,5 @@
 //! An allocator that counts, for what memory is held and how often it is asked for.
+#![allow(dead_code)]
 use std::alloc::{GlobalAlloc, Layout, System};
 use std::sync::atomic::{AtomicUsize, Ordering::Relaxed};
 
