--- a/crates/trial/src/peers.rs
+++ b/crates/trial/src/peers.rs
@@ -394,11 +394,6 @@
         assert!(Command::new("kill").args([signal, &id]).status().unwrap().success());
     }
 
-    /// The process that runs.
-    pub fn id(&self) -> u32 {
-        self.child.as_ref().unwrap().id()
-    }
-
     /// Bounds the size of its files, as a full disk does.
     pub fn bound_files(&self, bytes: u64) {
         crate::process::bound_files(self.child.as_ref().unwrap().id(), bytes).unwrap();
