Let go of idle destinations' memory without waiting for work

Need: the decisions forget within a batch, and a sender that nobody uses may see none for long.

Change: the core wakes at `forgets_at` too, which is none once nothing is in use, and not after it has yielded.

Not measured on a running sender.

--- a/crates/sender/src/core/mod.rs
+++ b/crates/sender/src/core/mod.rs
@@ -198,7 +198,9 @@
             if self.finished() {
                 return;
             }
-            let wake = self.timer.map(|at| self.instant(at));
+            // Without work a round lets go of what was remembered of it.
+            let rest = self.sender.forgets_at().filter(|_| !self.has_yielded);
+            let wake = self.timer.into_iter().chain(rest).min().map(|at| self.instant(at));
             let wake = if self.next.is_empty() { wake } else { Some(Instant::now()) };
             let wake = [wake, self.wind, self.renew_at, self.next_to_forget()]
                 .into_iter()
