--- a/crates/trial/tests/judges.rs
+++ b/crates/trial/tests/judges.rs
@@ -115,6 +115,17 @@
     good().into_iter().filter(|e| !drop(&e.what)).collect()
 }
 
+/// Inside the window of the second attempt that may have run, and outside that of the first.
+fn repeated_beyond_its_window() -> Vec<Event> {
+    with(vec![
+        at(4_000, keyed("m9.0", 0)),
+        at(4_010, called(20, "m9.0", 0, false)),
+        at(4_100, called(21, "m9.0", 0, true)),
+        at(4_700, called(22, "m9.0", 0, true)),
+        at(5_160, called(23, "m9.0", 0, false)),
+    ])
+}
+
 #[test]
 fn each_judge_finds_its_offender_and_no_other_does() {
     assert_eq!(judge(&good(), &terms()), []);
@@ -152,17 +163,7 @@
             "nothing_unsafe_twice",
             without(is_notice).into_iter().chain([at(4_500, notice("m2.0", "handed_back"))]).collect(),
         ),
-        (
-            "window",
-            with(vec![
-                at(4_000, keyed("m9.0", 0)),
-                at(4_010, called(20, "m9.0", 0, false)),
-                at(4_100, called(21, "m9.0", 0, true)),
-                at(4_700, called(22, "m9.0", 0, true)),
-                // Inside the window of the second attempt, and outside that of the first.
-                at(5_160, called(23, "m9.0", 0, false)),
-            ]),
-        ),
+        ("window", repeated_beyond_its_window()),
         ("attempts", with(attempts)),
         ("right_partner", with(vec![at(1_000, called(9, "m0.0", 0, true))])),
         ("waits", with(vec![at(900, handed("m9.0", 0, false)), at(400, called(9, "m9.0", 0, true))])),
