--- a/crates/scale/src/fleet.rs
+++ b/crates/scale/src/fleet.rs
@@ -28,7 +28,7 @@
     pub hollows: Hollows,
     pub net: Arc<Net>,
     agent: Agent,
-    relays: Relays,
+    _relays: Relays,
     folder: Folder,
     seed: u64,
     interval_ms: u64,
@@ -123,8 +123,17 @@
         let folder = Folder::new(folder).map_err(text)?;
         let hollows = Hollows::start(Vec::new(), senders, &net)?;
         let (seed, interval_ms) = (plan.seed, plan.interval_ms);
-        let mut fleet =
-            Fleet { reals: Vec::new(), hollows, net, agent, relays, folder, seed, interval_ms, changes: 0 };
+        let mut fleet = Fleet {
+            reals: Vec::new(),
+            hollows,
+            net,
+            agent,
+            _relays: relays,
+            folder,
+            seed,
+            interval_ms,
+            changes: 0,
+        };
         fleet.write(plan.begin).map_err(text)?;
         let seats = (real..senders).map(|member| fleet.seat(member)).collect();
         fleet.hollows = Hollows::start(seats, senders, &fleet.net)?;
@@ -145,14 +154,10 @@
         self.reals.len()
     }
 
-    /// Threads that carry datagrams among the real ones.
-    pub fn relays(&self) -> usize {
-        self.relays.threads.len()
-    }
-
-    /// Questions that discovery has answered, and how many with the whole list.
-    pub fn asked(&self) -> (u64, u64) {
-        self.agent.asked()
+    /// What the last member's folder has of the roster, bytes.
+    pub fn roster_bytes(&self) -> u64 {
+        let path = self.of(self.senders() - 1).join("state").join(roster(NAME, std::iter::empty()).0);
+        std::fs::metadata(path).map_or(0, |file| file.len())
     }
 
     fn of(&self, member: usize) -> PathBuf {
--- a/crates/scale/src/lib.rs
+++ b/crates/scale/src/lib.rs
@@ -9,16 +9,20 @@
 //! | [`real`] | real senders: processes that none outlives |
 //! | [`fleet`] | one fleet of both, its folders and configurations |
 //! | [`run`] | plays a plan on fleets, within its bounds |
-//! | [`lists`] | what a list costs one real sender |
+//! | `measured` | what is measured on a fleet |
+//! | `recorder` | a run under way: its lines and its bounds |
+//! | `lists` | what a list costs one real sender |
 //! | [`measurement`] | one line of results |
 //! | [`page`] | the tables of docs/CAPACITY.md from such lines |
 pub mod agent;
 pub mod fleet;
 pub mod hollows;
 mod lists;
+mod measured;
 pub mod measurement;
 pub mod net;
 pub mod page;
 pub mod plan;
 pub mod real;
+mod recorder;
 pub mod run;
--- a/crates/scale/src/lists.rs
+++ b/crates/scale/src/lists.rs
@@ -3,7 +3,7 @@
 use crate::fleet::{replace, settings, Folder};
 use crate::plan::ToldBy;
 use crate::real::Real;
-use crate::run::{About, Run, Worth};
+use crate::recorder::{About, Run, Worth};
 use serde_json::json;
 use std::time::{Duration, Instant};
 use trial::peers::free_address;
