--- a/crates/policy/src/rules/mod.rs
+++ b/crates/policy/src/rules/mod.rs
@@ -31,7 +31,7 @@
 
 /// How often caps are chosen, held messages swept and overdue calls noticed (the paper's control rate).
 pub(crate) const PERIOD: Ns = 100 * MS;
-/// What is gone from the list is remembered for so long after its last failure, and all else after its last use:
+/// What is gone from the list is remembered for so long after its last failure, all else after its last use:
 /// what was measured has faded by then, and what is further apart is no run of failures.
 const KEEP: Ns = 60 * SECOND;
 /// How often it is looked at what may be forgotten, and at how much of each kind in one go.
@@ -147,8 +147,8 @@
         }
     }
 
-    /// Drops what the list no longer names and nothing depends on, and what was used and is at rest. Looks at nothing
-    /// else, and at no more than `FORGET_AT_ONCE` of each in one go.
+    /// Drops what the list no longer names and nothing depends on, and what was used and is at rest. Looks at
+    /// nothing else, and at no more than `FORGET_AT_ONCE` of each in one go.
     fn forget(&mut self) {
         let now = self.now;
         let gone = self.unlisted.iter().copied().filter(|&id| self.may_go(id));
--- a/crates/policy/src/rules/pace.rs
+++ b/crates/policy/src/rules/pace.rs
@@ -115,9 +115,9 @@
         self.bucket.fill(rate, burst, now)
     }
 
-    /// Whether it is as if it were made anew, listed long ago: open, warm, with all of its limit for this sender.
-    /// Refusals and failures in a row, and those for want of a place, are none over such a time (`KEEP` at least
-    /// since the last call); a doubt stays, as only a trial can tell.
+    /// Whether it is as if it were made anew, listed long ago: open, warm, with all of its limit for this
+    /// sender. Refusals and failures in a row, and those for want of a place, are none over such a time
+    /// (`KEEP` at least since the last call); a doubt stays, as only a trial can tell.
     pub fn is_at_rest(&self, cold: Ns, fair: f64, now: Ns) -> bool {
         let open = !self.doubt && self.wait_until.max(self.not_before) <= now;
         let rate = self.rate();
