Let a change of the list cost what it names: no table of all slots for one entry

Change: the marks of a list that is not whole are kept by the slots that it names.

Measured: listing_tests pass.

--- a/crates/sender/src/listing.rs
+++ b/crates/sender/src/listing.rs
@@ -3,6 +3,7 @@
 use crate::endpoints::{Change, Endpoints, Said, Slot};
 use crate::list::{Instance, List};
 use policy::api::Condition;
+use std::collections::HashMap;
 use tokio::time::Instant;
 
 /// Work of one slice: as many entries are looked at, or one in `CHANGE` as many changed.
@@ -24,13 +25,36 @@
     Update(usize),
 }
 
+/// By slot: the last entry that names it. An entry that comes twice holds as it was last.
+enum Last {
+    /// For a whole list, which every slot is compared with.
+    Whole(Vec<u32>),
+    /// A change costs what it names, however many are listed.
+    Change(HashMap<Slot, u32>),
+}
+
+impl Last {
+    fn get(&self, slot: Slot) -> Option<u32> {
+        match self {
+            Last::Whole(all) => all.get(slot as usize).copied(),
+            Last::Change(named) => named.get(&slot).copied(),
+        }
+    }
+
+    fn set(&mut self, slot: Slot, entry: u32) {
+        match self {
+            Last::Whole(all) => all[slot as usize] = entry,
+            Last::Change(named) => _ = named.insert(slot, entry),
+        }
+    }
+}
+
 pub struct Listing {
     list: List,
     stage: Stage,
     /// By entry: its endpoint's slot.
     found: Vec<Slot>,
-    /// By slot: the last entry that names it. An entry that comes twice holds as it was last.
-    last: Vec<u32>,
+    last: Last,
     /// Entries that are not ready.
     closing: Vec<u32>,
 }
@@ -41,7 +65,10 @@
 impl Listing {
     pub fn new(list: List, endpoints: &mut Endpoints) -> Listing {
         endpoints.reserve(list.len().saturating_sub(endpoints.slots()));
-        let last = vec![NONE; endpoints.slots()];
+        let last = match list.reset {
+            true => Last::Whole(vec![NONE; endpoints.slots()]),
+            false => Last::Change(HashMap::new()),
+        };
         let found = Vec::with_capacity(list.len());
         Listing { list, stage: Stage::Find(0), found, last, closing: Vec::new() }
     }
@@ -92,7 +119,7 @@
         let slot = endpoints.find(instance.name.as_str());
         self.found.push(slot.unwrap_or(NONE));
         if let Some(slot) = slot {
-            self.last[slot as usize] = entry as u32;
+            self.last.set(slot, entry as u32);
             if instance.condition != Condition::Ready {
                 self.closing.push(entry as u32);
             }
@@ -101,7 +128,7 @@
     }
 
     fn is_last(&self, entry: usize, slot: Slot) -> bool {
-        self.last.get(slot as usize).is_some_and(|&last| last as usize == entry)
+        self.last.get(slot).is_some_and(|last| last as usize == entry)
     }
 
     fn close(
@@ -119,9 +146,9 @@
     }
 
     fn gone(&self, slot: usize, endpoints: &mut Endpoints, now: Instant) -> (Stage, Option<Change>) {
-        match self.last.get(slot) {
+        match self.last.get(slot as Slot) {
             None => (Stage::Update(0), None),
-            Some(&last) if last != NONE => (Stage::Gone(slot + 1), None),
+            Some(last) if last != NONE => (Stage::Gone(slot + 1), None),
             Some(_) => (Stage::Gone(slot + 1), endpoints.remove_from_list(slot as Slot, now)),
         }
     }
