Trials: time the rig's own writes to the disk, and play four at once in the checks

Cause or need: a run of the checks failed with ends up to 1.1 s late in three trials at one moment, with bounds stretched by waits for a core and the rig's own clock. Change: a thread appends to a file in the trial's folder every 20 ms; the longest write stretches bounds as the other looks do (history: Stalled). Four trials at once instead of eight, so that fewer things run at a time. No judge and no bound is changed. Ruled out: five runs to repeat it, alone and beside 6 to 20 GB of writing or deleting, were green; beside the copying a process that creates and renames files stood for up to 3.3 s. So the cause of that run is likely, not shown (docs/postmortems.md).

--- a/crates/trial/src/history.rs
+++ b/crates/trial/src/history.rs
@@ -164,6 +164,10 @@
         sender: usize,
         by: Us,
     },
+    /// A write of the rig's own to the trial's disk took so long.
+    Stalled {
+        by: Us,
+    },
     /// Clients have stopped, and no fault stands any more.
     Quiet,
     /// The rig did not wait any longer.
--- a/crates/trial/src/lib.rs
+++ b/crates/trial/src/lib.rs
@@ -5,6 +5,7 @@
 //! | [`file`] | what a trial is, as a strict file |
 //! | [`link`] | what stands between two parties, by direction; no I/O |
 //! | [`front`] | carries that out on real sockets: every path goes through one |
+//! | [`disk`] | how long the rig's own writes take |
 //! | [`process`] | a sender's processes; none outlives the rig |
 //! | [`stage`] | partners, discovery's agent, the platform and clients, on the lab's model of partners |
 //! | [`etcd`] | the store's stand-in |
@@ -15,6 +16,7 @@
 //! | [`run`] | plays a trial |
 //! | [`picture`] | draws one |
 pub mod agent;
+pub mod disk;
 pub mod etcd;
 pub mod file;
 pub mod front;
--- a/crates/trial/src/run.rs
+++ b/crates/trial/src/run.rs
@@ -1,4 +1,5 @@
 //! Plays one trial: starts the fleet, puts the faults between, watches, and hears the judges.
+use crate::disk::DiskWatch;
 use crate::etcd::Etcd;
 use crate::file::{strikes, Fault, Folder, Trial, What as Do, Who};
 use crate::front::{carry, Fabric, Member};
@@ -134,6 +135,7 @@
     history: Rc<History>,
     senders: Vec<Sender>,
     store: Option<Etcd>,
+    disk: DiskWatch,
     /// Calls of the operators' tool that drain a machine.
     drains: RefCell<Vec<(usize, Child)>>,
     /// What each sender told last.
@@ -194,6 +196,7 @@
         let store = trial.fleet.duties.map(|_| Etcd::new());
         let mut rig = Rig {
             seed,
+            disk: DiskWatch::start(&folder)?,
             folder,
             program: given.unwrap_or_else(|| match trial.sets_clocks() {
                 true => program("examples/other_clock"),
@@ -386,6 +389,7 @@
             if looked.elapsed() >= LOOK {
                 looked = Instant::now();
                 self.look_at_waits();
+                self.look_at_disk();
             }
             self.drains.borrow_mut().retain_mut(|(machine, child)| match child.try_wait() {
                 Ok(Some(status)) => {
@@ -411,6 +415,15 @@
         }
     }
 
+    /// What waits for a write to a disk that stands is late, and not by the sender's doing.
+    fn look_at_disk(&self) {
+        let by = self.disk.longest().as_micros() as Us;
+        if by > USUAL && by > self.late.get() {
+            self.history.add(What::Stalled { by });
+            self.late.set(by);
+        }
+    }
+
     /// Asks one sender's control address again and again.
     async fn poll(self: Rc<Self>, number: usize) {
         loop {
--- a/tests/trials.rs
+++ b/tests/trials.rs
@@ -1,5 +1,6 @@
 //! Several processes of the program with faults between them, judged from all that was seen.
 use std::path::Path;
+use std::sync::{Condvar, Mutex, PoisonError};
 use trial::file::Trial;
 use trial::peers::folders;
 use trial::run::{keep, play, Play};
@@ -7,8 +8,34 @@
 /// Says nothing where the machine kept the rig itself from its work; so often it is then played again.
 const AGAIN: usize = 3;
 
+/// Trials are of real time: with more of them at once each takes the others' cores and disk.
+const AT_ONCE: usize = 4;
+
+static PLAYING: Mutex<usize> = Mutex::new(0);
+static ENDED: Condvar = Condvar::new();
+
+/// A place among the trials that are played at once, given back however it ends.
+struct Place;
+
+impl Place {
+    fn take() -> Place {
+        let playing = PLAYING.lock().unwrap_or_else(PoisonError::into_inner);
+        let full = |playing: &mut usize| *playing >= AT_ONCE;
+        *ENDED.wait_while(playing, full).unwrap_or_else(PoisonError::into_inner) += 1;
+        Place
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        *PLAYING.lock().unwrap_or_else(PoisonError::into_inner) -= 1;
+        ENDED.notify_one();
+    }
+}
+
 /// Plays a trial as it stands, and once more where the run says nothing.
 fn is_good(name: &str, seed: u64) {
+    let _place = Place::take();
     let file = Path::new(env!("CARGO_MANIFEST_DIR")).join(format!("scenarios/trials/{name}.toml"));
     let trial = Trial::read(&std::fs::read_to_string(file).unwrap()).unwrap();
     let folder = folders().join(format!("trial-{name}-{}", std::process::id()));
