Bring what a route begins with, inherits and calls off back among the decisions

Change: these are under `rules` again (routing, handover, dispatch, caps, outcomes).

`cargo test -p policy -p lab -p world` passes. What else differs: where new settings shorten the idle time, connections that are seldom used close as they have stood so long, not at once.

--- a/crates/policy/src/api.rs
+++ b/crates/policy/src/api.rs
@@ -179,17 +179,6 @@
         matches!(self, Outcome::TurnedAway | Outcome::NoConnection | Outcome::Crowded | Outcome::NotSent)
     }
 
-    /// It tells of the latency at the other side: it came there, and was not taken back from here.
-    pub fn tells_of_load(self) -> bool {
-        !self.never_ran() && self != Outcome::CalledOff || self == Outcome::TurnedAway
-    }
-
-    /// The endpoint did not do its work, though it may have had its reasons.
-    pub fn is_trouble(self) -> bool {
-        use Outcome::*;
-        matches!(self, ServerError | NoAnswer | NoConnection | Crowded)
-    }
-
     /// The attempt may run on after this outcome.
     pub fn may_still_run(self) -> bool {
         matches!(self, Outcome::NoAnswer | Outcome::ConnectionLost | Outcome::CalledOff)
--- a/crates/policy/src/caps_tests.rs
+++ b/crates/policy/src/caps_tests.rs
@@ -133,7 +133,9 @@
                 kept,
             };
             dest.book(&end, class, level, now - took, &cfg, now);
-            if outcome.tells_of_load() && !kept {
+            use Outcome::{ConnectionLost, NoAnswer, Served, ServerError, TurnedAway};
+            let tells = matches!(outcome, Served | ServerError | TurnedAway | NoAnswer | ConnectionLost);
+            if tells && !kept {
                 let x = if outcome == Outcome::Served { took } else { cfg.classes[class].aim };
                 plain.classes[class].1[level.min(top(&cfg))].book(now, x as f64);
             }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -6,7 +6,7 @@
 //! | [`settings`] | reads the settings object that the platform writes |
 //! | [`rules`] | every decision, and the state that decisions rest on |
 //! | `aged`, `levels`, `bucket`, `agenda`, `turns`, `lot` | figures whose weight halves with time, and those by level, a token bucket, times by key, order by key, random numbers |
-//! | `listing` | the list as it was told, compact: all that is held of what is listed and not in use |
+//! | `listing` | the list as it was told, compact, and indexes of it: nothing of it is held a second time |
 //! | `records` | records of destinations in use: they come with the first use, and go where the rules say so |
 //! | [`view`] | what operators may see of that state; nothing is decided by it |
 //!
--- a/crates/policy/src/listing.rs
+++ b/crates/policy/src/listing.rs
@@ -1,5 +1,5 @@
-//! The list of endpoints as it was told, compact: what is listed and never used costs this and nothing else. Nothing
-//! here decides.
+//! The list of endpoints as it was told, compact, by endpoint and by destination: what is listed and never used costs
+//! this and nothing else. Nothing here decides.
 use crate::api::*;
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -12,6 +12,7 @@
     pub dest: DestId,
     kind: u16,
     zone: u16,
+    /// It takes new work.
     pub usable: bool,
 }
 
@@ -29,6 +30,8 @@
 pub struct Listing {
     endpoints: BTreeMap<EndpointId, Listed>,
     places: BTreeSet<RouteId>,
+    /// Those that take no new work.
+    unusable: BTreeSet<EndpointId>,
     routes: BTreeMap<RouteId, Told>,
     /// Limits that routes reported when they were used.
     limits: BTreeMap<RouteId, f64>,
@@ -48,9 +51,9 @@
 }
 
 impl Listed {
-    pub fn new(entry: &Entry) -> Listed {
+    pub fn new(entry: &Entry, usable: bool) -> Listed {
         let (kind, zone) = (narrow(entry.kind), narrow(entry.zone));
-        Listed { dest: entry.dest, kind, zone, usable: entry.condition == Condition::Ready }
+        Listed { dest: entry.dest, kind, zone, usable }
     }
 
     pub fn kind(&self) -> usize {
@@ -67,11 +70,21 @@
         self.endpoints.get(&endpoint)
     }
 
+    /// What the list says of an endpoint that is in use: as long as it is, it stays listed.
+    pub fn at(&self, endpoint: EndpointId) -> &Listed {
+        self.get(endpoint).expect("what is in use is listed")
+    }
+
     /// The endpoints of a destination.
     pub fn places(&self, dest: DestId) -> impl Iterator<Item = EndpointId> + '_ {
         self.places.range((dest, 0)..=(dest, EndpointId::MAX)).map(|place| place.1)
     }
 
+    /// Those of them that take new work.
+    pub fn usable(&self, dest: DestId) -> impl Iterator<Item = EndpointId> + '_ {
+        self.places(dest).filter(|place| self.endpoints.get(place).is_some_and(|listed| listed.usable))
+    }
+
     pub fn told(&self, route: RouteId) -> Option<&Told> {
         self.routes.get(&route)
     }
@@ -83,6 +96,11 @@
     /// Books an endpoint as it is listed now; tells how it was before.
     pub fn set(&mut self, endpoint: EndpointId, listed: Listed) -> Option<Listed> {
         let before = self.endpoints.insert(endpoint, listed);
+        if listed.usable {
+            self.unusable.remove(&endpoint);
+        } else {
+            self.unusable.insert(endpoint);
+        }
         if before.is_none_or(|before| before.dest != listed.dest) {
             before.into_iter().for_each(|before| self.leave(before.dest, endpoint));
             self.places.insert((listed.dest, endpoint));
@@ -104,6 +122,7 @@
 
     pub fn remove(&mut self, endpoint: EndpointId) -> Option<Listed> {
         let listed = self.endpoints.remove(&endpoint)?;
+        self.unusable.remove(&endpoint);
         self.leave(listed.dest, endpoint);
         Some(listed)
     }
@@ -114,13 +133,17 @@
         self.limits.remove(&route);
     }
 
-    /// A whole list comes: what it doesn't name gets nothing new.
-    pub fn withdraw_all(&mut self) {
-        self.endpoints.values_mut().for_each(|listed| listed.usable = false);
+    /// A whole list comes: what it doesn't name takes no new work.
+    pub fn withdraw_others(&mut self, named: &[Entry]) {
+        let named: BTreeSet<EndpointId> = named.iter().map(|entry| entry.endpoint).collect();
+        for (&id, listed) in self.endpoints.iter_mut().filter(|(id, _)| !named.contains(id)) {
+            listed.usable = false;
+            self.unusable.insert(id);
+        }
     }
 
     pub fn unusable(&self) -> impl Iterator<Item = EndpointId> + '_ {
-        self.endpoints.iter().filter(|(_, listed)| !listed.usable).map(|(&id, _)| id)
+        self.unusable.iter().copied()
     }
 
     /// An endpoint leaves a destination; with the last one goes what was told of its routes.
--- a/crates/policy/src/rules/caps.rs
+++ b/crates/policy/src/rules/caps.rs
@@ -59,8 +59,9 @@
         // Quick errors would read as quick answers: all but a served call books the full aim, so that a
         // class misses there once about half of its calls fail.
         let took = if e.outcome == Outcome::Served { e.took.max(0) } else { cfg.classes[class].aim };
-        // What never reached it, and a kept connection that it had closed, tell nothing of its load.
-        if e.outcome.tells_of_load() && !e.kept {
+        // What never reached it, was taken back or broke on a kept connection tells nothing of its load.
+        use Outcome::{CalledOff, Crowded, NoConnection, NotSent};
+        if !matches!(e.outcome, NoConnection | Crowded | CalledOff | NotSent) && !e.kept {
             self.classes[class].levels.book(level.min(top(cfg)), now, took as f64);
         }
         if e.outcome == Outcome::Served {
--- a/crates/policy/src/rules/dispatch.rs
+++ b/crates/policy/src/rules/dispatch.rs
@@ -58,7 +58,7 @@
     /// work goes first, and late work takes what is left over.
     fn most_urgent(&self, id: DestId, endpoint: EndpointId) -> Vec<MsgId> {
         let (now, dest, route_id) = (self.now, &self.dests[&id], self.route_of(endpoint));
-        let batch = self.cfg.kinds.get(self.endpoints[&endpoint].kind).map_or(1, |k| k.batch.max(1));
+        let batch = self.cfg.kinds.get(self.listing.at(endpoint).kind()).map_or(1, |k| k.batch.max(1));
         let drain = ((dest.held.len() as f64 * dest.turn_every(now)) as Ns).clamp(SECOND, 30 * SECOND);
         let latency = dest.latency.mean() as Ns;
         let mut order: Vec<(f64, MsgId)> = Vec::new();
@@ -71,7 +71,7 @@
             // A trial may be lost: an unsafe message cannot be sent again and goes last, and not at all while
             // calls are out that may still tell.
             if self.routes[&route_id].doubt && self.cfg.classes[held.message.class].effect == Effect::Unsafe {
-                if self.is_called(route_id) {
+                if self.calls.values().any(|c| c.route == route_id) {
                     continue;
                 }
                 urgency -= 1e6;
@@ -84,12 +84,13 @@
 
     fn send(&mut self, plan: Plan, out: &mut Vec<Action>) {
         let (now, endpoint, route_id) = (self.now, plan.endpoint, self.route_of(plan.endpoint));
-        self.space_trials(route_id);
+        let lot = self.lot.draw();
         let route = self.routes.get_mut(&route_id).expect("a candidate's route is known");
+        route.space_trials(lot, &self.cfg, now);
         route.bucket.tokens -= 1.0;
         let trial = route.doubt;
         self.occupy(endpoint);
-        let zone = self.endpoints[&endpoint].zone;
+        let zone = self.listing.at(endpoint).zone();
         let dest = self.dests.get_mut(&plan.dest).expect("a candidate's destination is known");
         dest.in_flight += 1;
         let level = dest.in_flight.min(top(&self.cfg));
@@ -109,8 +110,8 @@
             let useful = again < self.resend_until(&self.messages[&id]);
             out.push(Action::Send { id, endpoint, limit: if useful { patience } else { 0 }, by });
         }
-        let (dest, messages) = (plan.dest, plan.messages);
-        let new = Call { dest, endpoint, route, level, sent: now, left, trial, messages, ..Call::default() };
+        let messages = plan.messages;
+        let new = Call { endpoint, route, level, sent: now, left, trial, messages, ..Call::default() };
         self.calls.insert(call, new);
     }
 
@@ -127,12 +128,21 @@
             })
         };
         let may_end = |c: &Call| {
-            let (age, patience) = (self.now - c.sent, self.dests[&c.dest].patience(&self.cfg, self.now));
+            let (age, patience) = (self.now - c.sent, self.dests[&c.route.0].patience(&self.cfg, self.now));
             age > patience && c.messages.iter().all(fresh) || age > 3 * patience
         };
         let overdue = self.calls.iter().find(|(_, c)| may_end(c)).map(|(&number, _)| number);
-        if let Some((number, call)) = overdue.and_then(|n| Some((n, self.calls.get_mut(&n)?))) {
-            call.call_off(number, &self.messages, out);
+        overdue.into_iter().for_each(|call| self.call_off(call, out));
+    }
+
+    /// Takes back all messages of a call that are out.
+    pub(super) fn call_off(&mut self, number: u64, out: &mut Vec<Action>) {
+        let Some(call) = self.calls.get_mut(&number) else { return };
+        call.cancelled = true;
+        for &id in &call.messages {
+            let mut attempts = self.messages.get(&id).into_iter().flat_map(|h| h.attempts.iter());
+            let attempt = attempts.position(|a| a.call == number && a.out);
+            out.extend(attempt.map(|attempt| Action::Cancel { id, attempt: attempt as u32 }));
         }
     }
 }
--- a/crates/policy/src/rules/doubt.rs
+++ b/crates/policy/src/rules/doubt.rs
@@ -46,7 +46,7 @@
     pub(super) fn notice_overdue(&mut self) {
         let mut seen = Vec::new();
         for call in self.calls.values_mut() {
-            let patience = self.dests[&call.dest].patience(&self.cfg, self.now);
+            let patience = self.dests[&call.route.0].patience(&self.cfg, self.now);
             let Some(place) = self.endpoints.get_mut(&call.endpoint) else { continue };
             if self.now - call.sent > patience {
                 call.late = true;
@@ -62,27 +62,14 @@
         }
     }
 
-    /// Calls a second that a cold route may get from this sender: its part of the fall-over budget. It grows
-    /// from the last failure seen, as the return may have come right after it.
-    fn ramp(&self, route: &Route) -> f64 {
-        let c = &self.cfg;
-        let told = [route.limit.unwrap_or(0.0), route.hint].into_iter().find(|&limit| limit > 0.0);
-        let capacity = told.unwrap_or_else(|| route.served.per_second(self.now).max(1.0));
-        let warm = ((self.now - route.last_failure) as f64 / c.cold.max(1) as f64).clamp(0.0, 1.0);
-        let now_able = c.start_capacity + (1.0 - c.start_capacity) * warm;
-        (MARGIN * c.fall_multiple * now_able * capacity).max(0.15) / c.n_instances.max(1) as f64
-    }
-
     /// When the route may next be called; at or before now means it may be called now.
     pub(super) fn ready_at(&mut self, id: RouteId) -> Ns {
         let (now, fair) = (self.now, self.fair());
-        let Some(route) = self.routes.get(&id) else { return Ns::MAX };
+        let Some(route) = self.routes.get_mut(&id) else { return Ns::MAX };
         let held_off = route.wait_until.max(route.not_before);
         if held_off > now {
             return held_off;
         }
-        let ramp = self.ramp(route);
-        let route = self.routes.get_mut(&id).expect("looked up above");
         if route.cold && !route.doubt && now - route.last_failure > self.cfg.cold {
             route.cold = false;
             // All have work that stands by the end of the ramp: an equal share first.
@@ -93,19 +80,25 @@
             let telling = self.calls.values().any(|c| c.route == id && !c.late);
             return if telling { Ns::MAX } else { route.next_trial };
         }
-        route.paced(ramp, fair, now)
+        route.paced(route.ramp(&self.cfg, now), fair, now)
     }
+}
 
-    pub(super) fn is_called(&self, id: RouteId) -> bool {
-        self.calls.values().any(|c| c.route == id)
+impl Route {
+    /// Calls a second that a cold route may get from this sender: its part of the fall-over budget. It grows
+    /// from the last failure seen, as the return may have come right after it.
+    fn ramp(&self, c: &Settings, now: Ns) -> f64 {
+        let told = [self.limit.unwrap_or(0.0), self.hint].into_iter().find(|&limit| limit > 0.0);
+        let capacity = told.unwrap_or_else(|| self.served.per_second(now).max(1.0));
+        let warm = ((now - self.last_failure) as f64 / c.cold.max(1) as f64).clamp(0.0, 1.0);
+        let now_able = c.start_capacity + (1.0 - c.start_capacity) * warm;
+        (MARGIN * c.fall_multiple * now_able * capacity).max(0.15) / c.n_instances.max(1) as f64
     }
 
     /// A call goes out: sets when the next one may, should this route be in doubt by then.
-    pub(super) fn space_trials(&mut self, id: RouteId) {
-        let ramp = self.ramp(&self.routes[&id]);
-        let wait = (2e9 * self.lot.draw() / ramp) as Ns;
-        let most = SECOND * self.cfg.n_instances.max(3) as Ns;
-        let route = self.routes.get_mut(&id).expect("a candidate's route is known");
-        route.next_trial = self.now + wait.clamp(LEAST_SPACING, most);
+    pub fn space_trials(&mut self, lot: f64, cfg: &Settings, now: Ns) {
+        let wait = (2e9 * lot / self.ramp(cfg, now)) as Ns;
+        let most = SECOND * cfg.n_instances.max(3) as Ns;
+        self.next_trial = now + wait.clamp(LEAST_SPACING, most);
     }
 }
--- a/crates/policy/src/rules/mod.rs
+++ b/crates/policy/src/rules/mod.rs
@@ -20,8 +20,7 @@
 use crate::api::*;
 use crate::bucket::Bucket;
 use crate::levels;
-pub(crate) use crate::listing::RouteId;
-use crate::listing::{Listing, Told};
+use crate::listing::{Listing, RouteId, Told};
 use crate::lot::Lot;
 use crate::turns::Turns;
 pub use asking::Asking;
@@ -60,11 +59,8 @@
     pub(crate) active: BTreeSet<DestId>,
     /// Those with work held, by when a call may become possible: an event makes its destination due at once.
     pub(crate) agenda: Agenda<DestId>,
-    /// Endpoints whose calls ended in this batch, and all that may have idle connections.
-    ended: BTreeSet<EndpointId>,
-    pub(crate) idle: BTreeSet<EndpointId>,
-    /// Listed endpoints that take no new work.
-    pub(crate) unlisted: BTreeSet<EndpointId>,
+    /// Endpoints that may have idle connections, by last use; first those whose calls ended just now.
+    pub(crate) idle: Agenda<EndpointId>,
     /// Destinations in use without work, by when they may be at rest.
     pub(crate) resting: Agenda<DestId>,
     /// When another process of this sender told what it had in use.
@@ -131,17 +127,16 @@
     fn sweep(&mut self) {
         self.notice_overdue();
         let now = self.now;
-        let (dests, resting) = (&mut self.dests, &mut self.resting);
-        self.active.retain(|id| {
-            let Some(dest) = dests.get_mut(id) else { return false };
+        for id in self.active.clone() {
+            let Some(dest) = self.dests.get_mut(&id) else { continue };
             dest.choose_cap(&self.cfg, now);
-            let used = dest.in_flight > 0 || !dest.held.is_empty();
-            if !used {
-                resting.set(*id, Some(now + KEEP));
+            if dest.in_flight == 0 && dest.held.is_empty() {
+                self.active.remove(&id);
+                self.resting.set(id, Some(now + KEEP));
+            } else {
+                self.due(id, LONG_AGO);
             }
-            used
-        });
-        self.look_at_all();
+        }
         if now - self.forgot_at >= FORGET_EVERY {
             self.forget();
         }
@@ -151,7 +146,7 @@
     /// nothing else, and at no more than `FORGET_AT_ONCE` of each in one go.
     fn forget(&mut self) {
         let now = self.now;
-        let gone = self.unlisted.iter().copied().filter(|&id| self.may_go(id));
+        let gone = self.listing.unusable().filter(|&id| self.may_go(id));
         let gone: Vec<EndpointId> = gone.take(FORGET_AT_ONCE).collect();
         gone.iter().for_each(|&id| self.drop_place(id));
         let due: Vec<DestId> = self.resting.due(now).take(FORGET_AT_ONCE).collect();
@@ -182,7 +177,7 @@
         let closed = |e: &Endpoint| e.in_flight == 0 && now - e.used_at.max(e.avoid_until) >= cfg.idle_close;
         let unused = !self.active.contains(&id) && !self.elsewhere.contains(&id);
         let faded =
-            dest.latency.aged(now) < MEASURED && dest.places.iter().all(|e| closed(&self.endpoints[e]));
+            dest.latency.aged(now) < MEASURED && self.listing.places(id).all(|e| closed(&self.endpoints[&e]));
         unused && faded && self.routes_of(id).all(|(_, route)| route.is_at_rest(cfg.cold, fair, now))
     }
 
@@ -213,9 +208,8 @@
     }
 
     /// The routes of the endpoints that take a destination's new work.
-    pub(crate) fn open_routes<'a>(&'a self, id: DestId, dest: &'a Dest) -> impl Iterator<Item = &'a Route> {
-        let usable = move |e: &&EndpointId| self.endpoints.get(e).is_some_and(|e| e.dest == id && e.usable);
-        dest.places.iter().filter(usable).filter_map(|&e| self.routes.get(&self.route_of(e)))
+    pub(crate) fn open_routes(&self, id: DestId) -> impl Iterator<Item = &Route> {
+        self.listing.usable(id).filter_map(|e| self.routes.get(&self.route_of(e)))
     }
 
     pub(crate) fn is_full(&self) -> bool {
--- a/crates/policy/src/rules/outcomes.rs
+++ b/crates/policy/src/rules/outcomes.rs
@@ -27,7 +27,7 @@
         let first = call.left == call.messages.len();
         call.left -= 1;
         let (last, overdue) = (call.left == 0, call.overdue);
-        let (dest_id, route_id, sent, level) = (call.dest, call.route, call.sent, call.level);
+        let (dest_id, route_id, sent, level) = (call.route.0, call.route, call.sent, call.level);
         if last {
             self.calls.remove(&number);
         }
@@ -40,7 +40,7 @@
         if let Some(place) = self.endpoints.get_mut(&e.endpoint).filter(|_| last) {
             place.in_flight -= 1;
             place.used_at = now;
-            self.ended.insert(e.endpoint);
+            self.idle.set(e.endpoint, Some(LONG_AGO));
         }
         if first {
             self.judge(e, route_id, sent, overdue);
@@ -83,7 +83,8 @@
             Outcome::ConnectionLost => lost,
             Outcome::Served | Outcome::Crowded | Outcome::CalledOff | Outcome::NotSent => false,
         };
-        if lost || e.outcome.is_trouble() {
+        use Outcome::{Crowded, NoAnswer, NoConnection, ServerError};
+        if lost || matches!(e.outcome, ServerError | NoAnswer | NoConnection | Crowded) {
             place.avoid_until = now + SECOND;
         }
         if failed {
--- a/crates/policy/src/rules/queue.rs
+++ b/crates/policy/src/rules/queue.rs
@@ -26,15 +26,13 @@
         self.take(message);
         let Some(held) = self.messages.get_mut(&message.id) else { return };
         held.found = true;
-        let zone = |e: Option<_>| e.and_then(|e| self.listing.get(e)).map_or(usize::MAX, |e| e.zone());
-        held.attempts.extend(past.iter().map(|p| Attempt {
-            endpoint: p.endpoint.unwrap_or(EndpointId::MAX),
-            zone: zone(p.endpoint),
-            call: u64::MAX,
-            sent: p.sent,
-            out: false,
-            may_have_run: p.may_have_run,
-        }));
+        for p in past {
+            let zone =
+                p.endpoint.and_then(|e| self.listing.get(e)).map_or(usize::MAX, |listed| listed.zone());
+            let endpoint = p.endpoint.unwrap_or(EndpointId::MAX);
+            let (call, sent, may_have_run) = (u64::MAX, p.sent, p.may_have_run);
+            held.attempts.push(Attempt { endpoint, zone, call, sent, out: false, may_have_run });
+        }
         if past.iter().any(|p| p.may_have_run) {
             self.rest_key(&message);
         }
@@ -65,7 +63,7 @@
         }
         if !out {
             self.messages.remove(&id);
-            self.leave_key(&message);
+            self.key(&message).into_iter().for_each(|key| self.keys.leave(key, id, self.now));
         }
     }
 
@@ -86,7 +84,7 @@
         self.evacuates = goes;
         if goes {
             self.next_end = self.now;
-            self.calls.iter_mut().for_each(|(&number, call)| call.call_off(number, &self.messages, out));
+            self.calls.keys().copied().collect::<Vec<_>>().iter().for_each(|&call| self.call_off(call, out));
         }
     }
 
@@ -111,8 +109,7 @@
     /// Until when every endpoint that takes new work has told to wait. A wait binds all that is sent there:
     /// what can't outlast it is over as soon as it is told.
     fn waits_until(&self, id: DestId) -> Ns {
-        let routes = self.dests.get(&id).into_iter().flat_map(|dest| self.open_routes(id, dest));
-        routes.map(|r| r.wait_until).min().unwrap_or(LONG_AGO)
+        self.open_routes(id).map(|r| r.wait_until).min().unwrap_or(LONG_AGO)
     }
 
     /// `late`: for lack of time.
--- a/crates/policy/src/rules/retries.rs
+++ b/crates/policy/src/rules/retries.rs
@@ -52,9 +52,4 @@
         let until = self.now + self.cfg.key_rest;
         self.key(message).into_iter().for_each(|key| self.keys.rest(key, until));
     }
-
-    /// Takes a message that has ended out of its key's order.
-    pub(super) fn leave_key(&mut self, message: &Message) {
-        self.key(message).into_iter().for_each(|key| self.keys.leave(key, message.id, self.now));
-    }
 }
--- a/crates/policy/src/rules/state.rs
+++ b/crates/policy/src/rules/state.rs
@@ -1,10 +1,6 @@
 //! What a sender remembers: plain records.
+use super::*;
 use crate::aged::Aged;
-use crate::api::*;
-use crate::bucket::Bucket;
-use crate::levels::Levels;
-use crate::listing::RouteId;
-use std::collections::BTreeSet;
 
 pub const LONG_AGO: Ns = Ns::MIN / 2;
 /// Aged figures halve in weight in 3 s; under the second weight a cell counts as unmeasured again.
@@ -38,7 +34,6 @@
 /// One call out: all its messages share one slot and one fate.
 #[derive(Default)]
 pub struct Call {
-    pub dest: DestId,
     pub endpoint: EndpointId,
     pub route: RouteId,
     pub level: usize,
@@ -55,10 +50,6 @@
 
 #[derive(Default)]
 pub struct Endpoint {
-    pub dest: DestId,
-    pub kind: usize,
-    pub zone: usize,
-    pub usable: bool,
     pub in_flight: usize,
     pub used_at: Ns,
     /// From the call before to the last one.
@@ -99,7 +90,7 @@
 #[derive(Clone, Default)]
 pub struct Seen {
     pub arrivals: Stat,
-    pub levels: Levels<3_000>,
+    pub levels: levels::Levels<3_000>,
 }
 
 #[derive(Default)]
@@ -107,7 +98,6 @@
     pub cap: usize,
     pub in_flight: usize,
     pub held: BTreeSet<MsgId>,
-    pub places: BTreeSet<EndpointId>,
     /// By class; and the latency of all calls.
     pub classes: Vec<Seen>,
     pub latency: Stat,
--- a/crates/policy/src/view.rs
+++ b/crates/policy/src/view.rs
@@ -1,6 +1,7 @@
 //! What operators may see of a sender's state. Nothing is decided by it, and nothing here changes it.
 use crate::api::*;
-use crate::rules::{Dest, Endpoint, Route, RouteId, Sender, FORGET_EVERY, PERIOD};
+use crate::listing::RouteId;
+use crate::rules::{Dest, Endpoint, Route, Sender, FORGET_EVERY, PERIOD};
 
 impl Sender {
     /// Calls out, and what is held for each destination: for the logs.
@@ -9,7 +10,7 @@
         let view = |(&id, dest): (&DestId, &Dest)| {
             let arrived = dest.held.iter().filter_map(|m| self.messages.get(m)).map(|h| h.arrived).min()?;
             let (held, oldest, gate) = (dest.held.len(), self.now - arrived, self.gate(id, dest));
-            let route = dest.places.iter().filter_map(|&e| self.routes.get(&self.route_of(e))).next();
+            let route = self.listing.places(id).find_map(|e| self.routes.get(&self.route_of(e)));
             let (limit, share) = route.map_or((0.0, 0.0), |r| (r.hint, r.share_now(self.now, self.fair())));
             let (in_flight, cap) = (dest.in_flight, dest.cap);
             let served = dest.served.per_second(self.now);
@@ -54,7 +55,7 @@
 
     /// When a batch without events may let go of memory, while none comes anyway; no decision waits for it.
     pub fn forgets_at(&self) -> Option<Ns> {
-        let holds = !self.dests.is_empty() || !self.unlisted.is_empty();
+        let holds = !self.dests.is_empty() || self.listing.unusable().next().is_some();
         holds.then(|| (self.decided_at + PERIOD).max(self.forgot_at + FORGET_EVERY))
     }
 
@@ -66,7 +67,7 @@
             _ if r.bucket.tokens < 1.0 => Gate::Pace,
             _ => Gate::Open,
         };
-        let gates = self.open_routes(id, dest).map(of_route);
+        let gates = self.open_routes(id).map(of_route);
         match gates.reduce(|a, b| if a == Gate::Open { a } else { b }) {
             None => Gate::NoEndpoint,
             _ if self.is_full() => Gate::Slots,
