--- a/crates/membership/tests/network/mod.rs
+++ b/crates/membership/tests/network/mod.rs
@@ -40,6 +40,10 @@
     pub bytes: u64,
     pub datagrams: u64,
     pub longest: usize,
+    /// Datagrams and bytes by kind.
+    pub kinds: BTreeMap<&'static str, (u64, u64)>,
+    /// Over all datagrams, in their order: two runs with the same are the same run.
+    history: crc32fast::Hasher,
     /// By time and number.
     queue: BTreeMap<(Ms, u64), (usize, usize, Vec<u8>)>,
     wakes: BTreeSet<(Ms, usize)>,
@@ -73,6 +77,15 @@
     Config::new(FLEET, seeds.iter().map(|&s| address(s)).collect())
 }
 
+/// What kind of datagram it is, by its first bytes.
+fn kind(bytes: &[u8]) -> &'static str {
+    // Magic, form, fleet and sum; in the second form what its sender makes of the fleet.
+    let at = if bytes.get(2) == Some(&1) { 15 } else { 29 };
+    const KINDS: [&str; 10] =
+        ["ping", "ack", "nack", "ask", "sync", "hail", "ranges", "ranges?", "roster", "join"];
+    bytes.get(at).and_then(|kind| KINDS.get(usize::from(*kind))).unwrap_or(&"other")
+}
+
 impl Net {
     pub fn new(seed: u64) -> Net {
         Net {
@@ -87,6 +100,8 @@
             bytes: 0,
             datagrams: 0,
             longest: 0,
+            kinds: BTreeMap::new(),
+            history: crc32fast::Hasher::new(),
             queue: BTreeMap::new(),
             wakes: BTreeSet::new(),
             waits: BTreeMap::new(),
@@ -171,6 +186,10 @@
         self.datagrams += 1;
         self.longest = self.longest.max(bytes.len());
         let to = place(to);
+        let kind = self.kinds.entry(kind(&bytes)).or_default();
+        *kind = (kind.0 + 1, kind.1 + bytes.len() as u64);
+        [self.now, from as u64, to as u64].iter().for_each(|n| self.history.update(&n.to_le_bytes()));
+        self.history.update(&bytes);
         let copies = 1 + u64::from(self.dice.percent(self.twice));
         for _ in 0..copies {
             if self.cut.contains(&(from, to)) || self.dice.percent(self.loss) {
@@ -231,6 +250,11 @@
         }
     }
 
+    /// One sum over all that was sent so far: when, from whom, to whom and what.
+    pub fn history(&self) -> u32 {
+        self.history.clone().finalize()
+    }
+
     pub fn rounds(&mut self, n: u64) {
         self.run(n * INTERVAL);
     }
