Membership: what follows from members is kept up by change, not worked out from all

Cause: each datagram and each round walked through all members several times: for the size (`present`), for who understands which form (`said`), for the last change known (`Roster::latest`, `look`), for suspects (`wake`, `suspicions_over`, each of which walked all again for the size), for those to forget and to pick; all words were sorted and copied for each datagram though some 25 fit; and with one suspect the sums of view and roster were made anew each time.

Change: `Members` (members.rs) and `Roster` keep up, as one entry changes, what was walked for: members by state, suspects by confirmation and time, ended by time, addresses, names that are present, count and are not heard of, the last change known, and the sums. A suspect ceases to count by a time that is known beforehand, so nothing is worked out before it. `Words` keeps its order, and only what fits is made. `pick_of` draws by index. No datagram and no decision is another.

--- a/crates/membership/src/digest.rs
+++ b/crates/membership/src/digest.rs
@@ -16,22 +16,26 @@
     of(name, &[]) as usize % RANGES
 }
 
+fn short(hash: u64) -> u32 {
+    (hash ^ hash >> 32) as u32
+}
+
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Digests(pub [u32; RANGES]);
 
-impl<'a> FromIterator<(&'a str, u64)> for Digests {
-    /// By name: the hash of what is known of it.
-    fn from_iter<T: IntoIterator<Item = (&'a str, u64)>>(all: T) -> Digests {
-        let mut digests = Digests::default();
-        for (name, hash) in all {
-            let at = &mut digests.0[range(name)];
-            *at = at.wrapping_add((hash ^ hash >> 32) as u32);
-        }
-        digests
+impl Digests {
+    /// Something is known of a name; its hash.
+    pub fn add(&mut self, name: &str, hash: u64) {
+        let at = &mut self.0[range(name)];
+        *at = at.wrapping_add(short(hash));
+    }
+
+    /// That is known no more.
+    pub fn take(&mut self, name: &str, hash: u64) {
+        let at = &mut self.0[range(name)];
+        *at = at.wrapping_sub(short(hash));
     }
-}
 
-impl Digests {
     pub fn whole(&self) -> u32 {
         let words = self.0.map(u64::from);
         (of("", &words) >> 32) as u32
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -3,10 +3,12 @@
 //! No I/O, clock or global state: datagrams and times are passed in, datagrams come out, and random numbers come from a
 //! seed. What is promised and measured is in `docs/membership.md`.
 mod digest;
+mod members;
 mod node;
 mod roster;
 mod standing;
 mod wire;
+mod words;
 
 pub use node::{Config, Dropped, Node, Refused, View};
 pub use roster::{Entry, Place, Roster, Unreadable};
--- a/crates/membership/src/node.rs
+++ b/crates/membership/src/node.rs
@@ -2,14 +2,17 @@
 mod joining;
 
 use crate::digest::{self, Digests};
-use crate::roster::{Entry, Roster};
+use crate::members::{life_digest, Member, Members, CONFIRMED};
+use crate::roster::{Entry, Place, Roster};
 use crate::standing::{Held, Standing};
 use crate::wire::{decode, encode, version_read, version_said};
 use crate::wire::{Body, Id, Ill, Message, Said, State, Unfit, Update, ENTRIES, VERSION};
+use crate::words::Words;
 use crate::Ms;
 pub use joining::Refused;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg32;
+use std::borrow::Borrow;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 
@@ -39,8 +42,6 @@
 
 /// Others that are asked to try where a member does not answer.
 const HELPERS: usize = 3;
-/// Sayings of a suspicion by others that shorten it to its least.
-const CONFIRMED: usize = 3;
 /// A suspicion lasts this many intervals times the digits of the fleet's size at least, and so many times that at most
 /// while nobody confirms it.
 const SUSPICION: f64 = 4.0;
@@ -63,38 +64,6 @@
 /// Where a member is heard to see the fleet otherwise, that is looked into after so many rounds again.
 const LOOK_INTO: u64 = 5;
 
-/// What is known of a member.
-#[derive(Clone, Debug)]
-struct Member {
-    address: SocketAddr,
-    version: String,
-    incarnation: u32,
-    state: State,
-    by: String,
-    since: Ms,
-    /// When it was first heard of.
-    known: Ms,
-    /// While it is suspect: who said so.
-    said: BTreeSet<String>,
-    /// What it last made of the fleet, by its own word.
-    heard: Option<Said>,
-    /// Since when it has seen the fleet otherwise than this one.
-    differs: Option<Ms>,
-    /// Whether it is in the roster, by its own word.
-    is_in: Option<bool>,
-}
-
-impl Member {
-    fn is_present(&self) -> bool {
-        self.state <= State::Suspect
-    }
-
-    /// The form of datagrams that it understands.
-    fn form(&self) -> u8 {
-        version_read(&self.version).1
-    }
-}
-
 /// What is shown of a member.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct View {
@@ -153,11 +122,9 @@
     version: String,
     incarnation: u32,
     left: bool,
-    members: BTreeMap<Id, Member>,
-    /// Those that were forgotten, with their last incarnations.
-    gone: VecDeque<(Id, u32, Ms)>,
-    /// Words to pass on, with how often each was.
-    words: BTreeMap<Id, u32>,
+    members: Members,
+    gone: Gone,
+    words: Words,
     /// In what order members are asked in this turn.
     turn: Vec<Id>,
     probe: Option<Probe>,
@@ -180,6 +147,8 @@
     /// What follows from members and roster is to be worked out anew.
     stale: bool,
     seen: Seen,
+    /// When the next suspect ceases to count by time alone.
+    doubt_at: Option<Ms>,
     looked_into: u64,
     /// When suspects are next asked once more.
     remind_at: Ms,
@@ -191,10 +160,37 @@
     joiners: BTreeMap<Id, SocketAddr>,
 }
 
-/// What follows from members and roster.
+/// Those that were forgotten, with their last incarnations, the latest last.
+#[derive(Default)]
+struct Gone {
+    order: VecDeque<(Id, u32, Ms)>,
+    /// Of each the last.
+    incarnations: BTreeMap<Id, u32>,
+}
+
+impl Gone {
+    fn push(&mut self, id: Id, incarnation: u32, until: Ms) {
+        self.incarnations.insert(id.clone(), incarnation);
+        self.order.push_back((id, incarnation, until));
+    }
+
+    fn forget(&mut self, now: Ms) {
+        while self.order.front().is_some_and(|g| now >= g.2) || self.order.len() > REMEMBERED {
+            let Some((id, incarnation, _)) = self.order.pop_front() else { return };
+            // It may have come back since, and gone again, with a higher one.
+            if self.incarnations.get(&id) == Some(&incarnation) {
+                self.incarnations.remove(&id);
+            }
+        }
+    }
+}
+
+/// What followed from members and roster when it was last worked out.
 struct Seen {
     view: Digests,
     roster: Digests,
+    /// One sum over each of these.
+    whole: (u32, u32),
     standing: Standing,
     /// Of those who are expected.
     present: usize,
@@ -213,9 +209,9 @@
             version,
             incarnation: 0,
             left: false,
-            members: BTreeMap::new(),
-            gone: VecDeque::new(),
-            words: BTreeMap::new(),
+            members: Members::default(),
+            gone: Gone::default(),
+            words: Words::default(),
             turn: Vec::new(),
             probe: None,
             errands: Vec::new(),
@@ -234,10 +230,12 @@
             seen: Seen {
                 view: Digests::default(),
                 roster: Digests::default(),
+                whole: (Digests::default().whole(), Digests::default().whole()),
                 standing: Standing::Forming,
                 present: 0,
                 expected: 0,
             },
+            doubt_at: None,
             looked_into: 0,
             remind_at: now,
             is_in: false,
@@ -246,14 +244,23 @@
         };
         // Those that start together don't go on in step.
         node.next = now + node.below(node.config.interval.max(1));
+        node.count_own();
         node
     }
 
     /// The same with a roster that was kept.
-    pub fn with_roster(self, roster: Roster) -> Node {
-        let complete = roster.entries().next().is_some();
-        let is_in = complete && roster.expects(&self.id.name);
-        Node { roster, complete, is_in, ..self }
+    pub fn with_roster(mut self, roster: Roster) -> Node {
+        self.complete = roster.entries().next().is_some();
+        self.is_in = self.complete && roster.expects(&self.id.name);
+        self.roster = roster;
+        self.roster.expected().for_each(|e| self.members.expect(&e.name, true));
+        self.count_own();
+        self
+    }
+
+    /// The own life counts, or does so no more.
+    fn count_own(&mut self) {
+        self.members.set_own(&self.id.name, !self.left, self.is_in && !self.left);
     }
 
     pub fn id(&self) -> &Id {
@@ -280,6 +287,12 @@
         self.held.now.allows().duties && steady && self.ill.is_none()
     }
 
+    /// A change of the roster that is made here.
+    fn set_place(&mut self, name: &str, place: Place, address: SocketAddr) -> Entry {
+        self.members.expect(name, place == Place::Expected);
+        self.roster.set(name, place, address)
+    }
+
     /// How many of those who are expected are present, and how many are expected.
     pub fn counts(&self) -> (usize, usize) {
         (self.seen.present, self.seen.expected)
@@ -293,7 +306,7 @@
 
     /// Those who are expected and not heard of.
     fn unheard(&self) -> impl Iterator<Item = &Entry> {
-        self.roster.expected().filter(|e| !self.is_here(&e.name))
+        self.members.unheard().filter_map(|name| self.roster.get(name))
     }
 
     /// What keeps it from its work though it answers.
@@ -311,20 +324,18 @@
     }
 
     /// The other lives under this name that are thought to be there.
-    fn others_named(&self, name: &str) -> impl Iterator<Item = &Member> {
-        let first = Id { name: name.to_string(), life: 0 };
-        let name = name.to_string();
-        let lives = self.members.range(first..).take_while(move |(id, _)| id.name == name);
-        lives.map(|(_, m)| m).filter(|m| m.is_present())
+    fn others_named<'a>(&'a self, name: &'a str) -> impl Iterator<Item = &'a Member> {
+        self.members.named(name).map(|(_, m)| m).filter(|m| m.is_present())
     }
 
-    fn is_here(&self, name: &str) -> bool {
-        (self.id.name == name && !self.left) || self.others_named(name).next().is_some()
+    /// A suspect ceases to count once it has been one for so long.
+    fn doubt(&self) -> Ms {
+        COUNTS * self.least_suspicion()
     }
 
     /// Names that are there and, by their own word, in the roster.
     fn counting(&self, now: Ms) -> BTreeSet<&str> {
-        let doubt = COUNTS * self.least_suspicion();
+        let doubt = self.doubt();
         let counts = |m: &Member| {
             let doubted = m.state == State::Suspect && now.saturating_sub(m.since) >= doubt;
             m.is_present() && m.is_in == Some(true) && !doubted
@@ -392,7 +403,8 @@
             Some(m) => m.is_present() && now.saturating_sub(m.known) >= self.config.overlap,
             None => *other == self.id && !self.left,
         };
-        let lives = || self.members.keys().chain([&self.id]).filter(|other| other.name == id.name);
+        let own = std::iter::once(&self.id).filter(|own| own.name == id.name);
+        let lives = || self.members.named(&id.name).map(|(other, _)| other).chain(own.clone());
         lasting(id) && lives().any(|other| other != id && lasting(other))
     }
 
@@ -401,8 +413,8 @@
         let probe = self.probe.as_ref().filter(|p| !p.asked_others && !p.answered);
         let early = probe.map_or(Ms::MAX, |p| p.at + self.patience());
         let errand = self.errands.iter().map(|e| e.until).min().unwrap_or(Ms::MAX);
-        let suspects = self.members.values().filter(|m| m.state == State::Suspect);
-        let over = suspects.map(|m| (m.since + self.suspicion(m)).min(self.remind_at)).min();
+        let ends = self.members.first_suspects().map(|(confirmed, since)| since + self.suspicion(confirmed));
+        let over = ends.min().map(|end| end.min(self.remind_at));
         self.next.min(early).min(errand).min(over.unwrap_or(Ms::MAX))
     }
 
@@ -410,11 +422,6 @@
         self.random.random_range(0..n.max(1))
     }
 
-    /// Members but itself that are thought to live.
-    fn present(&self) -> usize {
-        self.members.values().filter(|m| m.is_present()).count()
-    }
-
     fn patience(&self) -> Ms {
         self.config.timeout * (1 + self.health)
     }
@@ -424,19 +431,18 @@
     }
 
     fn least_suspicion(&self) -> Ms {
-        let size = (self.present() + 1) as f64;
+        let size = (self.members.present() + 1) as f64;
         (SUSPICION * size.log10().max(1.0) * self.config.interval as f64) as Ms
     }
 
-    /// How long a member may be suspect: the more say so, the shorter.
-    fn suspicion(&self, member: &Member) -> Ms {
+    /// How long a member may be suspect: the more have confirmed it, the shorter.
+    fn suspicion(&self, confirmed: usize) -> Ms {
         let least = self.least_suspicion() as f64;
-        let others = self.present().saturating_sub(1).min(CONFIRMED);
+        let others = self.members.present().saturating_sub(1).min(CONFIRMED);
         if others == 0 {
             return least as Ms;
         }
-        // The first to say so is no confirmation.
-        let said = member.said.len().saturating_sub(1).min(others);
+        let said = confirmed.min(others);
         let part = ((said + 1) as f64).ln() / ((others + 1) as f64).ln();
         (least * (UNCONFIRMED - (UNCONFIRMED - 1.0) * part)) as Ms
     }
@@ -469,19 +475,18 @@
 
     /// What it makes of the fleet, for one who understands that.
     fn said(&self, to: SocketAddr) -> Option<Said> {
-        let (view, roster) = (self.seen.view.whole(), self.seen.roster.whole());
+        let (view, roster) = self.seen.whole;
         let (standing, expects, latest) = (self.held.now, self.seen.expected > 0, self.roster.latest());
         let (complete, ill) = (self.complete, self.ill);
         let said = Said { view, roster, latest, standing, expects, complete, ill };
-        let knows = |m: &Member| m.address == to && m.form() > 1 && m.state != State::Left;
-        (self.config.form > 1 && self.members.values().any(knows)).then_some(said)
+        (self.config.form > 1 && self.members.speaks_second_form(to)).then_some(said)
     }
 
-    fn write<'a>(
+    fn write<U: Borrow<Update>>(
         &self,
         to: SocketAddr,
         body: &Body,
-        updates: impl Iterator<Item = &'a Update>,
+        updates: impl Iterator<Item = U>,
         out: &mut Out,
     ) -> usize {
         let (bytes, count) = encode(self.config.fleet, self.said(to).as_ref(), body, updates);
@@ -491,31 +496,21 @@
 
     /// A datagram with nothing beside but its own word of itself.
     fn say(&self, to: SocketAddr, body: &Body, out: &mut Out) {
-        self.write(to, body, std::iter::once(&self.own()), out);
+        self.write(to, body, std::iter::once(self.own()), out);
     }
 
     /// A datagram with the words that were passed on least; one about its receiver always goes along.
     fn send(&mut self, to: SocketAddr, body: Body, about: Option<&Id>, out: &mut Out) {
-        let mut ids: Vec<(u32, Id)> = self.words.iter().map(|(id, &n)| (n, id.clone())).collect();
-        ids.sort();
-        let about: Vec<Id> = about.into_iter().cloned().collect();
-        let order: Vec<Id> = about
-            .iter()
-            .cloned()
-            .chain(ids.into_iter().map(|(_, id)| id).filter(|id| !about.contains(id)))
-            .collect();
-        let updates: Vec<Update> =
-            std::iter::once(self.own()).chain(order.iter().filter_map(|id| self.update(id))).collect();
-        let count = self.write(to, &body, updates.iter(), out);
-        let most = (PASSED_ON * ((self.present() + 2) as f64).log2()).ceil() as u32;
-        for update in updates.iter().take(count).skip(1) {
-            if let Some(passed) = self.words.get_mut(&update.id) {
-                *passed += 1;
-                if *passed >= most {
-                    self.words.remove(&update.id);
-                }
-            }
-        }
+        let told: Vec<Id> = {
+            let others = self.words.in_order().filter(|id| Some(*id) != about);
+            let order = || about.into_iter().chain(others.clone());
+            let updates = std::iter::once(self.own()).chain(order().filter_map(|id| self.update(id)));
+            let count = self.write(to, &body, updates, out);
+            let known = order().filter(|id| self.members.get(id).is_some());
+            known.take(count.saturating_sub(1)).cloned().collect()
+        };
+        let most = (PASSED_ON * ((self.members.present() + 2) as f64).log2()).ceil() as u32;
+        told.iter().for_each(|id| self.words.pass_on(id, most));
     }
 
     /// All that is known, in as many datagrams as it takes; only the first asks for the same.
@@ -527,7 +522,7 @@
     fn tell(&self, to: SocketAddr, wants: bool, which: impl Fn(&Id) -> bool, out: &mut Out) {
         let own = self.own();
         let all: Vec<Update> =
-            self.members.keys().filter(|id| which(id)).filter_map(|id| self.update(id)).collect();
+            self.members.iter().filter(|(id, _)| which(id)).filter_map(|(id, _)| self.update(id)).collect();
         let (mut rest, mut wants) = (&all[..], wants);
         loop {
             let part = std::iter::once(&own).chain(rest);
@@ -568,27 +563,29 @@
         }
     }
 
+    /// Some of those that fit, by chance.
     fn pick(&mut self, n: usize, fits: impl Fn(&Id, &Member) -> bool) -> Vec<(Id, SocketAddr)> {
-        let mut all: Vec<(Id, SocketAddr)> = self
-            .members
-            .iter()
-            .filter(|(id, m)| fits(id, m))
-            .map(|(id, m)| (id.clone(), m.address))
-            .collect();
-        let mut picked = Vec::new();
-        while picked.len() < n && !all.is_empty() {
-            let at = self.below(all.len() as u64) as usize;
-            picked.push(all.swap_remove(at));
-        }
-        picked
+        let fit = self.members.iter().filter(|(id, m)| fits(id, m));
+        let all: Vec<(&Id, SocketAddr)> = fit.map(|(id, m)| (id, m.address)).collect();
+        let picked = draw(&mut self.random, n, all.len());
+        picked.into_iter().map(|i| (all[i].0.clone(), all[i].1)).collect()
+    }
+
+    /// Some of a state by chance, but this one.
+    fn pick_of(&mut self, n: usize, state: State, but: Option<&Id>) -> Vec<(Id, SocketAddr)> {
+        let all = self.members.of_state(state);
+        let skipped = but.and_then(|id| all.binary_search(id).ok());
+        let picked = draw(&mut self.random, n, all.len() - usize::from(skipped.is_some()));
+        let id = |i: usize| &all[i + usize::from(skipped.is_some_and(|s| i >= s))];
+        let address = |id: &Id| self.members.get(id).map(|m| (id.clone(), m.address));
+        picked.into_iter().filter_map(|i| address(id(i))).collect()
     }
 
     /// Does what is due.
     pub fn tick(&mut self, now: Ms, out: &mut Out) {
         self.errands_over(now, out);
         self.suspicions_over(now);
-        // With time alone a suspect ceases to count.
-        self.stale |= self.members.values().any(|m| m.state == State::Suspect);
+        self.stale |= self.doubt_at.is_some_and(|at| now >= at);
         self.look(now);
         if self.left {
             self.next = now + self.config.interval;
@@ -622,40 +619,46 @@
     /// Works out what follows from members and roster, where they have changed, and how it stands by that.
     fn look(&mut self, now: Ms) {
         if std::mem::take(&mut self.stale) {
-            let one = |id: &Id| digest::of(&id.name, &[id.life]);
-            let own = (!self.left).then_some(&self.id);
-            let present = self.members.iter().filter(|(_, m)| m.is_present()).map(|(id, _)| id);
-            let view = present.chain(own).map(|id| (id.name.as_str(), one(id))).collect();
+            let mut view = self.members.view();
+            if !self.left {
+                view.add(&self.id.name, life_digest(&self.id));
+            }
             let is_in = self.complete && self.roster.expects(&self.id.name);
             if is_in != self.is_in {
                 // News that others must hear.
                 (self.is_in, self.incarnation) = (is_in, self.incarnation.saturating_add(1));
             }
-            let counting = self.counting(now);
-            let expected = self.roster.expected().count();
-            let present = self.roster.expected().filter(|e| counting.contains(e.name.as_str())).count();
+            self.count_own();
+            self.doubt_until(now);
+            self.doubt_at = self.members.next_doubt().map(|since| since + self.doubt());
+            let (present, expected) = (self.members.counting(), self.roster.count());
             let standing = Standing::of(is_in, present, expected);
-            self.seen = Seen { view, roster: self.roster.digests(), standing, present, expected };
+            let roster = self.roster.digests();
+            let whole = (view.whole(), roster.whole());
+            self.seen = Seen { view, roster, whole, standing, present, expected };
         }
-        let latest = self.roster.latest();
-        let knows_more = |m: &Member| m.heard.is_some_and(|h| h.complete && h.latest > latest);
-        let behind = self.members.values().any(|m| m.is_present() && knows_more(m));
+        let behind = self.members.latest() > Some(self.roster.latest());
         self.held.see(self.seen.standing, behind, now, self.config.interval);
     }
 
+    /// By now those that have been suspect for long count no more.
+    fn doubt_until(&mut self, now: Ms) {
+        self.members.doubt(now.checked_sub(self.doubt()));
+    }
+
     /// Who is suspect is asked far more often than others: if it lives it hears of it, and says so.
     fn remind(&mut self, out: &mut Out) {
-        for (id, at) in self.pick(REMINDED, |_, m| m.state == State::Suspect) {
+        for (id, at) in self.pick_of(REMINDED, State::Suspect, None) {
             self.number = self.number.wrapping_add(1);
             // What is passed on goes to those that are heard: it would be used up on one that is dead.
             let (body, own) = (Body::Ping { number: self.number, to: id.clone() }, self.own());
             let about = self.update(&id);
-            self.write(at, &body, std::iter::once(&own).chain(&about), out);
+            self.write(at, &body, std::iter::once(own).chain(about), out);
         }
     }
 
     fn ask_next(&mut self, now: Ms, out: &mut Out) {
-        let id = loop {
+        let (id, at) = loop {
             if self.turn.is_empty() {
                 self.turn =
                     self.members.iter().filter(|(_, m)| m.is_present()).map(|(i, _)| i.clone()).collect();
@@ -665,12 +668,12 @@
                 }
             }
             let Some(id) = self.turn.pop() else { return };
-            if self.members.get(&id).is_some_and(Member::is_present) {
-                break id;
+            if let Some(member) = self.members.get(&id).filter(|m| m.is_present()) {
+                break (id, member.address);
             }
         };
         self.number = self.number.wrapping_add(1);
-        let (number, at) = (self.number, self.members[&id].address);
+        let number = self.number;
         self.probe = Some(Probe {
             id: id.clone(),
             number,
@@ -692,7 +695,7 @@
             return;
         };
         let Some(at) = self.members.get(&id).map(|m| m.address) else { return };
-        let helpers = self.pick(HELPERS, |other, m| *other != id && m.state == State::Alive);
+        let helpers = self.pick_of(HELPERS, State::Alive, Some(&id));
         if let Some(probe) = &mut self.probe {
             probe.helpers = helpers.len();
         }
@@ -727,8 +730,7 @@
     }
 
     fn suspicions_over(&mut self, now: Ms) {
-        let over = |m: &Member| m.state == State::Suspect && now >= m.since + self.suspicion(m);
-        let over: Vec<Id> = self.members.iter().filter(|(_, m)| over(m)).map(|(id, _)| id.clone()).collect();
+        let over = self.members.suspects_over(now, |confirmed| self.suspicion(confirmed));
         for id in over {
             if let Some(update) = self.update(&id) {
                 let by = self.id.name.clone();
@@ -738,25 +740,22 @@
     }
 
     fn forget(&mut self, now: Ms) {
-        let old = |m: &Member| m.state > State::Suspect && now.saturating_sub(m.since) >= self.config.forget;
-        let old: Vec<Id> = self.members.iter().filter(|(_, m)| old(m)).map(|(id, _)| id.clone()).collect();
-        for id in old {
+        let ended = now.checked_sub(self.config.forget).map_or(Vec::new(), |until| self.members.ended(until));
+        for id in ended {
             if let Some(m) = self.members.remove(&id) {
                 self.stale = true;
                 self.words.remove(&id);
-                self.gone.push_back((id, m.incarnation, now + 10 * self.config.forget));
+                self.gone.push(id, m.incarnation, now + 10 * self.config.forget);
             }
         }
-        while self.gone.front().is_some_and(|g| now >= g.2) || self.gone.len() > REMEMBERED {
-            self.gone.pop_front();
-        }
+        self.gone.forget(now);
     }
 
     /// Now and then what is known is compared with one other, and one that is not heard of is looked for: two parts of a
     /// fleet that could not hear each other find together by that. A start asks its seeds, and those who are expected,
     /// until it is heard.
     fn compare(&mut self, out: &mut Out) {
-        if self.present() == 0 {
+        if self.members.present() == 0 {
             let seeds: Vec<SocketAddr> =
                 self.config.seeds.iter().copied().filter(|s| *s != self.address).collect();
             seeds.into_iter().for_each(|seed| self.hail(seed, out));
@@ -765,23 +764,21 @@
         if !self.rounds.is_multiple_of(COMPARE) {
             return;
         }
-        for (id, at) in self.pick(1, |_, m| m.state == State::Alive) {
+        for (id, at) in self.pick_of(1, State::Alive, None) {
             match self.members.get(&id).map(|m| (m.form(), m.heard)) {
                 Some((2.., heard)) if self.agrees(heard) => {}
                 Some((2.., _)) => self.ranges(at, true, out),
                 _ => self.sync(at, true, out),
             }
         }
-        for (id, at) in self.pick(1, |_, m| m.state == State::Failed) {
+        for (id, at) in self.pick_of(1, State::Failed, None) {
             match self.members.get(&id).map(Member::form) {
                 Some(2..) => self.ranges(at, true, out),
                 _ => self.hail(at, out),
             }
         }
-        let known: BTreeSet<SocketAddr> =
-            self.members.values().filter(|m| m.is_present()).map(|m| m.address).collect();
-        let lost: Vec<SocketAddr> =
-            self.config.seeds.iter().copied().filter(|s| *s != self.address && !known.contains(s)).collect();
+        let is_lost = |seed: &SocketAddr| *seed != self.address && !self.members.is_present_at(*seed);
+        let lost: Vec<SocketAddr> = self.config.seeds.iter().copied().filter(is_lost).collect();
         if !lost.is_empty() {
             let at = lost[self.below(lost.len() as u64) as usize];
             self.hail(at, out);
@@ -801,19 +798,18 @@
 
     /// Whether another, by its own word, sees the fleet as this one does.
     fn agrees(&self, heard: Option<Said>) -> bool {
-        heard.is_some_and(|h| h.view == self.seen.view.whole() && h.roster == self.seen.roster.whole())
+        heard.is_some_and(|h| (h.view, h.roster) == self.seen.whole)
     }
 
     /// Another's word on what it makes of the fleet. Where that is something else it is looked into, now and then.
     fn hear(&mut self, id: &Id, said: Said, from: SocketAddr, now: Ms, out: &mut Out) {
         let agrees = self.agrees(Some(said));
-        let Some(member) = self.members.get_mut(id) else { return };
-        member.heard = Some(said);
-        member.differs = if agrees { None } else { member.differs.or(Some(now)) };
-        if said.complete && !self.complete && said.roster == self.seen.roster.whole() {
+        self.members.hear(id, said, agrees, now);
+        let Some(is_present) = self.members.get(id).map(Member::is_present) else { return };
+        if said.complete && !self.complete && said.roster == self.seen.whole.1 {
             (self.complete, self.stale) = (true, true);
         }
-        if !agrees && member.is_present() && self.rounds >= self.looked_into + LOOK_INTO {
+        if !agrees && is_present && self.rounds >= self.looked_into + LOOK_INTO {
             self.looked_into = self.rounds;
             self.ranges(from, true, out);
         }
@@ -921,6 +917,7 @@
         }
         (self.left, self.stale) = (true, true);
         let number = self.number;
+        self.count_own();
         let entry = self.leave_roster();
         // Some, and the seeds: of many that leave together few are there to hear it.
         let mut told = self.pick(2 * HELPERS, |_, m| m.is_present());
@@ -946,7 +943,7 @@
         if update.id == self.id {
             return self.hear_of_itself(&update);
         }
-        let Some(member) = self.members.get_mut(&update.id) else {
+        let Some(member) = self.members.get(&update.id) else {
             if !self.is_late(&update) {
                 self.enter(update, now);
             }
@@ -955,45 +952,50 @@
         if member.state == State::Left {
             return;
         }
-        if update.incarnation == member.incarnation && member.is_in.is_none() && update.is_in.is_some() {
-            (member.is_in, self.stale) = (update.is_in, true);
-        }
+        let is_same = update.incarnation == member.incarnation;
+        let tells_is_in = is_same && member.is_in.is_none() && update.is_in.is_some();
         let newer = update.incarnation > member.incarnation;
-        let worse = update.incarnation == member.incarnation && update.state > member.state;
-        if newer || worse || update.state == State::Left {
-            if update.state == State::Suspect {
-                member.said = BTreeSet::from([update.by.clone()]);
-            }
-            member.incarnation = member.incarnation.max(update.incarnation);
-            if member.state != update.state {
-                member.since = now;
-                self.stale = true;
-            }
-            (member.state, member.by) = (update.state, update.by);
-            (member.address, member.version) = (update.address, update.version);
-            if newer {
-                member.is_in = update.is_in;
-                self.stale = true;
-            }
-            if update.state == State::Alive {
-                self.roster_changed |= self.roster.found_at(&update.id.name, update.address);
-            }
-            self.words.insert(update.id, 0);
-        } else if update.state == State::Suspect
-            && member.state == State::Suspect
-            && update.incarnation == member.incarnation
+        let worse = is_same && update.state > member.state;
+        let confirms = is_same
+            && (update.state, member.state) == (State::Suspect, State::Suspect)
             && member.said.len() <= CONFIRMED
-            && member.said.insert(update.by.clone())
-        {
-            // Who else says so is passed on, as it shortens the suspicion.
-            member.by = update.by;
-            self.words.insert(update.id, 0);
+            && !member.said.contains(&update.by);
+        let is_news = newer || worse || update.state == State::Left;
+        self.stale |= tells_is_in || newer || (is_news && member.state != update.state);
+        if is_news && update.state == State::Alive {
+            self.roster_changed |= self.roster.found_at(&update.id.name, update.address);
+        }
+        if is_news || confirms {
+            self.words.insert(update.id.clone());
+        }
+        if tells_is_in || is_news || confirms {
+            let Update { id, state, address, version, incarnation, by, is_in } = update;
+            self.members.change(&id, |member| {
+                if tells_is_in || newer {
+                    member.is_in = is_in;
+                }
+                if is_news {
+                    if state == State::Suspect {
+                        member.said = BTreeSet::from([by.clone()]);
+                    }
+                    if member.state != state {
+                        member.since = now;
+                    }
+                    member.incarnation = member.incarnation.max(incarnation);
+                    (member.state, member.by) = (state, by);
+                    (member.address, member.version) = (address, version);
+                } else if confirms {
+                    // Who else says so is passed on, as it shortens the suspicion.
+                    member.said.insert(by.clone());
+                    member.by = by;
+                }
+            });
         }
     }
 
     /// What was forgotten is not brought back by a late word.
     fn is_late(&self, update: &Update) -> bool {
-        self.gone.iter().any(|(id, incarnation, _)| *id == update.id && update.incarnation <= *incarnation)
+        self.gone.incarnations.get(&update.id).is_some_and(|last| update.incarnation <= *last)
     }
 
     fn enter(&mut self, update: Update, now: Ms) {
@@ -1010,7 +1012,7 @@
         // Asked for in this turn, at a place of its own.
         let at = self.below(self.turn.len() as u64 + 1) as usize;
         self.turn.insert(at, id.clone());
-        self.words.insert(id, 0);
+        self.words.insert(id);
     }
 
     /// Others doubt it: it says that it lives, louder than they.
@@ -1022,3 +1024,16 @@
         self.health = (self.health + 1).min(WORST);
     }
 }
+
+/// Indices of some of so many, by chance.
+fn draw(random: &mut Pcg32, n: usize, of: usize) -> Vec<usize> {
+    // As if each that is drawn were taken out of a list and the last put in its place, without making the list.
+    let mut moved: BTreeMap<usize, usize> = BTreeMap::new();
+    let mut drawn = Vec::new();
+    for rest in (of.saturating_sub(n)..of).rev() {
+        let at = random.random_range(0..rest as u64 + 1) as usize;
+        let last = moved.get(&rest).copied().unwrap_or(rest);
+        drawn.push(moved.insert(at, last).unwrap_or(at));
+    }
+    drawn
+}
--- a/crates/membership/src/node/joining.rs
+++ b/crates/membership/src/node/joining.rs
@@ -7,7 +7,6 @@
 //! change before. Who leaves needs nobody's leave: it is gone, by its own word, in all rosters alike, and counts nowhere
 //! until it is taken in again.
 use super::*;
-use crate::roster::Place;
 
 /// Others that a leave is passed on to by each that it is news to.
 const SPREAD: usize = 3;
@@ -51,7 +50,7 @@
         if !self.roster.expects(name) {
             return Err(Refused::Unknown);
         }
-        if self.is_here(name) {
+        if self.members.is_here(name) {
             return Err(Refused::Present);
         }
         if !vouched && !self.seen.standing.allows().strikes {
@@ -61,14 +60,14 @@
             return Err(Refused::Unsettled);
         }
         let address = self.roster.get(name).map_or(self.address, |e| e.address);
-        let entry = self.roster.set(name, Place::Struck, address);
+        let entry = self.set_place(name, Place::Struck, address);
         self.tell_all(entry, out);
         Ok(())
     }
 
     /// Most of those who are expected know the roster as it is here.
     fn is_agreed(&self) -> bool {
-        let sum = self.seen.roster.whole();
+        let sum = self.seen.whole.1;
         let knows = |m: &Member| m.is_in == Some(true) && m.heard.is_some_and(|h| h.roster == sum);
         let agrees =
             |e: &&Entry| (e.name == self.id.name && self.is_in) || self.others_named(&e.name).any(knows);
@@ -80,7 +79,7 @@
         if self.joiners.is_empty() {
             return;
         }
-        let sum = self.seen.roster.whole();
+        let sum = self.seen.whole.1;
         let may_know =
             |m: &Member| m.state == State::Alive && m.form() > 1 && m.heard.is_none_or(|h| h.roster != sum);
         let names: BTreeSet<String> = self.roster.expected().map(|e| e.name.clone()).collect();
@@ -92,8 +91,8 @@
     /// Tells everybody of a change, and hears from each that it knows.
     fn tell_all(&mut self, entry: Entry, out: &mut Out) {
         (self.roster_changed, self.stale) = (true, true);
-        let told = self.members.values().filter(|m| m.is_present() && m.form() > 1);
-        let told: Vec<SocketAddr> = told.map(|m| m.address).collect();
+        let told = self.members.iter().filter(|(_, m)| m.is_present() && m.form() > 1);
+        let told: Vec<SocketAddr> = told.map(|(_, m)| m.address).collect();
         for at in told {
             self.say(at, &Body::Roster(vec![entry.clone()]), out);
         }
@@ -104,6 +103,7 @@
     pub(super) fn merge(&mut self, entries: Vec<Entry>, out: &mut Out) -> bool {
         let is_one = entries.len() == 1;
         let news: Vec<Entry> = entries.into_iter().filter(|e| self.roster.merge(e.clone())).collect();
+        news.iter().for_each(|e| self.members.expect(&e.name, self.roster.expects(&e.name)));
         if news.is_empty() {
             return false;
         }
@@ -124,7 +124,7 @@
         }
         if self.roster.expects(&name) {
             self.roster_changed = true;
-            return Some(self.roster.set(&name, Place::Left, self.address));
+            return Some(self.set_place(&name, Place::Left, self.address));
         }
         self.roster.get(&name).filter(|e| e.place == Place::Left).cloned()
     }
@@ -165,7 +165,7 @@
             return false;
         }
         let knows_none = |m: &Member| m.form() == 1 || m.heard.is_some_and(|h| !(h.complete && h.expects));
-        let others = || self.members.values().filter(|m| m.is_present());
+        let others = || self.members.iter().map(|(_, m)| m).filter(|m| m.is_present());
         let heard = seeds
             .iter()
             .filter(|seed| **seed == self.address || others().any(|m| m.address == **seed && knows_none(m)));
@@ -182,7 +182,7 @@
         let mut all: BTreeMap<String, SocketAddr> =
             others.map(|(id, m)| (id.name.clone(), m.address)).collect();
         all.insert(self.id.name.clone(), self.address);
-        all.iter().for_each(|(name, address)| _ = self.roster.set(name, Place::Expected, *address));
+        all.iter().for_each(|(name, address)| _ = self.set_place(name, Place::Expected, *address));
         (self.complete, self.roster_changed, self.stale) = (true, true, true);
     }
 
@@ -198,9 +198,9 @@
     }
 
     /// The one that takes others in: of those who are expected and there, the first by name.
-    fn is_first(&self, now: Ms) -> bool {
-        let counting = self.counting(now);
-        let first = self.roster.expected().find(|e| counting.contains(e.name.as_str()));
+    fn is_first(&mut self, now: Ms) -> bool {
+        self.doubt_until(now);
+        let first = self.roster.expected().find(|e| self.members.counts(&e.name));
         first.is_some_and(|e| e.name == self.id.name)
     }
 
@@ -216,7 +216,7 @@
             let Some((id, _)) = self.joiners.pop_first() else { return };
             let member = self.members.get(&id).filter(|m| m.state == State::Alive);
             if let Some(address) = member.map(|m| m.address).filter(|_| !self.roster.expects(&id.name)) {
-                let entry = self.roster.set(&id.name, Place::Expected, address);
+                let entry = self.set_place(&id.name, Place::Expected, address);
                 self.tell_all(entry, out);
             }
         }
--- a/crates/membership/src/roster.rs
+++ b/crates/membership/src/roster.rs
@@ -3,7 +3,7 @@
 //! takes it away.
 use crate::digest::{self, Digests};
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 /// Where a name stands. Of words that are as late the last of these holds.
@@ -69,6 +69,43 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Roster {
     entries: BTreeMap<String, Entry>,
+    /// What follows from the entries, kept up with each change.
+    sums: Sums,
+}
+
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+struct Sums {
+    digests: Digests,
+    /// How many are expected.
+    expected: usize,
+    /// Those that are not, by their changes.
+    ended: BTreeSet<(u32, String)>,
+    /// The last change that is known.
+    latest: u32,
+}
+
+impl Sums {
+    fn enter(&mut self, entry: &Entry) {
+        self.digests.add(&entry.name, digest_of(entry));
+        match entry.place {
+            Place::Expected => self.expected += 1,
+            Place::Left | Place::Struck => _ = self.ended.insert((entry.epoch, entry.name.clone())),
+        }
+        // Of an entry only a later one takes the place, and none of the last is forgotten.
+        self.latest = self.latest.max(entry.epoch);
+    }
+
+    fn leave(&mut self, entry: &Entry) {
+        self.digests.take(&entry.name, digest_of(entry));
+        match entry.place {
+            Place::Expected => self.expected -= 1,
+            Place::Left | Place::Struck => _ = self.ended.remove(&(entry.epoch, entry.name.clone())),
+        }
+    }
+}
+
+fn digest_of(entry: &Entry) -> u64 {
+    digest::of(&entry.name, &[u64::from(entry.epoch), entry.place as u64])
 }
 
 impl Roster {
@@ -86,8 +123,9 @@
         if sum(&kept.entries) != kept.sum {
             return Err(Unreadable::Broken("its sum is wrong".into()));
         }
-        let entries = kept.entries.into_iter().map(|e| (e.name.clone(), e)).collect();
-        Ok(Roster { entries })
+        let mut roster = Roster::default();
+        kept.entries.into_iter().for_each(|e| roster.put(e));
+        Ok(roster)
     }
 
     /// What a file of it holds.
@@ -114,16 +152,28 @@
         self.get(name).is_some_and(|e| e.place == Place::Expected)
     }
 
+    /// How many are expected.
+    pub(crate) fn count(&self) -> usize {
+        self.sums.expected
+    }
+
     /// The last change that is known.
     pub fn latest(&self) -> u32 {
-        self.entries.values().map(|e| e.epoch).max().unwrap_or(0)
+        self.sums.latest
+    }
+
+    fn put(&mut self, entry: Entry) {
+        self.sums.enter(&entry);
+        if let Some(old) = self.entries.insert(entry.name.clone(), entry) {
+            self.sums.leave(&old);
+        }
     }
 
     /// A change made here: the latest word on that name.
     pub fn set(&mut self, name: &str, place: Place, address: SocketAddr) -> Entry {
         let epoch = self.latest().saturating_add(1);
         let entry = Entry { name: name.to_string(), epoch, place, address };
-        self.entries.insert(name.to_string(), entry.clone());
+        self.put(entry.clone());
         self.prune();
         entry
     }
@@ -136,7 +186,7 @@
         if old >= Some((entry.epoch, entry.place)) || is_late {
             return false;
         }
-        self.entries.insert(entry.name.clone(), entry);
+        self.put(entry);
         self.prune();
         true
     }
@@ -149,7 +199,11 @@
 
     fn prune(&mut self) {
         let least = self.latest().saturating_sub(REMEMBERED);
-        self.entries.retain(|_, e| e.place == Place::Expected || e.epoch >= least);
+        while let Some((_, name)) = self.sums.ended.first().filter(|(epoch, _)| *epoch < least).cloned() {
+            if let Some(old) = self.entries.remove(&name) {
+                self.sums.leave(&old);
+            }
+        }
     }
 
     /// One sum over all: equal where the same is known, wherever members were heard of.
@@ -159,8 +213,7 @@
 
     /// The same by ranges of names.
     pub(crate) fn digests(&self) -> Digests {
-        let of = |e: &Entry| digest::of(&e.name, &[u64::from(e.epoch), e.place as u64]);
-        self.entries.values().map(|e| (e.name.as_str(), of(e))).collect()
+        self.sums.digests
     }
 }
 
@@ -206,6 +259,28 @@
         assert_eq!(other.digests(), roster.digests());
     }
 
+    #[test]
+    fn what_is_kept_up_is_what_a_walk_through_all_entries_finds() {
+        let mut roster = Roster::default();
+        for n in 0..9_000u32 {
+            let (name, place) =
+                (format!("n{}", n % 97), [Place::Expected, Place::Left, Place::Struck][n as usize % 3]);
+            match n % 2 {
+                0 => _ = roster.set(&name, place, at()),
+                _ => _ = roster.merge(Entry { name, epoch: n / 2 + n % 5, place, address: at() }),
+            }
+            if n % 50 > 0 {
+                continue;
+            }
+            let mut digests = Digests::default();
+            roster.entries().for_each(|e| digests.add(&e.name, digest_of(e)));
+            assert_eq!(roster.digests(), digests, "after {n}");
+            assert_eq!(roster.count(), roster.expected().count(), "after {n}");
+            assert_eq!(Some(roster.latest()), roster.entries().map(|e| e.epoch).max(), "after {n}");
+            assert_eq!(Roster::read(1, &roster.text(1)), Ok(roster.clone()), "after {n}");
+        }
+    }
+
     #[test]
     fn a_file_is_taken_whole_or_named_as_what_it_is() {
         let mut roster = Roster::default();
--- a/crates/membership/src/wire.rs
+++ b/crates/membership/src/wire.rs
@@ -2,6 +2,7 @@
 use crate::digest::{Digests, RANGES};
 use crate::roster::{Entry, Place};
 use crate::standing::Standing;
+use std::borrow::Borrow;
 use std::net::{IpAddr, SocketAddr};
 
 /// What goes over any path unbroken, with room for the headers below it.
@@ -366,11 +367,11 @@
 }
 
 /// A datagram with as many of the updates as fit, and how many these are. `said`: of the second form.
-pub fn encode<'a>(
+pub fn encode<U: Borrow<Update>>(
     fleet: u64,
     said: Option<&Said>,
     body: &Body,
-    updates: impl Iterator<Item = &'a Update>,
+    updates: impl Iterator<Item = U>,
 ) -> (Vec<u8>, usize) {
     let mut writer = Writer(MAGIC.to_vec());
     let form = if said.is_some() { 2 } else { 1 };
@@ -382,7 +383,7 @@
     let mut count = 0;
     for update in updates {
         let before = writer.0.len();
-        writer.update(update, form);
+        writer.update(update.borrow(), form);
         if writer.0.len() > LONGEST {
             writer.0.truncate(before);
             break;
