Membership: of whom it is not known whether they are in the roster, they are asked themselves

Who writes to one that it does not know yet uses the first form, which does not tell whether it is in the roster. What the receiver passes on in that moment does not tell it either, no sum covers it, and so it came by later words alone, which queue behind words on all. Ruled out: members that are not known (the sums agree), suspicion (no ask, no nack).

Change: up to 8 a round of those that live, speak the second form and are not known to be in or out are sent a ping (`Node::ask_untold`); their answer says it. Who they are is kept up by change.

--- a/crates/membership/src/members.rs
+++ b/crates/membership/src/members.rs
@@ -46,6 +46,12 @@
         self.said.len().saturating_sub(1).min(CONFIRMED)
     }
 
+    /// It could say whether it is in the roster, and that is not known: who does not know a member yet writes to it in the
+    /// first form, which does not tell.
+    fn is_untold(&self) -> bool {
+        self.state == State::Alive && self.is_in.is_none() && self.form() > 1
+    }
+
     /// What it makes of the roster is all of one.
     fn latest(&self) -> Option<u32> {
         self.heard.filter(|h| h.complete && self.is_present()).map(|h| h.latest)
@@ -89,6 +95,8 @@
     suspects: [BTreeSet<(Ms, Id)>; CONFIRMED + 1],
     /// Those that failed or left, by when they did.
     ended: BTreeSet<(Ms, Id)>,
+    /// Those that live and understand the second form, and of whom it is not known whether they are in the roster.
+    untold: BTreeSet<Id>,
     addresses: BTreeMap<SocketAddr, Reached>,
     names: BTreeMap<String, Named>,
     /// Names that are expected and not heard of.
@@ -144,6 +152,9 @@
             State::Failed | State::Left => _ = self.ended.insert((member.since, id.clone())),
         }
         let (present, counts) = (u32::from(member.is_present()), u32::from(self.counts(member)));
+        if member.is_untold() {
+            self.untold.insert(id.clone());
+        }
         let reached = self.addresses.entry(member.address).or_default();
         reached.present += present;
         reached.second_form += u32::from(member.form() > 1 && member.state != State::Left);
@@ -170,6 +181,9 @@
             State::Failed | State::Left => _ = self.ended.remove(&(member.since, id.clone())),
         }
         let (present, counts) = (u32::from(member.is_present()), u32::from(self.counts(member)));
+        if member.is_untold() {
+            self.untold.remove(id);
+        }
         if let Some(reached) = self.addresses.get_mut(&member.address) {
             reached.present -= present;
             reached.second_form -= u32::from(member.form() > 1 && member.state != State::Left);
@@ -342,6 +356,11 @@
         ended
     }
 
+    /// Those of whom it is not known whether they are in the roster, and who could say.
+    pub fn untold(&self) -> &BTreeSet<Id> {
+        &self.sums.untold
+    }
+
     /// Somebody at that address understands the second form.
     pub fn speaks_second_form(&self, at: SocketAddr) -> bool {
         self.sums.addresses.get(&at).is_some_and(|r| r.second_form > 0)
--- a/crates/membership/src/members_tests.rs
+++ b/crates/membership/src/members_tests.rs
@@ -94,6 +94,9 @@
     assert_eq!(members.counting(), expected.intersection(&counts).count(), "{place}");
     let unheard: Vec<&str> = expected.difference(&here).map(String::as_str).collect();
     assert_eq!(members.unheard().collect::<Vec<_>>(), unheard, "{place}");
+    let untold = all().filter(|(_, m)| m.state == State::Alive && m.is_in.is_none() && m.form() > 1);
+    let untold: Vec<&Id> = untold.map(|(id, _)| id).collect();
+    assert_eq!(members.untold().iter().collect::<Vec<_>>(), untold, "{place}");
     for at in (1..9).map(|port| SocketAddr::from(([127, 0, 0, 1], port))) {
         let at_it = || all().map(|(_, m)| m).filter(|m| m.address == at);
         let speaks = at_it().any(|m| m.form() > 1 && m.state != State::Left);
--- a/crates/membership/src/node.rs
+++ b/crates/membership/src/node.rs
@@ -56,6 +56,8 @@
 const REMEMBERED: usize = 4_096;
 /// Of those who are expected and not heard of, so many are asked in a round by one that hears nobody.
 const LOOKED_FOR: usize = 3;
+/// Of those of whom it is not known whether they are in the roster, so many are asked in a round: no sum tells of that.
+const ASKED: usize = 8;
 /// Suspects that are asked once more each time that an answer may take, so that one that lives hears of it.
 const REMINDED: usize = 3;
 /// One that is suspect for so many times the least of a suspicion, and whom nobody has given up yet, counts no more: in a
@@ -611,6 +613,7 @@
         self.ask_next(now, out);
         self.compare(out);
         self.join(out);
+        self.ask_untold(out);
         self.admit_next(now, out);
         self.poll(out);
         self.look(now);
@@ -657,6 +660,17 @@
         }
     }
 
+    fn ask_untold(&mut self, out: &mut Out) {
+        let untold = self.members.untold();
+        let drawn = draw(&mut self.random, ASKED, untold.len());
+        let asked: Vec<Id> = drawn.into_iter().filter_map(|i| untold.iter().nth(i).cloned()).collect();
+        for id in asked {
+            let Some(at) = self.members.get(&id).map(|m| m.address) else { continue };
+            self.number = self.number.wrapping_add(1);
+            self.say(at, &Body::Ping { number: self.number, to: id }, out);
+        }
+    }
+
     fn ask_next(&mut self, now: Ms, out: &mut Out) {
         let (id, at) = loop {
             if self.turn.is_empty() {
