Membership: words on who is present end where others show by their sums that they know

Cause: of 510 that start at once each has a word on each to pass on, 27 times: 510 x 27 / some 25 in a datagram and 2 datagrams a round are 275 rounds of full datagrams, 2.8 KB a member and round, long after all know all. That is why starts of 510 were not quiet within 90 s.

Change: a word that one is present that was not known (`News::Presence`) is covered by the sums. As many datagrams in a row as a word is told, from members that are whole and have the same sums of view and roster, stand for telling it: such words are dropped then (`Node::heard_agree`). Words that say anything else (a suspicion, a failure, a leave, a later incarnation) go on as before.

--- a/crates/membership/src/members_tests.rs
+++ b/crates/membership/src/members_tests.rs
@@ -147,20 +147,22 @@
 
 #[test]
 fn words_go_in_the_order_of_how_often_they_went_and_are_old_after_that() {
-    use crate::words::Words;
+    use crate::words::{News, Words};
     let mut words = Words::default();
     let ids: Vec<Id> = (0..3).map(|n| Id { name: format!("n{n}"), life: 1 }).collect();
-    ids.iter().for_each(|id| words.insert(id.clone()));
+    ids.iter().for_each(|id| words.insert(id.clone(), News::Presence));
     words.pass_on(&ids[0], 3);
     words.pass_on(&ids[1], 3);
     words.pass_on(&ids[1], 3);
     assert_eq!(words.in_order().collect::<Vec<_>>(), [&ids[2], &ids[0], &ids[1]]);
     words.pass_on(&ids[1], 3);
     assert_eq!(words.in_order().collect::<Vec<_>>(), [&ids[2], &ids[0]], "it went three times");
-    words.insert(ids[0].clone());
+    words.insert(ids[0].clone(), News::Other);
     words.pass_on(&ids[2], 3);
     assert_eq!(words.in_order().collect::<Vec<_>>(), [&ids[0], &ids[2]], "there is news of it");
+    words.forget_presence();
+    assert_eq!(words.in_order().collect::<Vec<_>>(), [&ids[0]], "that one is present is known");
     words.remove(&ids[0]);
     words.pass_on(&ids[0], 3);
-    assert_eq!(words.in_order().collect::<Vec<_>>(), [&ids[2]], "it is not brought back");
+    assert_eq!(words.in_order().next(), None, "it is not brought back");
 }
--- a/crates/membership/src/node.rs
+++ b/crates/membership/src/node.rs
@@ -7,7 +7,7 @@
 use crate::standing::{Held, Standing};
 use crate::wire::{decode, encode, version_read, version_said};
 use crate::wire::{Body, Id, Ill, Message, Said, State, Unfit, Update, ENTRIES, VERSION};
-use crate::words::Words;
+use crate::words::{News, Words};
 use crate::Ms;
 pub use joining::Refused;
 use rand::{RngExt, SeedableRng};
@@ -127,6 +127,8 @@
     members: Members,
     gone: Gone,
     words: Words,
+    /// So many datagrams in a row told that their senders know all who are present as this one does.
+    agreed: u32,
     /// In what order members are asked in this turn.
     turn: Vec<Id>,
     probe: Option<Probe>,
@@ -214,6 +216,7 @@
             members: Members::default(),
             gone: Gone::default(),
             words: Words::default(),
+            agreed: 0,
             turn: Vec::new(),
             probe: None,
             errands: Vec::new(),
@@ -424,6 +427,11 @@
         self.random.random_range(0..n.max(1))
     }
 
+    /// How often a word is passed on.
+    fn passed_on(&self) -> u32 {
+        (PASSED_ON * ((self.members.present() + 2) as f64).log2()).ceil() as u32
+    }
+
     fn patience(&self) -> Ms {
         self.config.timeout * (1 + self.health)
     }
@@ -511,7 +519,7 @@
             let known = order().filter(|id| self.members.get(id).is_some());
             known.take(count.saturating_sub(1)).cloned().collect()
         };
-        let most = (PASSED_ON * ((self.members.present() + 2) as f64).log2()).ceil() as u32;
+        let most = self.passed_on();
         told.iter().for_each(|id| self.words.pass_on(id, most));
     }
 
@@ -638,6 +646,9 @@
             let standing = Standing::of(is_in, present, expected);
             let roster = self.roster.digests();
             let whole = (view.whole(), roster.whole());
+            if whole != self.seen.whole {
+                self.agreed = 0;
+            }
             self.seen = Seen { view, roster, whole, standing, present, expected };
         }
         let behind = self.members.latest() > Some(self.roster.latest());
@@ -819,6 +830,7 @@
     fn hear(&mut self, id: &Id, said: Said, from: SocketAddr, now: Ms, out: &mut Out) {
         let agrees = self.agrees(Some(said));
         self.members.hear(id, said, agrees, now);
+        self.heard_agree(agrees && said.standing == Standing::Whole);
         let Some(is_present) = self.members.get(id).map(Member::is_present) else { return };
         if said.complete && !self.complete && said.roster == self.seen.whole.1 {
             (self.complete, self.stale) = (true, true);
@@ -829,6 +841,17 @@
         }
     }
 
+    /// Of many that start at once each has a word on each to pass on, and most of these tell what is known. Who is whole by
+    /// the same sums knows of everybody, and that they are in: as many of those in a row as a word is told to stand for
+    /// the telling.
+    fn heard_agree(&mut self, knows_all: bool) {
+        self.agreed = if knows_all { self.agreed + 1 } else { 0 };
+        if self.agreed >= self.passed_on() {
+            self.agreed = 0;
+            self.words.forget_presence();
+        }
+    }
+
     /// A datagram has come.
     pub fn receive(&mut self, now: Ms, from: SocketAddr, bytes: &[u8], out: &mut Out) {
         let Message { said, body, updates } = match decode(self.config.fleet, bytes) {
@@ -980,7 +1003,7 @@
             self.roster_changed |= self.roster.found_at(&update.id.name, update.address);
         }
         if is_news || confirms {
-            self.words.insert(update.id.clone());
+            self.words.insert(update.id.clone(), News::Other);
         }
         if tells_is_in || is_news || confirms {
             let Update { id, state, address, version, incarnation, by, is_in } = update;
@@ -1026,7 +1049,8 @@
         // Asked for in this turn, at a place of its own.
         let at = self.below(self.turn.len() as u64 + 1) as usize;
         self.turn.insert(at, id.clone());
-        self.words.insert(id);
+        let news = if state == State::Alive { News::Presence } else { News::Other };
+        self.words.insert(id, news);
     }
 
     /// Others doubt it: it says that it lives, louder than they.
--- a/crates/membership/src/words.rs
+++ b/crates/membership/src/words.rs
@@ -2,42 +2,56 @@
 use crate::wire::Id;
 use std::collections::{BTreeMap, BTreeSet};
 
+/// What a word says.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum News {
+    /// One is present that was not known: the sums of whoever knows it say so.
+    Presence,
+    /// Anything else, which no sum tells.
+    Other,
+}
+
 #[derive(Debug, Default)]
 pub struct Words {
     /// With how often each was passed on.
-    passed: BTreeMap<Id, u32>,
+    passed: BTreeMap<Id, (u32, News)>,
     /// The same in order: first what was passed on least.
     order: BTreeSet<(u32, Id)>,
 }
 
 impl Words {
-    /// There is news of one.
-    pub fn insert(&mut self, id: Id) {
-        self.set(id, 0);
+    pub fn insert(&mut self, id: Id, news: News) {
+        self.set(id, 0, news);
     }
 
-    fn set(&mut self, id: Id, passed: u32) {
-        if let Some(old) = self.passed.insert(id.clone(), passed) {
+    fn set(&mut self, id: Id, passed: u32, news: News) {
+        if let Some((old, _)) = self.passed.insert(id.clone(), (passed, news)) {
             self.order.remove(&(old, id.clone()));
         }
         self.order.insert((passed, id));
     }
 
     pub fn remove(&mut self, id: &Id) {
-        if let Some(passed) = self.passed.remove(id) {
+        if let Some((passed, _)) = self.passed.remove(id) {
             self.order.remove(&(passed, id.clone()));
         }
     }
 
+    /// Those who are present are known to others without more words.
+    pub fn forget_presence(&mut self) {
+        self.passed.retain(|_, (_, news)| *news != News::Presence);
+        self.order.retain(|(_, id)| self.passed.contains_key(id));
+    }
+
     pub fn in_order(&self) -> impl Iterator<Item = &Id> + Clone {
         self.order.iter().map(|(_, id)| id)
     }
 
     /// It went along once more; after `most` times it is old.
     pub fn pass_on(&mut self, id: &Id, most: u32) {
-        match self.passed.get(id).map(|passed| passed + 1) {
-            Some(passed) if passed >= most => self.remove(id),
-            Some(passed) => self.set(id.clone(), passed),
+        match self.passed.get(id).map(|(passed, news)| (passed + 1, *news)) {
+            Some((passed, _)) if passed >= most => self.remove(id),
+            Some((passed, news)) => self.set(id.clone(), passed, news),
             None => {}
         }
     }
--- a/crates/membership/tests/protocol.rs
+++ b/crates/membership/tests/protocol.rs
@@ -1,7 +1,8 @@
 //! The protocol on a network in memory. Every failure names its seed.
 mod network;
-use membership::{Id, Node, State, LONGEST};
+use membership::{Id, Node, Place, Roster, State, LONGEST};
 use network::*;
+use std::collections::BTreeSet;
 
 #[test]
 fn whatever_happens_all_that_can_talk_agree_once_it_is_over() {
@@ -226,6 +227,27 @@
     assert!(net.longest <= LONGEST, "{}", net.longest);
 }
 
+#[test]
+fn a_fleet_that_starts_at_once_with_its_rosters_is_whole_and_quiet_soon() {
+    const MEMBERS: usize = 150;
+    for seed in 0..5 {
+        let mut roster = Roster::default();
+        (0..MEMBERS).for_each(|n| _ = roster.set(&id(n, 1).name, Place::Expected, address(n)));
+        let mut net = Net::new(seed);
+        net.rosters = (0..MEMBERS).map(|n| (n, roster.clone())).collect();
+        (0..MEMBERS).for_each(|n| net.start(n, id(n, 1), &[0, 1, 2]));
+        net.rounds(30);
+        let counts: BTreeSet<_> = net.nodes.values().map(|node| node.counts()).collect();
+        assert_eq!(counts, BTreeSet::from([(MEMBERS, MEMBERS)]), "seed {seed}");
+        assert_eq!(net.unsettled(), None, "seed {seed}");
+        // By number alone the words on all would go along for some 70 rounds.
+        net.rounds(20);
+        net.bytes = 0;
+        net.rounds(10);
+        assert!(net.bytes < 400 * 10 * MEMBERS as u64, "seed {seed}: {} bytes", net.bytes);
+    }
+}
+
 #[test]
 fn the_dead_are_forgotten_and_no_late_word_brings_them_back() {
     let mut net = Net::fleet(3, 4);
