Scale: what messages cost one real sender, by how many come a second

Need: the slopes over traffic a sender, up to 1,549 messages a second, were missing.

A plan's `traffic` has one real sender with the platform's limits take messages (class that repeats nothing, 200 B) from clients on kept connections at each of its rates, over its destinations, with partners that answer at once. Measured in parts: processor time a message and a second, resident, bytes of control by the sender's own count; over all: handed in, taken on, delivered, sent again, in time, longest wait of a client. Clients that are answered as wrong void it. The agent's, clients' and partners' threads and HTTP are one (wire.rs), lists stand on the same lone sender (alone.rs).

--- a/crates/scale/src/agent.rs
+++ b/crates/scale/src/agent.rs
@@ -1,27 +1,33 @@
 //! Discovery's agent: a list of any size, its changes, and watches that wait for them. One for all senders.
+use crate::wire::{accept, listener, Background, Message};
 use std::io;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
-use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
-use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{oneshot, watch};
-use tokio::task::{spawn_local, LocalSet};
+use tokio::io::{AsyncWriteExt, BufReader};
+use tokio::net::TcpStream;
+use tokio::sync::watch;
 use tokio::time::{timeout_at, Instant};
 
-/// Of 1,000 destinations so many are down.
-const DOWN: u32 = 28;
+/// Of 1,000 destinations so many are down, where nothing else is asked for.
+pub const DOWN: u32 = 28;
+
+/// Whether a destination is down, where so many of 1,000 are. They lie all over the list.
+pub fn is_down(dest: u32, down: u32) -> bool {
+    u64::from(dest) * 131 % 1_000 < down.into()
+}
 
 /// The list that a fleet with so many destinations has: 240,000 endpoints at 140,000 destinations, and as many for each of
-/// fewer, in discovery's form. `partner`: where those that are up are reached; nobody answers for those that are down.
-pub fn entries(destinations: u32, partner: SocketAddr) -> Vec<String> {
-    let down = SocketAddr::from(([127, 0, 0, 1], 9));
+/// fewer, in discovery's form. `partner`: where those that are up are reached; nobody answers for those that are down,
+/// which are so many of 1,000.
+pub fn entries(destinations: u32, partner: SocketAddr, down: u32) -> Vec<String> {
+    let nobody = SocketAddr::from(([127, 0, 0, 1], 9));
     let mut all = Vec::new();
     for dest in 0..destinations {
         // Five in seven have a second one.
         let of_it = if dest % 7 < 5 { 2 } else { 1 };
-        let at = if dest * 131 % 1_000 < DOWN { down } else { partner };
+        let at = if is_down(dest, down) { nobody } else { partner };
         all.extend((0..of_it).map(|number| entry(dest, number, at, 1.0)));
     }
     all
@@ -58,32 +64,23 @@
 pub struct Agent {
     pub address: SocketAddr,
     shared: Arc<Shared>,
-    thread: Option<(oneshot::Sender<()>, std::thread::JoinHandle<()>)>,
+    _thread: Background,
 }
 
 impl Agent {
     pub fn start(whole: Vec<String>) -> io::Result<Agent> {
-        let listener = std::net::TcpListener::bind("127.0.0.1:0")?;
-        listener.set_nonblocking(true)?;
-        let address = listener.local_addr()?;
+        let (listener, address) = listener(SocketAddr::from(([127, 0, 0, 1], 0)))?;
         let shared = Arc::new(Shared {
             list: Mutex::new(List { whole, changes: Vec::new() }),
             version: watch::Sender::new(1),
             questions: AtomicU64::default(),
             wholes: AtomicU64::default(),
         });
-        let (stop, stopped) = oneshot::channel();
         let served = shared.clone();
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-        let thread = std::thread::Builder::new().name("agent".into()).spawn(move || {
-            LocalSet::new().block_on(&runtime, async {
-                tokio::select! {
-                    _ = accept(listener, served) => {}
-                    _ = stopped => {}
-                }
-            });
+        let thread = Background::start("agent", move || {
+            accept(listener, move |stream| serve(stream, served.clone()))
         })?;
-        Ok(Agent { address, shared, thread: Some((stop, thread)) })
+        Ok(Agent { address, shared, _thread: thread })
     }
 
     /// Tells one entry anew, which stands at this place of the list.
@@ -102,47 +99,18 @@
     }
 }
 
-impl Drop for Agent {
-    fn drop(&mut self) {
-        if let Some((stop, thread)) = self.thread.take() {
-            let _ = stop.send(());
-            let _ = thread.join();
-        }
-    }
-}
-
-async fn accept(listener: std::net::TcpListener, shared: Arc<Shared>) -> io::Result<()> {
-    let listener = TcpListener::from_std(listener)?;
-    loop {
-        let (stream, _) = listener.accept().await?;
-        let shared = shared.clone();
-        // One that breaks is its sender's to make anew.
-        spawn_local(async move { _ = serve(stream, &shared).await });
-    }
-}
-
-async fn serve(stream: TcpStream, shared: &Shared) -> io::Result<()> {
-    stream.set_nodelay(true)?;
-    let mut stream = BufReader::new(stream);
-    loop {
-        let (mut first, mut length) = (String::new(), 0);
-        if stream.read_line(&mut first).await? == 0 {
-            return Ok(());
-        }
-        loop {
-            let mut line = String::new();
-            stream.read_line(&mut line).await?;
-            let Some((name, value)) = line.trim_end().split_once(':') else { break };
-            if name.eq_ignore_ascii_case("content-length") {
-                length = value.trim().parse().map_err(io::Error::other)?;
-            }
-        }
-        tokio::io::copy(&mut (&mut stream).take(length), &mut tokio::io::sink()).await?;
-        let body = if first.starts_with("GET ") { shared.answer(&first).await } else { String::new() };
-        let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
+async fn serve(mut stream: BufReader<TcpStream>, shared: Arc<Shared>) -> io::Result<()> {
+    while let Some(asked) = Message::read(&mut stream).await? {
+        // A notice is taken, and no more.
+        let (status, body) = match asked.first.starts_with("GET ") {
+            true => ("200 OK", shared.answer(&asked.first).await),
+            false => ("204 No Content", String::new()),
+        };
+        let head = format!("HTTP/1.1 {status}\r\nContent-Length: {}\r\n\r\n", body.len());
         stream.get_mut().write_all(head.as_bytes()).await?;
         stream.get_mut().write_all(body.as_bytes()).await?;
     }
+    Ok(())
 }
 
 impl Shared {
--- a/crates/scale/src/fleet.rs
+++ b/crates/scale/src/fleet.rs
@@ -17,6 +17,8 @@
 use trial::peers::free_address;
 
 const NAME: &str = "scale";
+/// On whose account clients hand in.
+pub const TENANT: &str = "acme";
 /// Destinations of the list that a fleet has.
 pub const DESTINATIONS: u32 = 30;
 /// The time for a connection that a configuration begins with; a later one has a nanosecond more for each change.
@@ -73,7 +75,7 @@
             "DedupScope": "all", "WindowNs": 15_000_000_000u64, "Worth": 1, "LateWorth": 0.3})
     };
     json!({"NInstances": senders, "TickNs": 5_000_000, "Kinds": ["plain"], "Localities": ["z"],
-        "Realms": [{"Name": "acme", "QuotaPerS": 100.0}], "Weights": "silent",
+        "Realms": [{"Name": TENANT, "QuotaPerS": 100.0}], "Weights": "silent",
         "FamilyInfo": {"CallsOut": 400, "KindBatch": [1], "SeparateRoutes": [false]},
         "Feedback": {"Source": "piggyback", "Fields": ["x0", "x1"]},
         "Limits": {"MaxOpen": 100, "MaxAttempts": 8, "Cancel": true, "IdleCloseNs": 20_000_000_000u64,
@@ -119,7 +121,7 @@
             relays.threads.push(thread.map_err(text)?);
         }
         let partner = free_address();
-        let agent = Agent::start(agent::entries(DESTINATIONS, partner)).map_err(text)?;
+        let agent = Agent::start(agent::entries(DESTINATIONS, partner, agent::DOWN)).map_err(text)?;
         let folder = Folder::new(folder).map_err(text)?;
         let hollows = Hollows::start(Vec::new(), senders, &net)?;
         let (seed, interval_ms) = (plan.seed, plan.interval_ms);
--- a/crates/scale/src/lib.rs
+++ b/crates/scale/src/lib.rs
@@ -4,6 +4,7 @@
 //! | --- | --- |
 //! | [`plan`] | what a run does, as a strict file |
 //! | [`net`] | what lies between members: cuts, and counts of what passes |
+//! | [`wire`] | HTTP as the stand-ins speak it |
 //! | [`agent`] | discovery's stand-in, with a list of any size |
 //! | [`hollows`] | hollow senders, many on each of a few threads |
 //! | [`real`] | real senders: processes that none outlives |
@@ -11,18 +12,25 @@
 //! | [`run`] | plays a plan on fleets, within its bounds |
 //! | `measured` | what is measured on a fleet |
 //! | `recorder` | a run under way: its lines and its bounds |
-//! | `lists` | what a list costs one real sender |
+//! | `alone` | one real sender alone |
+//! | `lists` | what a list costs it |
+//! | [`traffic`] | clients, and partners that answer |
+//! | `messages` | what messages cost it, and what becomes of them |
 //! | [`measurement`] | one line of results |
 //! | [`page`] | the tables of docs/CAPACITY.md from such lines |
 pub mod agent;
+mod alone;
 pub mod fleet;
 pub mod hollows;
 mod lists;
 mod measured;
 pub mod measurement;
+mod messages;
 pub mod net;
 pub mod page;
 pub mod plan;
 pub mod real;
 mod recorder;
 pub mod run;
+pub mod traffic;
+pub mod wire;
--- a/crates/scale/src/measured.rs
+++ b/crates/scale/src/measured.rs
@@ -54,12 +54,8 @@
     }
 
     /// Of what was measured since lateness was last asked for.
-    fn worth(&self, fleet: &Fleet, missed: Option<String>) -> Worth {
-        let late = fleet.hollows.board.take_late();
-        let bound = self.plan.bounds.late_ms;
-        let stalled = late > Duration::from_millis(bound);
-        let why = || format!("the run's own threads were {} ms late", late.as_millis());
-        Worth { late, void: missed.or_else(|| stalled.then(why)) }
+    fn worth_on(&self, fleet: &Fleet, missed: Option<String>) -> Worth {
+        self.worth(fleet.hollows.board.take_late(), missed)
     }
 
     fn about<'r>(&self, fleet: &Fleet, event: Option<&'r str>) -> About<'r> {
@@ -94,7 +90,7 @@
             for _ in 0..plan.parts {
                 self.rest(&mut fleet, plan.rest_s / f64::from(plan.parts))?;
             }
-            let worth = self.worth(&fleet, None);
+            let worth = self.worth_on(&fleet, None);
             let hollow = fleet.hollows.members().count().max(1) as f64;
             let own = resident(std::process::id()).saturating_sub(before) as f64 / hollow;
             let about = self.about(&fleet, None);
@@ -126,7 +122,7 @@
         let took = self.until(fleet, within, agreement(expects))?;
         // A start's own work (files, sockets) is no stall of what runs.
         let missed = took.is_none().then(|| format!("not all agreed within {} s", self.plan.starting_s));
-        let worth = self.worth(fleet, missed);
+        let worth = self.worth_on(fleet, missed);
         let (about, took) = (self.about(fleet, None), made + took.unwrap_or(within));
         let sums = fleet.net.sums(0..fleet.senders());
         self.say(about, "time from the start until all agree", "s", took.as_secs_f64(), &worth);
@@ -154,7 +150,7 @@
             (Instant::now(), sums(fleet), fleet.hollows.board.busy(), of_reals(fleet));
         self.pass(fleet, seconds)?;
         let (after, spent, ends) = (sums(fleet), fleet.hollows.board.busy() - busy, of_reals(fleet));
-        let (intervals, worth) = (self.intervals(began.elapsed()), self.worth(fleet, None));
+        let (intervals, worth) = (self.intervals(began.elapsed()), self.worth_on(fleet, None));
         let about = self.about(fleet, None);
         let (all, own) = (after.0.since(before.0), after.1.since(before.1));
         for (what, unit, value) in rates(all) {
@@ -219,7 +215,7 @@
         board.judge(false);
         self.ask_reals_for_wrong(fleet);
         let missed = took.is_none().then(|| format!("not all agreed within {} s", event.lost_s));
-        let worth = self.worth(fleet, missed);
+        let worth = self.worth_on(fleet, missed);
         self.say(
             about,
             "time until all agree that it is lost",
@@ -249,7 +245,7 @@
         let sums = fleet.net.sums(0..count).since(before);
         let span = began.elapsed();
         let missed = took.is_none().then(|| format!("not all agreed within {} s", event.back_s));
-        let worth = self.worth(fleet, missed);
+        let worth = self.worth_on(fleet, missed);
         self.say(
             about,
             "time until all agree that it is back",
@@ -333,7 +329,7 @@
             hollow.is_some() && (seen.is_empty() || last.is_some_and(still))
         })?;
         let missed = took.is_none().then(|| format!("not in force everywhere within {} s", within.as_secs()));
-        let worth = self.worth(fleet, missed);
+        let worth = self.worth_on(fleet, missed);
         let real = seen.iter().filter_map(|(_, at)| *at).max();
         let last = hollow.max(real).unwrap_or(within);
         self.say(about, "time until the last file was replaced", "s", told.as_secs_f64(), &worth);
--- a/crates/scale/src/plan.rs
+++ b/crates/scale/src/plan.rs
@@ -3,6 +3,8 @@
 use std::path::Path;
 
 /// The most of each that a plan may ask for.
+const MOST_RATE: f64 = 5_000.0;
+const MOST_DISK: u32 = 1_000;
 const MOST_SENDERS: u32 = 600;
 const MOST_PROCESSES: u32 = 200;
 const MOST_DESTINATIONS: u32 = 200_000;
@@ -67,6 +69,55 @@
     Known,
 }
 
+/// What clients hand in at one real sender, for each rate and each share that is down; one of the two is varied.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Traffic {
+    /// All of its list, and all get messages.
+    pub destinations: u32,
+    /// Messages a second.
+    pub rates: Vec<f64>,
+    /// Shares of the destinations that are down.
+    #[serde(default = "none_down")]
+    pub down: Vec<f64>,
+    /// What its folder may take.
+    #[serde(default = "usual_disk")]
+    pub disk_mb: u32,
+}
+
+fn none_down() -> Vec<f64> {
+    vec![0.0]
+}
+
+fn usual_disk() -> u32 {
+    3
+}
+
+impl Traffic {
+    fn check(&self) -> Result<(), String> {
+        within("traffic.destinations", self.destinations.into(), 1.0, MOST_DESTINATIONS.into())?;
+        within("traffic.disk_mb", self.disk_mb.into(), 1.0, MOST_DISK.into())?;
+        all_within("traffic.rates", &self.rates, 1.0, MOST_RATE)?;
+        all_within("traffic.down", &self.down, 0.0, 1.0)?;
+        match (self.rates.len(), self.down.len()) {
+            (0, _) | (_, 0) => Err("traffic.rates and traffic.down need a value each".into()),
+            (1, _) | (_, 1) => Ok(()),
+            _ => Err("traffic.rates and traffic.down both have several values".into()),
+        }
+    }
+}
+
+fn within(key: &str, value: f64, least: f64, most: f64) -> Result<(), String> {
+    match (least..=most).contains(&value) {
+        true => Ok(()),
+        false => Err(format!("{key} is not from {least} to {most}: {value}")),
+    }
+}
+
+fn all_within(key: &str, values: &[f64], least: f64, most: f64) -> Result<(), String> {
+    values.iter().enumerate().try_for_each(|(i, v)| within(&format!("{key}[{i}]"), *v, least, most))
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Bounds {
@@ -99,7 +150,7 @@
     /// How long all of a fleet may take to agree at its start.
     #[serde(default)]
     pub starting_s: f64,
-    /// How long news may take to be passed on before the rest begins, and how long that is looked at.
+    /// How long news may take to be passed on, or messages go, before the rest begins, and how long that is looked at.
     #[serde(default)]
     pub settle_s: f64,
     #[serde(default)]
@@ -121,6 +172,8 @@
     /// How long a sender may take until it has its list.
     #[serde(default)]
     pub list_s: f64,
+    #[serde(default)]
+    pub traffic: Option<Traffic>,
 }
 
 fn second() -> u64 {
@@ -152,10 +205,6 @@
     }
 
     fn check(&self) -> Result<(), String> {
-        let within = |key: &str, value: f64, least: f64, most: f64| match (least..=most).contains(&value) {
-            true => Ok(()),
-            false => Err(format!("{key} is not from {least} to {most}: {value}")),
-        };
         within("bounds.seconds", self.bounds.seconds, 1.0, MOST_SECONDS)?;
         within("bounds.late_ms", self.bounds.late_ms as f64, 1.0, 10_000.0)?;
         within("interval_ms", self.interval_ms as f64, 100.0, 60_000.0)?;
@@ -181,10 +230,14 @@
         for (i, destinations) in self.destinations.iter().enumerate() {
             within(&format!("destinations[{i}]"), (*destinations).into(), 1.0, MOST_DESTINATIONS.into())?;
         }
-        let plays_nothing = self.senders.is_empty() && self.destinations.is_empty();
+        if let Some(traffic) = &self.traffic {
+            traffic.check()?;
+            within("rest_s", self.rest_s, 0.1, MOST_SECONDS)?;
+        }
+        let plays_nothing = self.senders.is_empty() && self.destinations.is_empty() && self.traffic.is_none();
         let idle = self.told_by.is_empty() != self.destinations.is_empty();
         match (plays_nothing, idle) {
-            (true, _) => Err("senders and destinations are both empty: nothing is played".into()),
+            (true, _) => Err("no senders, destinations or traffic: nothing is played".into()),
             (_, true) => Err("destinations and told_by go together".into()),
             _ if self.senders.is_empty() && !(self.events.is_empty() && self.changes.is_empty()) => {
                 Err("events and changes need senders".into())
--- a/crates/scale/src/real.rs
+++ b/crates/scale/src/real.rs
@@ -13,21 +13,46 @@
 pub struct Real {
     process: Process,
     pub member: usize,
+    /// Where clients reach it.
+    pub listen: SocketAddr,
 }
 
+/// A page of figures, as its control address shows it.
+pub struct Page(String);
+
+impl Page {
+    /// One by its name and labels.
+    pub fn figure(&self, name: &str) -> Option<f64> {
+        self.0.lines().find_map(|line| line.strip_prefix(name)?.strip_prefix(' ')?.trim().parse().ok())
+    }
+
+    /// Bytes of control of all roles but the operators', whose questions are the run's own.
+    pub fn control_bytes(&self, direction: &str) -> f64 {
+        CONTROL.iter().filter_map(|role| self.bytes_of(role, direction)).sum()
+    }
+
+    pub fn bytes_of(&self, role: &str, direction: &str) -> Option<f64> {
+        self.figure(&format!(r#"sender_control_bytes_total{{role="{role}",direction="{direction}"}}"#))
+    }
+}
+
+/// Roles of control that a sender counts by itself.
+const CONTROL: [&str; 4] = ["membership", "discovery", "store", "notices"];
+
 impl Real {
     /// Starts one from `folder`, which has its `config.json`, and its state in `state`. It ends with the thread that calls.
     pub fn start(program: &Path, folder: &Path, member: usize) -> io::Result<Real> {
+        let listen = free_address();
         let start = Start {
             program,
             config: &folder.join("config.json"),
             state: &folder.join("state"),
             log: &folder.join("log"),
-            listen: free_address(),
+            listen,
             control: free_address(),
             life: 1,
         };
-        Ok(Real { process: Process::start(&start)?, member })
+        Ok(Real { process: Process::start(&start)?, member, listen })
     }
 
     pub fn id(&self) -> u32 {
@@ -50,8 +75,12 @@
 
     /// A figure without labels, as its control address shows it.
     pub fn figure(&self, name: &str) -> Option<f64> {
+        self.page()?.figure(name)
+    }
+
+    pub fn page(&self) -> Option<Page> {
         let (_, page) = self.ask("/v1/metrics").filter(|(status, _)| *status == 200)?;
-        page.lines().find_map(|line| line.strip_prefix(name)?.strip_prefix(' ')?.trim().parse().ok())
+        Some(Page(page))
     }
 
     /// Addresses of members that it takes for failed.
--- a/crates/scale/src/recorder.rs
+++ b/crates/scale/src/recorder.rs
@@ -114,6 +114,13 @@
         (self.tell)(&line);
     }
 
+    /// What is worth what was measured while the run's own threads were so late at worst.
+    pub fn worth(&self, late: Duration, missed: Option<String>) -> Worth {
+        let stalled = late > Duration::from_millis(self.plan.bounds.late_ms);
+        let why = || format!("the run's own threads were {} ms late", late.as_millis());
+        Worth { late, void: missed.or_else(|| stalled.then(why)) }
+    }
+
     /// Ends a run that reaches a bound. `processes`: the real senders there are.
     pub fn bounds<'r>(&mut self, reals: impl Iterator<Item = &'r Real>) -> Result<(), String> {
         if self.stop.load(Relaxed) {
--- a/crates/scale/tests/plan.rs
+++ b/crates/scale/tests/plan.rs
@@ -23,6 +23,16 @@
 back_s = 6.5
 "#;
 
+/// Replaces each first text by the second: what the plan is then turned down with has the third.
+fn each_is_turned_down(plan: &str, table: &[(&str, &str, &str)]) {
+    for (old, new, says) in table {
+        let text = plan.replace(old, new);
+        assert_ne!(text, plan, "{old}");
+        let why = Plan::read(&text).expect_err(new);
+        assert!(why.contains(says), "{new:?}: {why}");
+    }
+}
+
 #[test]
 fn a_plan_is_read_whole() {
     let plan = Plan::read(PLAN).unwrap();
@@ -47,20 +57,51 @@
         ("changes = [1, 10]", "changes = [0]", "changes[0] is not from 1 to 100: 0"),
         ("changes = [1, 10]", "destinations = [30]", "destinations and told_by go together"),
         ("changes = [1, 10]", "destinations = [200001]", "destinations[0] is not from 1 to 200000: 200001"),
-        ("senders = [20, 40]", "", "senders and destinations are both empty"),
+        ("senders = [20, 40]", "", "no senders, destinations or traffic: nothing is played"),
         ("seed = 7", "seed = 7\nseed = 8", "duplicate key"),
     ];
-    for (old, new, says) in table {
-        let text = PLAN.replace(old, new);
-        assert_ne!(text, PLAN, "{old}");
-        let why = Plan::read(&text).expect_err(new);
-        assert!(why.contains(says), "{new:?}: {why}");
-    }
+    each_is_turned_down(PLAN, &table);
     // What TOML itself finds has its line.
     let why = Plan::read(&PLAN.replace("seed = 7", "seed = 7\nspeed = 9")).unwrap_err();
     assert!(why.contains("line 4"), "{why}");
 }
 
+const TRAFFIC: &str = r#"
+about = "a test's"
+seed = 7
+rest_s = 3.0
+
+[bounds]
+seconds = 60.0
+late_ms = 50
+
+[traffic]
+destinations = 30
+rates = [10, 100.5]
+"#;
+
+#[test]
+fn traffic_is_bounded_and_varies_one_thing() {
+    let traffic = Plan::read(TRAFFIC).unwrap().traffic.unwrap();
+    assert_eq!((traffic.rates.as_slice(), traffic.down.as_slice()), (&[10.0, 100.5][..], &[0.0][..]));
+    let table = [
+        ("rest_s = 3.0", "", "rest_s is not from 0.1 to 90: 0"),
+        ("destinations = 30", "destinations = 0", "traffic.destinations is not from 1 to 200000: 0"),
+        ("[10, 100.5]", "[10, 5001]", "traffic.rates[1] is not from 1 to 5000: 5001"),
+        ("[10, 100.5]", "[10, nan]", "traffic.rates[1] is not from 1 to 5000: NaN"),
+        ("[10, 100.5]", "[]", "traffic.rates and traffic.down need a value each"),
+        ("[10, 100.5]", "[10]\ndown = [1.1]", "traffic.down[0] is not from 0 to 1: 1.1"),
+        (
+            "[10, 100.5]",
+            "[10, 20]\ndown = [0, 0.1]",
+            "traffic.rates and traffic.down both have several values",
+        ),
+        ("[10, 100.5]", "[10]\ndisk_mb = 1001", "traffic.disk_mb is not from 1 to 1000: 1001"),
+        ("[10, 100.5]", "[10]\nrate = 3", "unknown field `rate`"),
+    ];
+    each_is_turned_down(TRAFFIC, &table);
+}
+
 #[test]
 fn a_file_that_is_not_there_or_is_wrong_is_named() {
     let why = Plan::open(Path::new("nowhere/none.toml")).unwrap_err();
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -145,6 +145,31 @@
     assert_eq!(held.void.as_deref(), Some("the list was not taken within 0 s"));
 }
 
+#[test]
+fn messages_that_are_handed_in_are_delivered_once_and_what_control_takes_meanwhile_is_counted() {
+    let plan =
+        "about = \"a test's\"\nseed = 3\nsettle_s = 0.5\nrest_s = 1.0\nparts = 2\n[bounds]\nseconds = 80.0\n\
+                late_ms = 10000\n[traffic]\ndestinations = 20\nrates = [50, 200]\n";
+    let (lines, summary) = played(plan, "traffic");
+    assert_eq!(summary.unwrap().void, 0, "{lines:#?}");
+    for (rate, handed_in) in [(50.0, 75.0), (200.0, 300.0)] {
+        let of = |what: &str| -> Vec<f64> {
+            let what = format!("{what}, 20 destinations");
+            lines.iter().filter(|l| l.at == rate && l.what == what).map(|l| l.value).collect()
+        };
+        assert_eq!(of("messages handed in"), [handed_in]);
+        // All destinations are up, and a client that is refused on a busy machine is told so.
+        assert_eq!(of("messages taken on"), of("messages delivered"));
+        let taken_on = of("messages taken on")[0];
+        assert!(taken_on >= 0.9 * handed_in, "{taken_on} of {handed_in}");
+        assert_eq!(of("messages sent again though they may not be"), [0.0]);
+        assert_eq!(of("processor time a message").len(), 2);
+        // Watches alone: nothing of control goes by the message.
+        let bytes = of("bytes out a second under traffic");
+        assert!(bytes.len() == 2 && bytes.iter().all(|b| (0.0..2_000.0).contains(b)), "{bytes:?}");
+    }
+}
+
 #[test]
 fn a_bound_that_is_reached_ends_the_run_with_all_that_it_started() {
     let plan = SHORT.replace("seconds = 80.0", "seconds = 1.0");
