Bench of lists: programs in turns, more identical lists, and what the machine held up

Need: a client had waited 40.4 ms in one play, and nothing told whether the sender or the machine held it.

Change: LISTED_PLAYS plays in which the programs take turns at any size that is named; the whole list comes again four times; its text is made before the step instead of in it; beside the longest wait stand how late a thread of the bench woke and how long the sender's threads were ready and had no core.

--- a/benches/listed.rs
+++ b/benches/listed.rs
@@ -1,11 +1,13 @@
-//! What it costs to list destinations, before and after, on real processes over loopback. A run ends by itself, in under
-//! 100 seconds.
+//! What it costs to list destinations, before and after, on real processes over loopback. A play with 140,000 ends in
+//! under 30 seconds.
 //!
-//!     LISTED_BEFORE=PROGRAM [LISTED_AFTER=PROGRAM] cargo bench --bench listed [-- SIZE...]
+//!     LISTED_BEFORE=PROGRAM [LISTED_AFTER=PROGRAM] [LISTED_PLAYS=1] cargo bench --bench listed [-- SIZE...]
 //!
-//! Each program has the same: a file with all destinations but one as `known`, and an agent that tells the whole list,
-//! then the same once more, then single changes. 30, 1,000 and 4,000 destinations have one endpoint each, 140,000 have
-//! 240,000 together. 400 slots, 2 classes. Memory is in MB of 1e6 bytes; a peak is the highest since the step began.
+//! Each program has the same: a file with all destinations but one as `known`, and an agent that tells single changes,
+//! then the whole list, then the same again a few times. 30, 1,000 and 4,000 destinations have one endpoint each, 140,000
+//! have 240,000 together. 400 slots, 2 classes. The programs play in turns. Memory is in MB of 1e6 bytes; a peak is the
+//! highest since the step began. Beside a client's longest wait stands how late the bench's own thread woke in that step,
+//! and how long the sender was ready to run and had no core: what the machine held up.
 use serde_json::{json, Value};
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpStream};
@@ -16,7 +18,6 @@
 use trial::agent::{entry, list, Agent, Manner};
 use trial::peers::*;
 
-const MOST_BEFORE: u64 = 4_000;
 const SIZES: [u64; 4] = [30, 1_000, 4_000, 140_000];
 /// Of the destinations, those that get messages while processor time is measured: each connection serves as many calls.
 const SERVED: u64 = 29;
@@ -25,6 +26,10 @@
 /// Destinations in use, one message each, where there are as many.
 const IN_USE: u64 = 10_000;
 const CLIENTS: u64 = 8;
+/// How often the whole list comes again, identical.
+const AGAIN: u64 = 4;
+/// What a thread that keeps time sleeps.
+const TICK: Duration = Duration::from_millis(1);
 
 fn main() {
     let sizes: Vec<u64> = std::env::args().skip(1).filter_map(|a| a.parse().ok()).collect();
@@ -33,11 +38,14 @@
     let before = std::env::var("LISTED_BEFORE").ok().map(|p| ("before", PathBuf::from(p)));
     let begun = Instant::now();
     let programs: Vec<(&str, PathBuf)> = before.into_iter().chain([("after", after)]).collect();
-    for (name, path) in &programs {
-        // The one before takes 20 KB a destination, nearly 3 GB there, and no list of that length.
-        for &size in sizes.iter().filter(|&&size| *name == "after" || size <= MOST_BEFORE) {
-            let measured = measure(path, size);
-            println!("{}", json!({"program": name, "destinations": size, "measured": measured}));
+    let plays = std::env::var("LISTED_PLAYS").ok().and_then(|p| p.parse().ok()).unwrap_or(1);
+    for play in 0..plays {
+        for (name, path) in &programs {
+            for &size in &sizes {
+                let measured = measure(path, size);
+                let line = json!({"program": name, "play": play, "destinations": size, "measured": measured});
+                println!("{line}");
+            }
         }
     }
     println!("{} s in all", begun.elapsed().as_secs());
@@ -114,14 +122,20 @@
         std::fs::write(format!("/proc/{}/clear_refs", self.child.id()), "5").unwrap();
     }
 
-    /// Processor time of all its threads, in seconds.
-    fn spent(&self) -> f64 {
+    /// Seconds that all its threads have run, and those that they were ready to and had no core.
+    fn scheduled(&self) -> [f64; 2] {
         let tasks = std::fs::read_dir(format!("/proc/{}/task", self.child.id())).unwrap().flatten();
         let of = |task: std::fs::DirEntry| {
             let text = std::fs::read_to_string(task.path().join("schedstat")).unwrap_or_default();
-            text.split(' ').next().and_then(|ns| ns.parse::<f64>().ok()).unwrap_or(0.0)
+            let mut values = text.split(' ').map(|ns| ns.parse::<f64>().unwrap_or(0.0) / 1e9);
+            [(); 2].map(|()| values.next().unwrap_or(0.0))
         };
-        tasks.map(of).sum::<f64>() / 1e9
+        tasks.map(of).fold([0.0; 2], |sum, one| [sum[0] + one[0], sum[1] + one[1]])
+    }
+
+    /// Processor time of all its threads, in seconds.
+    fn spent(&self) -> f64 {
+        self.scheduled()[0]
     }
 
     fn figure(&self, name: &str) -> u64 {
@@ -156,28 +170,41 @@
         self.node.until("all is delivered", || self.figure("sender_pending") == 0);
     }
 
-    /// Does something, and the longest that a client waited for its answer meanwhile, in milliseconds: a round takes its
-    /// message on.
-    fn longest_wait(&self, run: &str, during: impl FnOnce()) -> f64 {
+    /// Does something, and the longest that a client waited for its answer meanwhile: a round takes its message on.
+    /// Beside it what the machine held up, all in milliseconds.
+    fn longest_wait(&self, run: &str, during: impl FnOnce()) -> Value {
         let over = AtomicBool::new(false);
-        let longest = std::thread::scope(|scope| {
+        let goes_on = || !over.load(Ordering::SeqCst);
+        let delayed = self.scheduled()[1];
+        let [longest, latest] = std::thread::scope(|scope| {
             let prober = scope.spawn(|| {
                 let mut longest = Duration::ZERO;
-                for i in (0..).take_while(|_| !over.load(Ordering::SeqCst)) {
+                for i in (0..).take_while(|_| goes_on()) {
                     let begun = Instant::now();
                     let status =
                         self.node.hand_in("order", &format!("{run}-{i}"), i % SERVED + 1, 15_000, b"x");
                     assert_eq!(status, 202);
                     longest = longest.max(begun.elapsed());
-                    std::thread::sleep(Duration::from_millis(1));
+                    std::thread::sleep(TICK);
                 }
                 longest
             });
+            let keeper = scope.spawn(|| {
+                let mut latest = Duration::ZERO;
+                while goes_on() {
+                    let begun = Instant::now();
+                    std::thread::sleep(TICK);
+                    latest = latest.max(begun.elapsed().saturating_sub(TICK));
+                }
+                latest
+            });
             during();
             over.store(true, Ordering::SeqCst);
-            prober.join().unwrap()
+            [prober.join().unwrap(), keeper.join().unwrap()]
         });
-        round(longest.as_secs_f64() * 1e3)
+        let ms = |wait: Duration| round(wait.as_secs_f64() * 1e3);
+        let delayed = round((self.scheduled()[1] - delayed) * 1e3);
+        json!({"longest_ms": ms(longest), "bench_late_ms": ms(latest), "no_core_ms": delayed})
     }
 }
 
@@ -196,7 +223,7 @@
     let ready = round(begun.elapsed().as_secs_f64() * 1e3);
     drop(known);
     let mut measured = json!({"endpoints": count, "ready_ms": ready, "peak_at_start_mb": sender.peak(),
-        "known_mb": sender.resident(), "quiet_wait_ms": sender.longest_wait("quiet", || std::thread::sleep(Duration::from_millis(500)))});
+        "known_mb": sender.resident(), "quiet_wait": sender.longest_wait("quiet", || std::thread::sleep(Duration::from_millis(500)))});
     let mut set = |key: &str, value: Value| measured[key] = value;
 
     // What single changes cost, in processor time; each puts another endpoint out of service or back.
@@ -221,23 +248,26 @@
     }
     set("in_use_mb", sender.resident().into());
 
-    // The whole list, with one more; and the same once more.
-    for (step, generation) in [("list", 1_000), ("again", 1_001)] {
+    // The whole list, with one more; and the same again.
+    for generation in 0..=AGAIN {
+        let (step, generation) = match generation {
+            0 => ("list".to_string(), 1_000),
+            again => (format!("again_{again}"), 1_000 + again),
+        };
         sender.forget_peak();
         let (given, errors) = (agent.given(), sender.figure("sender_list_errors_total"));
         // Its figures are not asked for meanwhile: they hold a round up too.
-        let longest = sender.longest_wait(step, || {
-            agent.tell(generation, list(generation, true, all()), None, Manner::AtOnce);
+        let text = list(generation, true, all());
+        let wait = sender.longest_wait(&step, || {
+            agent.tell(generation, text, None, Manner::AtOnce);
             agent.wait_given(given + 1);
             std::thread::sleep(Duration::from_millis(1_500));
         });
         let is_taken = sender.figure("sender_members") == count;
         let is_turned_down = sender.figure("sender_list_errors_total") > errors;
-        set(
-            step,
-            json!({"taken": is_taken && !is_turned_down, "longest_wait_ms": longest,
-            "peak_mb": sender.peak(), "resident_mb": sender.resident()}),
-        );
+        let is_taken = is_taken && !is_turned_down;
+        let (peak, resident) = (sender.peak(), sender.resident());
+        set(&step, json!({"taken": is_taken, "wait": wait, "peak_mb": peak, "resident_mb": resident}));
     }
     measured
 }
