Scale: what held messages cost one real sender, and a restart with them

Need: the slope over held messages was missing. A plan's `held` hands in so many at a sender whose destinations are all down, looks at it at rest, kills it and starts it in the same folder.

--- a/crates/scale/src/alone.rs
+++ b/crates/scale/src/alone.rs
@@ -6,6 +6,7 @@
 use crate::recorder::Run;
 use serde_json::{json, Value};
 use std::io;
+use std::path::PathBuf;
 use std::time::{Duration, Instant};
 
 const TICK: Duration = Duration::from_millis(5);
@@ -25,7 +26,8 @@
     pub agent: Agent,
     /// Since when it runs.
     pub began: Instant,
-    _folder: Folder,
+    program: PathBuf,
+    folder: Folder,
 }
 
 /// Waits until something is so; None where it is not so in that time.
@@ -83,7 +85,7 @@
         let config = format!(r#"{{"known":{known},{}"#, &rest.to_string()[1..]);
         replace(&folder.0.join("config.json"), &config)?;
         let real = Real::start(&run.program, &folder.0, 0)?;
-        Ok(Alone { real, agent, began: Instant::now(), _folder: folder })
+        Ok(Alone { real, agent, began: Instant::now(), program: run.program.clone(), folder })
     }
 
     pub fn until(
@@ -113,4 +115,12 @@
             )),
         }
     }
+
+    /// Kills it, and starts it once more with what it left.
+    pub fn restart(&mut self) -> io::Result<()> {
+        self.real.kill();
+        self.real = Real::start(&self.program, &self.folder.0, 0)?;
+        self.began = Instant::now();
+        Ok(())
+    }
 }
--- a/crates/scale/src/lib.rs
+++ b/crates/scale/src/lib.rs
@@ -16,11 +16,13 @@
 //! | `lists` | what a list costs it |
 //! | [`traffic`] | clients, and partners that answer |
 //! | `messages` | what messages cost it, and what becomes of them |
+//! | `held` | what those cost that it holds |
 //! | [`measurement`] | one line of results |
 //! | [`page`] | the tables of docs/CAPACITY.md from such lines |
 pub mod agent;
 mod alone;
 pub mod fleet;
+mod held;
 pub mod hollows;
 mod lists;
 mod measured;
--- a/crates/scale/src/plan.rs
+++ b/crates/scale/src/plan.rs
@@ -4,6 +4,7 @@
 
 /// The most of each that a plan may ask for.
 const MOST_RATE: f64 = 5_000.0;
+const MOST_HELD: f64 = 50_000.0;
 const MOST_DISK: u32 = 1_000;
 const MOST_SENDERS: u32 = 600;
 const MOST_PROCESSES: u32 = 200;
@@ -107,6 +108,26 @@
     }
 }
 
+/// Messages that one real sender holds for destinations that are all down.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Held {
+    pub destinations: u32,
+    /// So many are handed in, each number to a sender of its own.
+    pub messages: Vec<u32>,
+    #[serde(default = "usual_disk")]
+    pub disk_mb: u32,
+}
+
+impl Held {
+    fn check(&self) -> Result<(), String> {
+        within("held.destinations", self.destinations.into(), 1.0, MOST_DESTINATIONS.into())?;
+        within("held.disk_mb", self.disk_mb.into(), 1.0, MOST_DISK.into())?;
+        let messages: Vec<f64> = self.messages.iter().map(|n| f64::from(*n)).collect();
+        all_within("held.messages", &messages, 1.0, MOST_HELD)
+    }
+}
+
 fn within(key: &str, value: f64, least: f64, most: f64) -> Result<(), String> {
     match (least..=most).contains(&value) {
         true => Ok(()),
@@ -174,6 +195,8 @@
     pub list_s: f64,
     #[serde(default)]
     pub traffic: Option<Traffic>,
+    #[serde(default)]
+    pub held: Option<Held>,
 }
 
 fn second() -> u64 {
@@ -230,14 +253,16 @@
         for (i, destinations) in self.destinations.iter().enumerate() {
             within(&format!("destinations[{i}]"), (*destinations).into(), 1.0, MOST_DESTINATIONS.into())?;
         }
-        if let Some(traffic) = &self.traffic {
-            traffic.check()?;
+        self.traffic.as_ref().map_or(Ok(()), Traffic::check)?;
+        self.held.as_ref().map_or(Ok(()), Held::check)?;
+        let alone = self.traffic.is_some() || self.held.is_some();
+        if alone {
             within("rest_s", self.rest_s, 0.1, MOST_SECONDS)?;
         }
-        let plays_nothing = self.senders.is_empty() && self.destinations.is_empty() && self.traffic.is_none();
+        let plays_nothing = self.senders.is_empty() && self.destinations.is_empty() && !alone;
         let idle = self.told_by.is_empty() != self.destinations.is_empty();
         match (plays_nothing, idle) {
-            (true, _) => Err("no senders, destinations or traffic: nothing is played".into()),
+            (true, _) => Err("no senders, destinations, traffic or held messages: nothing is played".into()),
             (_, true) => Err("destinations and told_by go together".into()),
             _ if self.senders.is_empty() && !(self.events.is_empty() && self.changes.is_empty()) => {
                 Err("events and changes need senders".into())
--- a/crates/scale/src/real.rs
+++ b/crates/scale/src/real.rs
@@ -64,6 +64,14 @@
         self.process.ended().is_some()
     }
 
+    /// Kills it, and waits for its end.
+    pub fn kill(&mut self) {
+        self.process.signal(libc::SIGKILL);
+        while !self.has_ended() {
+            std::thread::sleep(Duration::from_millis(1));
+        }
+    }
+
     /// Tells it that its file was replaced.
     pub fn reload(&mut self) {
         self.process.signal(libc::SIGHUP);
--- a/crates/scale/src/run.rs
+++ b/crates/scale/src/run.rs
@@ -1,7 +1,7 @@
 //! Plays a plan: its fleets one after the other, each with what the plan asks of it, and then what it asks of one real sender alone: lists, messages.
 use crate::recorder::Run;
 pub use crate::recorder::{Play, Summary};
-use crate::{lists, messages};
+use crate::{held, lists, messages};
 use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
 use std::sync::Arc;
 
@@ -27,5 +27,6 @@
     }
     lists::play(&mut run)?;
     messages::play(&mut run)?;
+    held::play(&mut run)?;
     Ok(run.summary())
 }
--- a/crates/scale/tests/plan.rs
+++ b/crates/scale/tests/plan.rs
@@ -57,7 +57,7 @@
         ("changes = [1, 10]", "changes = [0]", "changes[0] is not from 1 to 100: 0"),
         ("changes = [1, 10]", "destinations = [30]", "destinations and told_by go together"),
         ("changes = [1, 10]", "destinations = [200001]", "destinations[0] is not from 1 to 200000: 200001"),
-        ("senders = [20, 40]", "", "no senders, destinations or traffic: nothing is played"),
+        ("senders = [20, 40]", "", "no senders, destinations, traffic or held messages: nothing is played"),
         ("seed = 7", "seed = 7\nseed = 8", "duplicate key"),
     ];
     each_is_turned_down(PLAN, &table);
@@ -102,6 +102,21 @@
     each_is_turned_down(TRAFFIC, &table);
 }
 
+#[test]
+fn held_messages_are_bounded() {
+    let plan = TRAFFIC.replace("[traffic]", "[held]").replace("rates = [10, 100.5]", "messages = [10, 200]");
+    assert_eq!(Plan::read(&plan).unwrap().held.unwrap().messages, [10, 200]);
+    let table = [
+        ("rest_s = 3.0", "", "rest_s is not from 0.1 to 90: 0"),
+        ("destinations = 30", "destinations = 200001", "held.destinations is not from 1 to 200000: 200001"),
+        ("[10, 200]", "[10, 50001]", "held.messages[1] is not from 1 to 50000: 50001"),
+        ("[10, 200]", "[10, 1.5]", "invalid type: floating point `1.5`"),
+        ("[10, 200]", "[10]\ndisk_mb = 0", "held.disk_mb is not from 1 to 1000: 0"),
+        ("[10, 200]", "[10]\nrates = [3]", "unknown field `rates`"),
+    ];
+    each_is_turned_down(&plan, &table);
+}
+
 #[test]
 fn a_file_that_is_not_there_or_is_wrong_is_named() {
     let why = Plan::open(Path::new("nowhere/none.toml")).unwrap_err();
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -170,6 +170,19 @@
     }
 }
 
+#[test]
+fn messages_that_are_held_are_there_after_a_restart() {
+    let plan =
+        "about = \"a test's\"\nseed = 3\nrest_s = 0.2\n[bounds]\nseconds = 80.0\nlate_ms = 10000\n[held]\n\
+                destinations = 20\nmessages = [60]\n";
+    let (lines, summary) = played(plan, "held");
+    assert_eq!(summary.unwrap().void, 0, "{lines:#?}");
+    let value = |what: &str| lines.iter().find(|l| l.what == what).unwrap().value;
+    assert_eq!((value("messages taken on"), value("held before a restart less held after it")), (60.0, 0.0));
+    assert!(lines.iter().all(|l| l.varied == "held" && l.at == 60.0), "{lines:#?}");
+    assert!(value("journal's file") > 60.0 * 200.0);
+}
+
 #[test]
 fn a_bound_that_is_reached_ends_the_run_with_all_that_it_started() {
     let plan = SHORT.replace("seconds = 80.0", "seconds = 1.0");
