--- a/crates/lab/src/cold.rs
+++ b/crates/lab/src/cold.rs
@@ -8,7 +8,7 @@
 use std::collections::BTreeMap;
 use std::path::{Path, PathBuf};
 use world::cold::Case;
-use world::partner::Return;
+use world::partner::{Return, Window};
 
 /// One day.
 #[derive(Serialize)]
@@ -40,6 +40,10 @@
         self.returns.iter().filter(|(_, r)| r.pushed_over.is_some()).count()
     }
 
+    fn pushed_over_with_held(&self) -> usize {
+        self.returns.iter().filter(|(_, r)| r.pushed_over_with_held.is_some()).count()
+    }
+
     /// What the day was like, by name.
     fn traits(&self) -> Vec<(&'static str, String)> {
         let c = &self.case;
@@ -120,9 +124,10 @@
     println!("Excess: (calls in the window - N) / (2 x root of N + 2); over 1 a destination falls.\n");
     println!(
         "| senders | seeds | returns | worst excess, of a seed: median (5 to 95%) | most | of the told alone, most \
-         | seeds with a fall (95%) | returns with one | pushed over by the told | told's share at falls | served |"
+         | seeds with a fall (95%) | returns with one | pushed over by the told | the same, with what was held \
+         | told's share at falls | served | G |"
     );
-    println!("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |");
+    println!("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |");
     for &n in senders {
         let of: Vec<&Row> = rows.iter().filter(|r| r.senders == n).collect();
         let mut worst: Vec<f64> = of.iter().map(|r| r.worst()).collect();
@@ -136,7 +141,7 @@
         let count = |f: fn(&Row) -> usize| of.iter().map(|r| f(r)).sum::<usize>();
         println!(
             "| {n} | {} | {} | {:.2} ({:.2} to {:.2}) | {:.2} | {told:.2} | {over} ({:.1}% to {:.1}%) | {} | {} in {} seeds \
-             | {share} | {:.4} |",
+             | {} | {share} | {:.4} | {:.4} |",
             of.len(),
             count(|r| r.returns.len()),
             quantile(&worst, 0.5),
@@ -148,20 +153,54 @@
             count(Row::falls),
             count(Row::pushed_over),
             of.iter().filter(|r| r.pushed_over() > 0).count(),
+            of.iter().filter(|r| r.pushed_over_with_held() > 0).count(),
             of.iter().map(|r| r.served).sum::<f64>() / of.len().max(1) as f64,
+            of.iter().map(|r| r.g).sum::<f64>() / of.len().max(1) as f64,
         );
     }
-    let mut by: BTreeMap<(&str, String), (usize, usize, usize)> = BTreeMap::new();
+    let mut by: BTreeMap<(&str, String), [usize; 4]> = BTreeMap::new();
     for row in rows {
         for key in row.traits() {
             let at = by.entry(key).or_default();
-            at.0 += 1;
-            at.1 += usize::from(row.falls() > 0);
-            at.2 += usize::from(row.pushed_over() > 0);
+            at[0] += 1;
+            at[1] += usize::from(row.falls() > 0);
+            at[2] += usize::from(row.pushed_over() > 0);
+            at[3] += usize::from(row.pushed_over_with_held() > 0);
+        }
+    }
+    println!(
+        "\n| where | days | with a fall | pushed over by the told | the same, with what was held |\n\
+         | --- | --- | --- | --- | --- |"
+    );
+    for ((name, value), [days, falls, pushed, with_held]) in by {
+        println!("| {name}: {value} | {days} | {falls} | {pushed} | {with_held} |");
+    }
+    print_causes(rows);
+}
+
+/// Who sent what in the windows in which the told pushed a route over.
+fn print_causes(rows: &[Row]) {
+    let mut by: BTreeMap<(&str, &str), (usize, Window)> = BTreeMap::new();
+    for row in rows {
+        for window in row.returns.iter().filter_map(|(_, r)| r.pushed_over_with_held) {
+            let (windows, sum) = by.entry((&row.case.outage, &row.case.told)).or_default();
+            *windows += 1;
+            sum.calls += window.calls;
+            sum.held += window.held;
+            sum.budget += window.budget;
+            sum.heard.iter_mut().zip(window.heard).for_each(|(sum, calls)| *sum += calls);
         }
     }
-    println!("\n| where | days | with a fall | pushed over by the told |\n| --- | --- | --- | --- |");
-    for ((name, value), (days, falls, pushed)) in by {
-        println!("| {name}: {value} | {days} | {falls} | {pushed} |");
+    println!(
+        "\n| pushed over, with what was held: outage, limits told | windows | budget | held | calls that arrived \
+         after | by senders that had heard no failure | one | two | more |\n\
+         | --- | --- | --- | --- | --- | --- | --- | --- | --- |"
+    );
+    for ((outage, told), (windows, sum)) in by {
+        let [none, one, two, more] = sum.heard;
+        println!(
+            "| {outage}, {told} | {windows} | {:.0} | {} | {} | {none} | {one} | {two} | {more} |",
+            sum.budget, sum.held, sum.calls,
+        );
     }
 }
--- a/crates/world/src/fleet.rs
+++ b/crates/world/src/fleet.rs
@@ -1,6 +1,6 @@
 //! The events of a day, in order: clients hand in, senders decide, calls meet partners, things happen.
 use crate::account::{Account, Day};
-use crate::partner::{Heard, Knows, Partner, State};
+use crate::partner::{Caller, Heard, Knows, Partner, State};
 use crate::plan::{random, Happening, Plan};
 use crate::referee::{Referee, Seen};
 use crate::scenario::What;
@@ -150,7 +150,9 @@
     served_since: Ns,
     epoch: u32,
     /// What its sender knew of an outage there as it sent it.
-    knows: Knows,
+    from: Caller,
+    /// It met its partner while an outage lasted there.
+    met_in_outage: bool,
     limit: Ns,
     by: Ns,
 }
@@ -169,8 +171,9 @@
     closed: Vec<Option<Ns>>,
     /// By route, until when it was told to wait there.
     wait_until: Vec<Ns>,
-    /// By partner, what it knows of the outage there.
+    /// By route, what it knows of the outage there, and how many failures it has heard since that began.
     knows: Vec<Knows>,
+    heard: Vec<usize>,
     held: BTreeSet<MsgId>,
     /// PROTOCOL: no end is overdue from a restart until 1.5 s after the sender is ready again.
     excused: Ns,
@@ -268,7 +271,8 @@
             conditions: vec![Condition::Ready; endpoints],
             closed: vec![None; endpoints],
             wait_until: vec![Ns::MIN; endpoints],
-            knows: vec![Knows::Nothing; partners],
+            knows: vec![Knows::Nothing; endpoints],
+            heard: vec![0; endpoints],
             held: BTreeSet::new(),
             excused: 0,
         };
@@ -552,6 +556,8 @@
         let place = self.plan.endpoints[endpoint as usize];
         let life = self.nodes[node].life;
         let attempt = self.messages[id as usize].attempts.len() as u32;
+        let (route, at) = (self.route(endpoint), &self.nodes[node]);
+        let from = Caller { knows: at.knows[route], heard: at.heard[route], held: false };
         self.judge(node, id, endpoint);
         let is_new =
             Attempt { call: self.calls.len(), endpoint, sent: self.now, out: true, never_ran: false };
@@ -571,7 +577,8 @@
             connected: false,
             served_since: sent,
             epoch: 0,
-            knows: self.nodes[node].knows[place.partner],
+            from,
+            met_in_outage: false,
             limit,
             by,
         };
@@ -595,9 +602,11 @@
         new.fresh = true;
         self.calls.push(new);
         let trip = 2 * self.delay();
-        let partner = &mut self.partners[place.partner];
+        let partner = &self.partners[place.partner];
+        // What hangs can't answer that it has no place left: the connection never comes up (WIRE, no_connection).
+        let hung = partner.state == State::Hung && !partner.has_room(place.desk);
         let silent = matches!(partner.state, State::Silent | State::Fallen);
-        if silent || self.is_cut(node, endpoint) {
+        if hung || silent || self.is_cut(node, endpoint) {
             let dial = self.plan.settings[node].dial_timeout;
             // Its message's time may be up before that.
             self.bound(call);
@@ -699,13 +708,14 @@
     /// The request meets its partner, whoever still waits for it.
     fn meet(&mut self, call: CallId) {
         let c = &self.calls[call];
-        let (endpoint, msg, knows) = (c.endpoint, c.msg as usize, c.knows);
+        let (endpoint, msg, from) = (c.endpoint, c.msg as usize, c.from);
         let place = self.plan.endpoints[endpoint as usize];
         let reset = self.plan.reset > 0.0 && self.network.random_bool(self.plan.reset);
         let work = self.messages[msg].work;
         let partner = &mut self.partners[place.partner];
         let (was, had) = (partner.state, partner.pushed_over);
-        let heard = partner.offer(self.now, place.desk, call, work, knows);
+        self.calls[call].met_in_outage = !matches!(was, State::Up | State::Fallen);
+        let heard = partner.offer(self.now, place.desk, call, work, from);
         if partner.pushed_over && !had {
             self.referee.pushed_over(place.partner as DestId, self.now);
         }
@@ -834,13 +844,17 @@
         let at = &mut self.messages[id as usize].attempts[attempt as usize];
         (at.out, at.never_ran) = (false, outcome.never_ran());
         let failed = !matches!(outcome, Outcome::Served | Outcome::CalledOff | Outcome::NotSent);
-        // What was sent while it lasted tells of it, though a time-out may be over later.
+        // WIRE, rule 4: told is who has learned of a call that failed or was refused there while the outage lasted;
+        // what is answered fails as it is met, all else as it is heard.
         let (from, to) = self.outages[place.partner];
-        if failed && sent <= to && self.now > from {
-            self.nodes[node].knows[place.partner] = Knows::Told;
+        let answered = matches!(outcome, Outcome::TurnedAway | Outcome::ServerError);
+        let lasted = if answered { self.calls[call].met_in_outage } else { self.now <= to };
+        let route = self.route(endpoint);
+        if failed && lasted && self.now > from {
+            self.nodes[node].knows[route] = Knows::Told;
+            self.nodes[node].heard[route] += 1;
         }
         if wait > 0 {
-            let route = self.route(endpoint);
             let until = &mut self.nodes[node].wait_until[route];
             *until = (*until).max(self.now + wait);
         }
@@ -881,7 +895,12 @@
                 // Their senders hear of it as of all other calls there.
                 let _ = world.partners[p].strike(state);
                 world.outages[p] = (world.now, Ns::MAX);
-                world.nodes.iter_mut().for_each(|n| n.knows[p] = Knows::Nothing);
+                for (place, _) in world.plan.endpoints.iter().enumerate().filter(|(_, e)| e.partner == p) {
+                    world
+                        .nodes
+                        .iter_mut()
+                        .for_each(|n| (n.knows[place], n.heard[place]) = (Knows::Nothing, 0));
+                }
                 world.forget(p, state);
             }
         };
@@ -933,7 +952,10 @@
                 for &p in &happening.partners {
                     self.outages[p].1 = self.now;
                     self.partners[p].come_back(self.now);
-                    self.partners[p].take_hung().into_iter().for_each(|call| self.meet(call));
+                    for call in self.partners[p].take_hung() {
+                        self.calls[call].from.held = true;
+                        self.meet(call);
+                    }
                 }
             }
             What::Slow { .. } => happening.partners.iter().for_each(|&p| self.partners[p].slow_down(1.0)),
@@ -1030,6 +1052,7 @@
         at.takes = false;
         at.life += 1;
         at.knows.iter_mut().filter(|k| **k == Knows::Told).for_each(|k| *k = Knows::Once);
+        at.heard.iter_mut().for_each(|heard| *heard = 0);
         let out = std::mem::take(&mut at.out);
         at.out_to.iter_mut().for_each(|n| *n = 0);
         let idle = std::mem::take(&mut at.idle);
@@ -1052,9 +1075,9 @@
     fn upgrade(&mut self, node: usize) {
         let Some(old) = &self.nodes[node].decider else { return };
         let standings = old.standings(START + self.now);
-        let knows = self.nodes[node].knows.clone();
+        let (knows, heard) = (self.nodes[node].knows.clone(), self.nodes[node].heard.clone());
         self.kill(node, 0);
-        self.nodes[node].knows = knows;
+        (self.nodes[node].knows, self.nodes[node].heard) = (knows, heard);
         self.start_with(node, standings);
     }
 
--- a/crates/world/src/partner.rs
+++ b/crates/world/src/partner.rs
@@ -40,7 +40,7 @@
     Silence,
 }
 
-/// What a call's sender knows of the outage, from calls that failed while it lasted.
+/// What a call's sender knows of the outage, from calls that failed there while it lasted (WIRE, rule 4).
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Knows {
     Nothing,
@@ -49,20 +49,60 @@
     Told,
 }
 
+/// Who calls.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Caller {
+    pub knows: Knows,
+    /// Failures that it had heard there since the outage began, as it sent the call.
+    pub heard: usize,
+    /// The call had arrived before the return, and was held by what hung.
+    pub held: bool,
+}
+
+/// A caller of whom no more is known.
+impl From<Knows> for Caller {
+    fn from(knows: Knows) -> Caller {
+        Caller { knows, heard: 0, held: false }
+    }
+}
+
 /// The calls of one window at a cold route, against what it bears then.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Window {
     /// Since the return.
     pub after_ns: Ns,
+    /// Calls that arrived since the return (PROTOCOL: a call counts once its last byte has arrived).
     pub calls: u32,
     /// Of these: by processes that had been told of the outage, and by such whose earlier process had been.
     pub told: u32,
     pub told_once: u32,
+    /// The same by failures that their senders had heard: none, one, two, more.
+    pub heard: [u32; 4],
+    /// Calls that had arrived while it hung and that it meets at its return; of these, by the told.
+    pub held: u32,
+    pub held_told: u32,
     /// N: fall multiple x capacity then x the window's length.
     pub budget: f64,
 }
 
 impl Window {
+    fn of<'a>(load: impl Iterator<Item = &'a Caller>, after_ns: Ns, budget: f64) -> Window {
+        let mut window = Window { after_ns, budget, ..Window::default() };
+        for caller in load {
+            let told = u32::from(caller.knows != Knows::Nothing);
+            if caller.held {
+                window.held += 1;
+                window.held_told += told;
+                continue;
+            }
+            window.calls += 1;
+            window.told += u32::from(caller.knows == Knows::Told);
+            window.told_once += u32::from(caller.knows == Knows::Once);
+            window.heard[caller.heard.min(3)] += 1;
+        }
+        window
+    }
+
     /// Calls beyond the budget, over what of these is put down to chance (STANDING: 2 x root of N + 2). Over 1 the
     /// route falls.
     pub fn excess(&self) -> f64 {
@@ -74,6 +114,11 @@
         self.over(self.told)
     }
 
+    /// The same if what it held while it hung counted as sent at its return.
+    pub fn excess_with_held(&self) -> f64 {
+        self.over(self.calls + self.held)
+    }
+
     fn over(&self, calls: u32) -> f64 {
         (f64::from(calls) - self.budget) / (2.0 * self.budget.sqrt() + 2.0)
     }
@@ -82,6 +127,10 @@
     pub fn is_by_the_told(&self) -> bool {
         3 * (self.told + self.told_once) > 2 * self.calls
     }
+
+    pub fn is_by_the_told_with_held(&self) -> bool {
+        3 * (self.told + self.told_once + self.held_told) > 2 * (self.calls + self.held)
+    }
 }
 
 /// How a route came back.
@@ -94,6 +143,8 @@
     /// The first window that was over, and the first of these that came from those who had been told.
     pub fell: Option<Window>,
     pub pushed_over: Option<Window>,
+    /// The first that was over, and from the told, if what it held while it hung counted as sent at its return.
+    pub pushed_over_with_held: Option<Window>,
 }
 
 /// A call whose turn has come.
@@ -179,8 +230,8 @@
 /// What shares one limit and one cold return: all addresses of a partner, or one where routes are separate.
 struct Route {
     limiter: Limiter,
-    /// Calls since it is back: when, and what their sender knew.
-    load: VecDeque<(Ns, Knows)>,
+    /// Calls since it is back: when, and from whom.
+    load: VecDeque<(Ns, Caller)>,
     returns: Vec<Return>,
 }
 
@@ -288,11 +339,15 @@
         (start + (1.0 - start) * (now - back) as f64 / self.safety.cold as f64).min(1.0)
     }
 
+    /// Whether there is place for one more connection.
+    pub fn has_room(&self, desk: usize) -> bool {
+        self.plan.table.is_none_or(|most| self.desks[desk].connections < most)
+    }
+
     /// A connection is asked for: false if there is no place. It is the caller's to close.
     pub fn connect(&mut self, desk: usize) -> bool {
-        let desk = &mut self.desks[desk];
-        let room = self.plan.table.is_none_or(|most| desk.connections < most);
-        desk.connections += usize::from(room);
+        let room = self.has_room(desk);
+        self.desks[desk].connections += usize::from(room);
         room
     }
 
@@ -305,9 +360,9 @@
         self.desks.iter().map(|d| d.connections).sum()
     }
 
-    /// A call has arrived. `work`: how long it takes at a partner of usual pace; `knows`: what its sender knew of the
-    /// outage when it sent it.
-    pub fn offer(&mut self, now: Ns, desk: usize, call: C, work: Ns, knows: Knows) -> Heard {
+    /// A call has arrived. `work`: how long it takes at a partner of usual pace; `from`: what its sender knew
+    /// when it sent it.
+    pub fn offer(&mut self, now: Ns, desk: usize, call: C, work: Ns, from: impl Into<Caller>) -> Heard {
         match self.state {
             State::Hung => {
                 self.hung.push(call);
@@ -319,7 +374,7 @@
             State::Failing(_) | State::Up => {}
         }
         let route = self.plan.route(desk);
-        if self.falls(now, route, knows) {
+        if self.falls(now, route, from.into()) {
             return Heard::Silence;
         }
         if let Err(room_in) = self.routes[route].limiter.admit(now) {
@@ -352,7 +407,7 @@
     }
 
     /// Sent too much while it is cold, it falls over.
-    fn falls(&mut self, now: Ns, route: usize, knows: Knows) -> bool {
+    fn falls(&mut self, now: Ns, route: usize, from: Caller) -> bool {
         let Some(back) = self.back else { return false };
         let (warmth, safety) = (self.warmth(now), self.safety);
         if now - back > safety.cold {
@@ -362,14 +417,12 @@
         }
         let able = self.plan.capacity / self.routes.len() as f64 * warmth * safety.overload_for as f64 / 1e9;
         let route = &mut self.routes[route];
-        route.load.push_back((now, knows));
+        route.load.push_back((now, from));
         while route.load.front().is_some_and(|(at, _)| now - at > safety.overload_for) {
             route.load.pop_front();
         }
-        let count = |what| route.load.iter().filter(|(_, knows)| *knows == what).count() as u32;
-        let (told, told_once) = (count(Knows::Told), count(Knows::Once));
-        let (calls, budget) = (route.load.len() as u32, safety.fall_multiple * able);
-        let window = Window { after_ns: now - back, calls, told, told_once, budget };
+        let callers = route.load.iter().map(|(_, caller)| caller);
+        let window = Window::of(callers, now - back, safety.fall_multiple * able);
         let Some(seen) = route.returns.last_mut() else { return false };
         if seen.worst.calls == 0 || window.excess() > seen.worst.excess() {
             seen.worst = window;
@@ -386,6 +439,9 @@
             seen.pushed_over.get_or_insert(window);
             self.pushed_over = true;
         }
+        if window.excess_with_held() > 1.0 && window.is_by_the_told_with_held() {
+            seen.pushed_over_with_held.get_or_insert(window);
+        }
         if over && safety.falls {
             self.state = State::Fallen;
         }
