Among ten senders and more, doubt a route after two failures or a shut one's told wait

Cause: each of many senders hears little of an outage.

Change: from ten senders on two failures in a row put a route in doubt, or one refusal with a wait that no limit tells (`SHUT_WAIT`); one failure alone slows nothing. Fewer senders decide as before.

--- a/crates/policy/src/rules/doubt.rs
+++ b/crates/policy/src/rules/doubt.rs
@@ -4,6 +4,8 @@
 /// Failures without a success between, or share of failures (aged), that put a route in doubt.
 const DOUBT_RUN: u32 = 3;
 const DOUBT_SHARE: f64 = 0.6;
+/// Of so many senders each hears little of an outage: one failure less, or a told wait of one that is shut.
+const MANY: usize = 10;
 /// Trials of a route in doubt are at least so far apart.
 const LEAST_SPACING: Ns = 500 * MS;
 /// Share of failures that starts the ramp of a cold route anew.
@@ -13,10 +15,10 @@
 
 impl Sender {
     /// One symptom of an outage, whatever its kind. Enough of them put the route in doubt: only single spaced
-    /// trials, and once one was `told` by an outcome a ramp. An overdue call then served was slow.
+    /// trials, and once an outcome `told` of one (its wait) a ramp. An overdue call then served was slow.
     /// Should cover kinds not listed too; harms where errors are common but the rest is well.
-    pub(super) fn symptom(&mut self, id: RouteId, counts: bool, told: bool) {
-        let fair = self.fair();
+    pub(super) fn symptom(&mut self, id: RouteId, counts: bool, told: Option<Ns>) {
+        let (fair, many) = (self.fair(), self.cfg.n_instances >= MANY);
         let Some(route) = self.routes.get_mut(&id) else { return };
         if counts {
             route.failures += 1;
@@ -26,14 +28,15 @@
                 (route.share, route.share_at) = (route.share.min(fair), self.now);
             }
         }
-        let sick = route.failures >= DOUBT_RUN || route.failing > DOUBT_SHARE;
+        let shut = many && told.is_some_and(|wait| wait >= pace::SHUT_WAIT);
+        let sick = shut || route.failures >= DOUBT_RUN - many as u32 || route.failing > DOUBT_SHARE;
         if sick && !route.doubt {
             route.doubt = true;
             // What is out may yet be served: the first trial is spaced from here, not from the last call.
             route.next_trial = route.next_trial.max(self.now + LEAST_SPACING);
         }
         // Single failures among answers are no outage, and must not start the ramp anew for ever.
-        if told && (sick || route.cold && route.failing > RELAPSE) {
+        if told.is_some() && (sick || route.cold && route.failing > RELAPSE) {
             route.cold = true;
             route.last_failure = self.now;
         }
@@ -58,7 +61,7 @@
             }
         }
         for route in seen {
-            self.symptom(route, true, false);
+            self.symptom(route, true, None);
         }
     }
 
--- a/crates/policy/src/rules/outcomes.rs
+++ b/crates/policy/src/rules/outcomes.rs
@@ -88,7 +88,7 @@
             place.avoid_until = now + SECOND;
         }
         if failed {
-            self.symptom(route_id, !(overdue && e.outcome == Outcome::NoAnswer), true);
+            self.symptom(route_id, !(overdue && e.outcome == Outcome::NoAnswer), Some(e.wait));
         }
     }
 }
--- a/crates/policy/tests/module.rs
+++ b/crates/policy/tests/module.rs
@@ -1088,3 +1088,32 @@
     s.give(vec![Event::Evacuate(false)]);
     assert_eq!(sends(&s.take(message(10, 1, 0))), [(10, 1)], "the machine stays");
 }
+
+#[test]
+fn among_many_senders_two_failures_or_the_told_wait_of_one_that_is_shut_begin_the_ramp() {
+    for (n_instances, many) in [(9, false), (10, true), (300, true)] {
+        let stand = || Stand::new(Settings { n_instances, ..settings() }, &[entry(1, 1, 0)]);
+        let is_ramped = |s: &Stand| s.sender.standings(s.now).iter().any(|r| r.doubt && r.cold);
+
+        let mut s = stand();
+        assert_eq!(sends(&s.take(message(0, 1, 1))), [(0, 1)]);
+        s.now += 100 * MS;
+        let again = sends(&s.end(end(0, 0, 1, Outcome::ServerError)));
+        assert_eq!(again, [(0, 1)], "of {n_instances}: one failure alone slows nothing");
+        s.now += 100 * MS;
+        let third = sends(&s.end(end(0, 1, 1, Outcome::ServerError)));
+        assert_eq!((third.is_empty(), is_ramped(&s)), (many, many), "of {n_instances}: two failures");
+
+        let mut s = stand();
+        s.take(message(0, 1, 1));
+        s.now += 100 * MS;
+        s.end(AttemptEnd { wait: 2 * SECOND, ..end(0, 0, 1, Outcome::TurnedAway) });
+        assert_eq!(is_ramped(&s), many, "of {n_instances}: shut");
+
+        let mut s = stand();
+        s.take(message(0, 1, 1));
+        s.now += 100 * MS;
+        s.end(AttemptEnd { wait: SECOND, ..end(0, 0, 1, Outcome::TurnedAway) });
+        assert!(!is_ramped(&s), "of {n_instances}: a wait that may be a limit's");
+    }
+}
