Post a notice with those that are being repeated, and not behind them

Where the platform does not answer, the notices of the post that is repeated kept those that ended meanwhile waiting: `run` in notices.rs took from its queue only once the batch was empty (`recv_many` in the outer loop). At the platform's return the newer ones needed a whole further exchange, two turns of a busy core.

Seen in tests/terms_discovery.rs under its flood of idle clients, with timestamps in a scratch build (trials): every post that brought the late notice was the second one. At a load of 37, `Refuses`: return at 0 ms, dialled at 283, first post (`hung-87` alone) answered at 392, second post (`ends`) read at 483 ms, while the sender's thread had 2 to 9 ms of processor time in each 40 to 115 ms, all its switches involuntary. At a load of 6 to 8 all of 12 runs were within 50 ms.

Now each post takes what has ended since, up to its bound. Behind a notice that can't be read they wait as before.

The flood was not played again with the mend.

--- a/crates/sender/src/notices.rs
+++ b/crates/sender/src/notices.rs
@@ -41,6 +41,11 @@
     while notices.recv_many(&mut batch, BATCH).await > 0 {
         let mut whole = true;
         while !batch.is_empty() {
+            // What has ended since goes with it: behind it, it would wait for a further exchange on a busy core.
+            while whole && batch.len() < BATCH {
+                let Ok(notice) = notices.try_recv() else { break };
+                batch.push(notice);
+            }
             // One that can't be read must not keep the others of its post from being told.
             let count = if whole { batch.len() } else { 1 };
             let at = *place.borrow_and_update();
@@ -113,3 +118,7 @@
     };
     batch.iter().map(|n| format!("{}\n", line(n))).collect::<String>().into()
 }
+
+#[cfg(test)]
+#[path = "notices_tests.rs"]
+mod tests;
