--- a/crates/sender/src/notices_tests.rs
+++ b/crates/sender/src/notices_tests.rs
@@ -58,7 +58,7 @@
         link = Some(reader);
     }
     drop(end);
-    running.await.unwrap();
+    timeout(Duration::from_secs(10), running).await.expect("no further post").unwrap();
     let mut told = Vec::new();
     while let Some(input) = heard.recv().await {
         let Input::Noticed(ids) = input else { panic!("only notices are told") };
