Scale: bind the partners' address once, and keep it

Cause: tests/scale.rs failed with 'Address already in use' in the checks (two of its tests) and in 1 of 3 runs alone. Partners::start (traffic.rs) asked for a free address, whose listener is closed again, and bound it anew; a process that another test starts in between has that listener open until it runs its own program. Ruled out: addresses in TIME_WAIT (2,125 of 28,000), two tests with one address (each has its own). Change: the listener is bound to a port that the system chooses, as the agent's is, and stays.

--- a/crates/scale/src/agent.rs
+++ b/crates/scale/src/agent.rs
@@ -69,7 +69,7 @@
 
 impl Agent {
     pub fn start(whole: Vec<String>) -> io::Result<Agent> {
-        let (listener, address) = listener(SocketAddr::from(([127, 0, 0, 1], 0)))?;
+        let (listener, address) = listener()?;
         let shared = Arc::new(Shared {
             list: Mutex::new(List { whole, changes: Vec::new() }),
             version: watch::Sender::new(1),
--- a/crates/scale/src/traffic.rs
+++ b/crates/scale/src/traffic.rs
@@ -14,7 +14,6 @@
 use tokio::io::{AsyncWriteExt, BufReader};
 use tokio::net::TcpStream;
 use tokio::task::spawn_local;
-use trial::peers::free_address;
 
 /// Bytes of a body.
 const BODY: usize = 200;
@@ -127,7 +126,7 @@
 
 impl Partners {
     pub fn start() -> io::Result<Partners> {
-        let (listener, address) = listener(free_address())?;
+        let (listener, address) = listener()?;
         let ledger = Ledger::default();
         let told = ledger.clone();
         let thread = Background::start("partners", move || {
--- a/crates/scale/src/wire.rs
+++ b/crates/scale/src/wire.rs
@@ -41,9 +41,10 @@
     }
 }
 
-/// A listener for such a thread, and its address.
-pub fn listener(at: SocketAddr) -> io::Result<(std::net::TcpListener, SocketAddr)> {
-    let listener = std::net::TcpListener::bind(at)?;
+/// A listener for such a thread, and its address. It is bound once and stays so: an address that was free a moment ago
+/// may still be open in a process that is just being started.
+pub fn listener() -> io::Result<(std::net::TcpListener, SocketAddr)> {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0")?;
     listener.set_nonblocking(true)?;
     let address = listener.local_addr()?;
     Ok((listener, address))
