--- /dev/null
+++ b/crates/control/src/state.rs
@@ -0,0 +1,138 @@
+//! What the group keeps. A command is checked against the state and gives events; the state is folded from these.
+use crate::stores::{Store, StoreView};
+use borsh::{BorshDeserialize, BorshSerialize};
+use settings::{Configuration, Faults};
+use std::fmt;
+
+/// How many taken configurations are remembered, so that their repeats are answered as they were.
+const REMEMBERED: usize = 4_096;
+
+/// A configuration that was taken.
+#[derive(Clone, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub struct Taken {
+    pub version: u64,
+    /// The version that it was built on.
+    pub base: u64,
+    /// Digest of its body.
+    pub digest: u128,
+}
+
+/// The whole state.
+#[derive(Clone, Debug, Default, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub struct State {
+    /// The epoch and number of the last change.
+    pub at: (u64, u64),
+    pub version: u64,
+    /// The configuration in force, as it was sent.
+    pub body: Vec<u8>,
+    pub taken: Vec<Taken>,
+    pub stores: StoreView,
+}
+
+/// What is asked of the state.
+#[derive(Clone, Debug)]
+pub enum Command {
+    /// Replace the configuration that has the version `base`.
+    Configure { base: u64, body: Vec<u8> },
+    /// A store with this disk is there.
+    StoreSeen(Store),
+    /// A store's disk is lost.
+    StoreLost(u64),
+    /// The first stores are known: share out the partitions.
+    ShareOut,
+}
+
+/// What changes the state.
+#[derive(Clone, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub enum Event {
+    Configured { taken: Taken, body: Vec<u8> },
+    StorePut(Store),
+    StoreLost(u64),
+    SharedOut,
+}
+
+/// Why a command changes nothing.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Rejected {
+    /// The configuration has faults.
+    Invalid(Faults),
+    /// Another version is in force.
+    Stale { current: u64 },
+}
+
+impl fmt::Display for Rejected {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Rejected::Invalid(faults) => write!(f, "{faults}"),
+            Rejected::Stale { current } => {
+                write!(f, "version {current} is in force; read it, and build the change on it")
+            }
+        }
+    }
+}
+
+impl std::error::Error for Rejected {}
+
+impl State {
+    /// The events that a command gives; none where what it asks for holds already.
+    pub fn decide(&self, command: &Command) -> Result<Vec<Event>, Rejected> {
+        match command {
+            Command::Configure { base, body } => self.configure(*base, body),
+            Command::StoreSeen(store) => Ok(self.store_seen(store)),
+            Command::StoreLost(disk) => match self.stores.get(*disk) {
+                Some(store) if !store.gone => Ok(vec![Event::StoreLost(*disk)]),
+                _ => Ok(Vec::new()),
+            },
+            Command::ShareOut if self.stores.owners.is_empty() => Ok(vec![Event::SharedOut]),
+            Command::ShareOut => Ok(Vec::new()),
+        }
+    }
+
+    fn configure(&self, base: u64, body: &[u8]) -> Result<Vec<Event>, Rejected> {
+        let digest = xxhash_rust::xxh3::xxh3_128(body);
+        if self.taken.iter().any(|taken| taken.base == base && taken.digest == digest) {
+            return Ok(Vec::new());
+        }
+        let configuration = Configuration::parse(body).map_err(Rejected::Invalid)?;
+        if base != self.version {
+            return Err(Rejected::Stale { current: self.version });
+        }
+        if configuration.version <= self.version {
+            let mut faults = Faults::default();
+            faults.add("Version", format!("is not above {}; choose a higher one", self.version));
+            return Err(Rejected::Invalid(faults));
+        }
+        let taken = Taken { version: configuration.version, base, digest };
+        Ok(vec![Event::Configured { taken, body: body.to_vec() }])
+    }
+
+    fn store_seen(&self, store: &Store) -> Vec<Event> {
+        match self.stores.get(store.disk) {
+            Some(known) if known.gone => Vec::new(),
+            Some(known) if known.name == store.name && known.ip == store.ip => Vec::new(),
+            Some(_) => vec![Event::StorePut(store.clone())],
+            None => {
+                // Another disk at the same machine: the one before is lost.
+                let before = self.stores.active().find(|s| s.name == store.name || s.ip == store.ip);
+                let lost = before.map(|store| Event::StoreLost(store.disk));
+                [Event::StorePut(store.clone())].into_iter().chain(lost).collect()
+            }
+        }
+    }
+
+    /// Carries out an event.
+    pub fn fold(&mut self, event: &Event) {
+        match event {
+            Event::Configured { taken, body } => {
+                self.version = taken.version;
+                self.body = body.clone();
+                self.taken.push(taken.clone());
+                let surplus = self.taken.len().saturating_sub(REMEMBERED);
+                self.taken.drain(..surplus);
+            }
+            Event::StorePut(store) => self.stores.put(store.clone()),
+            Event::StoreLost(disk) => self.stores.lose(*disk),
+            Event::SharedOut => self.stores.share_out(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/stores.rs
@@ -0,0 +1,106 @@
+//! The stores of a system, by the identity of their disks.
+use borsh::{BorshDeserialize, BorshSerialize};
+use std::net::IpAddr;
+
+/// Keys are shared out by partitions; each has one owner.
+pub const PARTITIONS: usize = 64;
+
+/// A store.
+#[derive(Clone, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub struct Store {
+    /// The identity of its disk.
+    pub disk: u64,
+    pub name: String,
+    pub ip: IpAddr,
+    pub zone: String,
+    /// Its disk is lost: nothing that it held is there, and nothing is taken from it.
+    pub gone: bool,
+    /// Who takes over what a lost store owned.
+    pub heir: Option<u64>,
+}
+
+/// All stores, and who owns which partition.
+#[derive(Clone, Debug, Default, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub struct StoreView {
+    /// Rises with every change.
+    pub epoch: u64,
+    pub stores: Vec<Store>,
+    /// The disk that owns each partition; empty until the first stores are known.
+    pub owners: Vec<u64>,
+}
+
+impl StoreView {
+    /// The store of a disk.
+    pub fn get(&self, disk: u64) -> Option<&Store> {
+        self.stores.iter().find(|store| store.disk == disk)
+    }
+
+    /// Stores whose disks are not lost.
+    pub fn active(&self) -> impl Iterator<Item = &Store> {
+        self.stores.iter().filter(|store| !store.gone)
+    }
+
+    /// Who owns a key.
+    pub fn owner(&self, key: &str) -> Option<&Store> {
+        let partition = xxhash_rust::xxh3::xxh3_64(key.as_bytes()) as usize % PARTITIONS;
+        self.owners.get(partition).and_then(|disk| self.get(*disk))
+    }
+
+    /// Who has what a lost store owned now: the last of the line of heirs.
+    pub fn final_heir(&self, disk: u64) -> Option<u64> {
+        let mut store = self.get(disk)?;
+        for _ in 0..self.stores.len() {
+            match store.heir.and_then(|heir| self.get(heir)) {
+                Some(heir) if store.gone => store = heir,
+                _ => break,
+            }
+        }
+        (!store.gone).then_some(store.disk)
+    }
+
+    /// Lost stores whose messages a store has to take over.
+    pub fn inherited_by(&self, disk: u64) -> Vec<u64> {
+        let gone = self.stores.iter().filter(|store| store.gone);
+        gone.filter(|store| self.final_heir(store.disk) == Some(disk)).map(|store| store.disk).collect()
+    }
+
+    /// Adds a store, or notes its new address.
+    pub fn put(&mut self, store: Store) {
+        match self.stores.iter_mut().find(|known| known.disk == store.disk) {
+            Some(known) => (known.name, known.ip, known.zone) = (store.name, store.ip, store.zone),
+            None => self.stores.push(store),
+        }
+        self.epoch += 1;
+    }
+
+    /// Shares out the partitions among the active stores, once.
+    pub fn share_out(&mut self) {
+        let mut disks: Vec<u64> = self.active().map(|store| store.disk).collect();
+        disks.sort_unstable();
+        if self.owners.is_empty() && !disks.is_empty() {
+            self.owners = (0..PARTITIONS).map(|i| disks[i % disks.len()]).collect();
+            self.epoch += 1;
+        }
+    }
+
+    /// A store's disk is lost: an heir takes over its partitions and its messages.
+    pub fn lose(&mut self, disk: u64) {
+        let heir = self.heir_for(disk);
+        if let Some(store) = self.stores.iter_mut().find(|store| store.disk == disk) {
+            store.gone = true;
+            store.heir = heir;
+        }
+        if let Some(heir) = heir {
+            self.owners.iter_mut().filter(|owner| **owner == disk).for_each(|owner| *owner = heir);
+        }
+        self.epoch += 1;
+    }
+
+    /// The active store that owns least; of these one of the same name or zone first.
+    fn heir_for(&self, disk: u64) -> Option<u64> {
+        let lost = self.get(disk)?;
+        let owned = |store: &Store| self.owners.iter().filter(|owner| **owner == store.disk).count();
+        let others = self.active().filter(|store| store.disk != disk);
+        others.min_by_key(|s| (owned(s), s.name != lost.name, s.zone != lost.zone, s.disk)).map(|s| s.disk)
+    }
+}
--- /dev/null
+++ b/crates/control/src/view.rs
@@ -0,0 +1,46 @@
+//! An epoch of the group: who may change the state in it.
+use borsh::{BorshDeserialize, BorshSerialize};
+use std::net::IpAddr;
+
+/// A machine of the group. Its identity is that of its disk: a machine that lost its disk is another member.
+#[derive(Clone, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub struct Member {
+    pub disk: u64,
+    pub name: String,
+    pub ip: IpAddr,
+}
+
+/// An epoch with its primary and its backup, which both hold every acknowledged change, and all members, whose
+/// majority decides on the next epoch.
+#[derive(Clone, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub struct View {
+    pub epoch: u64,
+    pub primary: u64,
+    pub backup: u64,
+    pub members: Vec<Member>,
+    /// The members of the view before, as long as this one has other members: both majorities decide.
+    pub previous: Vec<Member>,
+}
+
+impl View {
+    /// Whether a disk holds every change that was acknowledged before the next epoch.
+    pub fn holds_state(&self, disk: u64) -> bool {
+        self.primary == disk || self.backup == disk
+    }
+
+    /// Whether a disk may vote.
+    pub fn has(&self, disk: u64) -> bool {
+        self.members.iter().any(|member| member.disk == disk)
+    }
+
+    /// Whether these disks decide: a majority of the members, and of the members before these.
+    pub fn is_majority<'a>(&self, disks: impl IntoIterator<Item = &'a u64>) -> bool {
+        let disks: Vec<u64> = disks.into_iter().copied().collect();
+        is_majority(&self.members, &disks) && is_majority(&self.previous, &disks)
+    }
+}
+
+fn is_majority(members: &[Member], disks: &[u64]) -> bool {
+    let votes = members.iter().filter(|member| disks.contains(&member.disk)).count();
+    votes > members.len() / 2 || members.is_empty()
+}
--- /dev/null
+++ b/crates/net/src/client.rs
@@ -0,0 +1,141 @@
+//! Calls over HTTP/1.1, one at a time on each connection; connections are kept.
+use crate::http::{Bounds, Kind, Message, Reader, Response};
+use crate::socket::connect;
+use bytes::BytesMut;
+use monoio::io::{AsyncReadRent, AsyncWriteRentExt};
+use monoio::net::TcpStream;
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+const READ_BYTES: usize = 4 * 1024;
+const CONNECT: Duration = Duration::from_millis(500);
+const SILENCE: Duration = Duration::from_millis(2_000);
+/// Connections that have been idle for longer are not used again.
+const KEEP: Duration = Duration::from_secs(4);
+const BOUNDS: Bounds = Bounds { head_bytes: 32 * 1024, body_bytes: 16 * 1024 * 1024 };
+
+/// How a call failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CallError {
+    /// No connection: nothing was sent.
+    NotSent,
+    /// A kept connection broke before any byte of an answer: the peer may have closed it while it was idle.
+    KeptBroke,
+    /// The connection broke, or what came is no answer.
+    Broke,
+    /// No whole answer in time.
+    TimedOut,
+}
+
+struct Kept {
+    stream: TcpStream,
+    used: Instant,
+    until: Instant,
+}
+
+/// Connections to peers, kept from one call to the next.
+#[derive(Default)]
+pub struct Client {
+    idle: RefCell<HashMap<SocketAddr, Vec<Kept>>>,
+}
+
+impl Client {
+    /// Sends a request and reads its whole answer within a time.
+    pub async fn call(
+        &self,
+        to: SocketAddr,
+        bytes: Vec<u8>,
+        within: Duration,
+    ) -> Result<Response, CallError> {
+        let started = Instant::now();
+        let kept = self.take(to);
+        let was_kept = kept.is_some();
+        let mut stream = match kept {
+            Some(stream) => stream,
+            None => connect(to, within.min(CONNECT), SILENCE).await.map_err(|_| CallError::NotSent)?,
+        };
+        let left = within.saturating_sub(started.elapsed());
+        let answered = monoio::time::timeout(left, exchange(&mut stream, bytes)).await;
+        let response = match answered.unwrap_or(Err(CallError::TimedOut)) {
+            Err(CallError::KeptBroke) if !was_kept => return Err(CallError::Broke),
+            answered => answered?,
+        };
+        if response.keep_alive {
+            self.keep(to, stream, &response);
+        }
+        Ok(response)
+    }
+
+    fn take(&self, to: SocketAddr) -> Option<TcpStream> {
+        let mut idle = self.idle.borrow_mut();
+        let kept = idle.get_mut(&to)?;
+        let now = Instant::now();
+        while let Some(connection) = kept.pop() {
+            if now < connection.until && now.duration_since(connection.used) < KEEP {
+                return Some(connection.stream);
+            }
+        }
+        None
+    }
+
+    fn keep(&self, to: SocketAddr, stream: TcpStream, response: &Response) {
+        let used = Instant::now();
+        let until = used + keep_alive_time(response.header("keep-alive"));
+        self.idle.borrow_mut().entry(to).or_default().push(Kept { stream, used, until });
+    }
+
+    /// Drops connections that have been idle for too long, and those to peers that `known` doesn't name.
+    pub fn sweep(&self, known: impl Fn(&SocketAddr) -> bool) {
+        let now = Instant::now();
+        self.idle.borrow_mut().retain(|address, kept| {
+            kept.retain(|c| now < c.until && now.duration_since(c.used) < KEEP);
+            !kept.is_empty() && known(address)
+        });
+    }
+
+    /// Connections that are kept.
+    pub fn idle(&self) -> usize {
+        self.idle.borrow().values().map(Vec::len).sum()
+    }
+}
+
+/// The time that a peer says it keeps an idle connection, less a fifth.
+fn keep_alive_time(header: &str) -> Duration {
+    let timeout = header.split(',').find_map(|part| part.trim().strip_prefix("timeout="));
+    let seconds: f64 = timeout.and_then(|text| text.trim().parse().ok()).unwrap_or(KEEP.as_secs_f64());
+    Duration::from_secs_f64((seconds * 0.8).clamp(0.0, 60.0))
+}
+
+async fn exchange(stream: &mut TcpStream, request: Vec<u8>) -> Result<Response, CallError> {
+    stream.write_all(request).await.0.map_err(|_| CallError::KeptBroke)?;
+    let mut reader = Reader::new(Kind::Response, BOUNDS);
+    let mut bytes = BytesMut::new();
+    let mut buffer = vec![0; READ_BYTES];
+    let mut any = false;
+    loop {
+        let (read, returned) = stream.read(buffer).await;
+        buffer = returned;
+        let broke = if any { CallError::Broke } else { CallError::KeptBroke };
+        let count = read.map_err(|_| broke)?;
+        if count == 0 {
+            return match reader.end() {
+                Some(Message::Response(response)) => Ok(response),
+                _ => Err(broke),
+            };
+        }
+        any = true;
+        bytes.extend_from_slice(&buffer[..count]);
+        match reader.next(&mut bytes) {
+            Ok(Some(Message::Response(response))) if response.status.is_informational() => {}
+            // Bytes beyond the answer belong to nobody: the connection isn't used again.
+            Ok(Some(Message::Response(mut response))) => {
+                response.keep_alive &= bytes.is_empty();
+                return Ok(response);
+            }
+            Ok(_) => {}
+            Err(_) => return Err(CallError::Broke),
+        }
+    }
+}
--- /dev/null
+++ b/crates/net/src/socket.rs
@@ -0,0 +1,23 @@
+//! Connecting, and options of sockets.
+use monoio::net::TcpStream;
+use std::io;
+use std::net::SocketAddr;
+use std::os::fd::{AsRawFd, BorrowedFd};
+use std::time::Duration;
+
+/// Connects within a time. What the other side doesn't acknowledge for `silence` breaks the connection, so that a
+/// machine without power is noticed.
+pub async fn connect(address: SocketAddr, within: Duration, silence: Duration) -> io::Result<TcpStream> {
+    let connected = monoio::time::timeout(within, TcpStream::connect_addr(address)).await;
+    let stream = connected.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))?;
+    tune(&stream, silence)?;
+    Ok(stream)
+}
+
+/// Sends small writes at once, and gives up on a silent peer.
+pub fn tune(stream: &TcpStream, silence: Duration) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    // SAFETY: the descriptor is open for as long as `stream` is borrowed.
+    let descriptor = unsafe { BorrowedFd::borrow_raw(stream.as_raw_fd()) };
+    socket2::SockRef::from(&descriptor).set_tcp_user_timeout(Some(silence))
+}
--- /dev/null
+++ b/crates/node/src/control/census.rs
@@ -0,0 +1,111 @@
+//! Which stores are there: those that ask for news. A disk is lost when another one comes in its place.
+use super::{Changed, Control};
+use crate::calls::{Hello, Role, Seen};
+use control::{Command, Store, StoreView};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// How often it is looked.
+const EVERY: Duration = Duration::from_millis(100);
+/// After the first store came, others are waited for so long before the keys are shared out.
+const FIRST_STORES: u64 = 1_500;
+/// A store that is silent for so long, while a new one without a share is there, is lost.
+const REPLACED: u64 = 3_000;
+/// A store that is silent for so long is lost.
+const LOST: u64 = 15_000;
+
+struct Watcher {
+    hello: Hello,
+    seen: Seen,
+    at: u64,
+}
+
+/// Who asked for news, and when.
+#[derive(Default)]
+pub struct Census {
+    watchers: BTreeMap<String, Watcher>,
+    first_store: Option<u64>,
+    /// Since when this machine leads.
+    since: Option<u64>,
+}
+
+impl Census {
+    /// A watcher was heard.
+    pub fn heard(&mut self, hello: &Hello, seen: Seen, now: u64) {
+        if hello.role == Role::Store {
+            self.first_store.get_or_insert(now);
+        }
+        let name = format!("{}/{}", hello.name, hello.disk);
+        self.watchers.insert(name, Watcher { hello: hello.clone(), seen, at: now });
+        self.watchers.retain(|_, watcher| now < watcher.at + 60_000);
+    }
+
+    /// All watchers with what they have, for an operator's tool.
+    pub fn watchers(&self) -> Vec<serde_json::Value> {
+        let show = |w: &Watcher| {
+            let role = if w.hello.role == Role::Store { "store" } else { "edge" };
+            serde_json::json!({"name": w.hello.name, "role": role, "version": w.seen.version, "stores": w.seen.stores})
+        };
+        self.watchers.values().map(show).collect()
+    }
+
+    fn stores(&self) -> impl Iterator<Item = &Watcher> {
+        self.watchers.values().filter(|watcher| watcher.hello.role == Role::Store)
+    }
+
+    fn silent(&self, disk: u64, now: u64) -> u64 {
+        let heard =
+            self.stores().filter(|watcher| watcher.hello.disk == disk).map(|watcher| watcher.at).max();
+        now.saturating_sub(heard.or(self.since).unwrap_or(now))
+    }
+
+    /// What should change in the view of the stores.
+    fn wanted(&mut self, view: &StoreView, now: u64) -> Option<Command> {
+        let since = *self.since.get_or_insert(now);
+        let unknown = self.stores().filter(|w| now < w.at + 2_000).find(|watcher| {
+            let known = view.get(watcher.hello.disk);
+            known.is_none_or(|store| {
+                !store.gone && (store.ip != watcher.hello.ip || store.name != watcher.hello.name)
+            })
+        });
+        if let Some(watcher) = unknown {
+            let hello = watcher.hello.clone();
+            let (gone, heir) = (false, None);
+            let store =
+                Store { disk: hello.disk, name: hello.name, ip: hello.ip, zone: hello.zone, gone, heir };
+            return Some(Command::StoreSeen(store));
+        }
+        if view.owners.is_empty() {
+            let ready = self.first_store.is_some_and(|first| now >= first + FIRST_STORES);
+            return ready.then_some(Command::ShareOut);
+        }
+        if now < since + REPLACED {
+            return None;
+        }
+        let fresh = |disk: u64| self.silent(disk, now) < 2_000 && !view.owners.contains(&disk);
+        let spare = view.active().any(|store| fresh(store.disk));
+        let patience = if spare { REPLACED } else { LOST };
+        let alive = view.active().filter(|store| self.silent(store.disk, now) < 2_000).count();
+        let lost = view.active().find(|store| self.silent(store.disk, now) >= patience);
+        lost.filter(|_| alive >= 2).map(|store| Command::StoreLost(store.disk))
+    }
+}
+
+/// Keeps the view of the stores, as long as this machine leads.
+pub async fn keep(control: Rc<Control>) {
+    loop {
+        monoio::time::sleep(EVERY).await;
+        let Some(state) = control.committed_state() else {
+            control.census.borrow_mut().since = None;
+            continue;
+        };
+        let wanted = control.census.borrow_mut().wanted(&state.stores, control.now());
+        if let Some(command) = wanted {
+            log::info!("stores: {command:?}");
+            if let Changed::Rejected(rejected) = control.change(command).await {
+                log::warn!("stores: {rejected}");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/control/mod.rs
@@ -0,0 +1,347 @@
+//! The control role: one machine of the group that keeps configuration and stores.
+//!
+//! | module | what it is |
+//! | --- | --- |
+//! | [`disk`] | the group's durable state on a ring of files |
+//! | [`api`] | the operator's API |
+//! | [`listing`] | the primary reads the platform's list of endpoints |
+//! | [`census`] | which stores are there, and whose disks are lost |
+pub mod api;
+pub mod census;
+pub mod disk;
+pub mod listing;
+
+use crate::calls::{Call, Endpoint, Hello, News, Role, Seen};
+use crate::process::{self, stopped, unique, Process};
+use crate::watch::HOLD;
+use anyhow::Context as _;
+use control::{Command, Group, Member, Message, Out, Rejected, Reply, State};
+use monoio::net::TcpListener;
+use net::http::Bounds;
+use net::rpc::{serve, Peers};
+use net::server::{Server, ServerBounds};
+use net::wake::Watched;
+use std::cell::{Cell, RefCell};
+use std::net::{IpAddr, SocketAddr};
+use std::path::Path;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// How often time passes for the group.
+const TICK: Duration = Duration::from_millis(50);
+/// How long a message within the group may take.
+const GROUP_CALL: Duration = Duration::from_millis(500);
+/// How long a change is waited for.
+const COMMIT: Duration = Duration::from_millis(2_500);
+/// How long the next primary is waited for before a planned stop.
+const HAND_OVER: Duration = Duration::from_millis(1_500);
+
+/// What the group has committed, as it is told to watchers.
+#[derive(Default)]
+struct Published {
+    state: Rc<State>,
+    list: (u64, u64),
+    endpoints: Vec<Endpoint>,
+}
+
+/// One control process.
+pub struct Control {
+    process: Process,
+    group: RefCell<Group<disk::Disk>>,
+    peers: Rc<Peers>,
+    published: RefCell<Published>,
+    /// Rises with all that is news to watchers.
+    changes: Watched,
+    /// A change is on its way; others wait for its end.
+    changing: Cell<bool>,
+    census: RefCell<census::Census>,
+}
+
+/// How a change that was asked for ended.
+#[derive(Debug)]
+pub enum Changed {
+    /// It is in force, and on two disks.
+    Done,
+    Rejected(Rejected),
+    /// This machine doesn't lead, or no longer: ask again.
+    Unknown,
+}
+
+/// Runs the role.
+pub async fn run(process: Process) -> anyhow::Result<()> {
+    let folder = process.settings.data_dir.clone().context("DataDir is missing; give control a disk")?;
+    let (mut durable, disk) = disk::Disk::open(Path::new(&folder))?;
+    let fresh = durable.disk == 0;
+    if fresh {
+        durable.disk = unique();
+    }
+    let settings = &process.settings;
+    let me = Member { disk: durable.disk, name: settings.node_name.clone(), ip: settings.own_ip() };
+    let group = control::Settings {
+        me,
+        founders: settings.seed_ips(),
+        founder: fresh && settings.bootstrap && settings.seed_ips().contains(&settings.own_ip()),
+        tolerance: settings.tolerance.machines as usize,
+    };
+    let now = process.clock.ms();
+    let member_address = SocketAddr::new(settings.own_ip(), settings.member_port());
+    let api_address =
+        settings.listen.control.clone().context("ListenAddresses.Control is missing; add it")?;
+    let control = Rc::new(Control {
+        group: RefCell::new(Group::new(group, durable, disk, now)),
+        peers: Rc::new(Peers::default()),
+        published: RefCell::default(),
+        changes: Watched::default(),
+        changing: Cell::new(false),
+        census: RefCell::default(),
+        process,
+    });
+    let listener = TcpListener::bind(member_address).context("the members' port is taken; free it")?;
+    let answering = control.clone();
+    monoio::spawn(serve(
+        listener,
+        Rc::new(move |from, bytes| Box::pin(answering.clone().answer(from, bytes))),
+    ));
+    monoio::spawn(control.clone().pass_time());
+    monoio::spawn(listing::read_list(control.clone()));
+    monoio::spawn(census::keep(control.clone()));
+    control.clone().serve_operator(&api_address)?;
+    stopped(&control.process.stopping).await;
+    control.hand_over().await;
+    Ok(())
+}
+
+impl Control {
+    fn now(&self) -> u64 {
+        self.process.clock.ms()
+    }
+
+    fn serve_operator(self: Rc<Self>, address: &str) -> anyhow::Result<()> {
+        let listener = TcpListener::bind(address).context("the operator's port is taken; free it")?;
+        let bounds = ServerBounds {
+            message: Bounds { head_bytes: 16 * 1024, body_bytes: 16 * 1024 * 1024 },
+            head_timeout: Duration::from_secs(10),
+            idle_timeout: Duration::from_secs(30),
+        };
+        let server = Server::new(bounds);
+        monoio::spawn(
+            server.serve(listener, Rc::new(move |request| Box::pin(api::answer(self.clone(), request)))),
+        );
+        Ok(())
+    }
+
+    async fn pass_time(self: Rc<Self>) {
+        loop {
+            monoio::time::sleep(TICK).await;
+            let out = self.group.borrow_mut().tick(self.now());
+            self.send(out);
+            self.publish();
+        }
+    }
+
+    /// Sends messages within the group; their answers go back to it.
+    fn send(self: &Rc<Self>, out: Vec<Out>) {
+        for message in out {
+            let control = self.clone();
+            monoio::spawn(async move {
+                control.exchange(message).await;
+            });
+        }
+    }
+
+    async fn exchange(self: &Rc<Self>, out: Out) -> Option<Reply> {
+        let to = SocketAddr::new(out.to, self.process.settings.member_port());
+        let call = Call::Group(out.message.clone());
+        let reply = self.peers.call::<Call, Reply>(to, &call, GROUP_CALL).await.ok()?;
+        let more = self.group.borrow_mut().reply(&out.message, reply.clone(), self.now());
+        self.publish();
+        self.send(more);
+        Some(reply)
+    }
+
+    /// Shows watchers what is committed.
+    fn publish(&self) {
+        let group = self.group.borrow();
+        if group.leads(self.now()).is_none() || group.committed() < group.last() {
+            return;
+        }
+        let mut published = self.published.borrow_mut();
+        if published.state.at != group.durable().state.at {
+            published.state = Rc::new(group.durable().state.clone());
+            self.changes.raise();
+        }
+    }
+
+    /// The committed state, if this machine leads and knows it.
+    fn committed_state(&self) -> Option<Rc<State>> {
+        let published = self.published.borrow();
+        let group = self.group.borrow();
+        let current = group.leads(self.now()).is_some_and(|view| published.state.at.0 >= view.epoch);
+        current.then(|| published.state.clone())
+    }
+
+    /// Carries out a change, one at a time.
+    async fn change(self: &Rc<Self>, command: Command) -> Changed {
+        let until = self.now() + COMMIT.as_millis() as u64;
+        while self.changing.get() {
+            if self.now() > until {
+                return Changed::Unknown;
+            }
+            monoio::time::sleep(Duration::from_millis(2)).await;
+        }
+        self.changing.set(true);
+        let changed = self.change_now(command, until).await;
+        self.changing.set(false);
+        changed
+    }
+
+    async fn change_now(self: &Rc<Self>, command: Command, until: u64) -> Changed {
+        // What the last epoch left is on two disks before anything is built on it.
+        let proposed = loop {
+            let proposed = self.group.borrow_mut().propose_when_settled(&command, self.now());
+            match proposed {
+                Some(proposed) => break proposed,
+                None if self.now() > until || self.group.borrow().primary_elsewhere() => {
+                    return Changed::Unknown
+                }
+                None => monoio::time::sleep(Duration::from_millis(5)).await,
+            }
+        };
+        let (change, out) = match proposed {
+            Ok(proposed) => proposed,
+            Err(rejected) => return Changed::Rejected(rejected),
+        };
+        self.send(out);
+        loop {
+            let done = self.group.borrow().has_committed(change, self.now());
+            match done {
+                Some(true) => break,
+                Some(false) => return Changed::Unknown,
+                None if self.now() > until => return Changed::Unknown,
+                None => monoio::time::sleep(Duration::from_millis(2)).await,
+            }
+        }
+        self.publish();
+        Changed::Done
+    }
+
+    /// Whether a majority says, from now on, that this machine leads.
+    async fn confirm(self: &Rc<Self>) -> bool {
+        let Some(view) = self.group.borrow().leads(self.now()).cloned() else { return false };
+        let confirmations = self.group.borrow().confirmations();
+        let agreed = Rc::new(RefCell::new(vec![self.group.borrow().durable().disk]));
+        for out in confirmations {
+            let (control, agreed) = (self.clone(), agreed.clone());
+            monoio::spawn(async move {
+                if let Some(reply) = control.exchange(out).await.filter(|reply| reply.taken) {
+                    agreed.borrow_mut().push(reply.standing.member.disk);
+                }
+            });
+        }
+        let until = self.now() + GROUP_CALL.as_millis() as u64;
+        while self.now() < until {
+            if view.is_majority(agreed.borrow().iter()) {
+                return self.group.borrow().leads(self.now()).is_some_and(|now| now.epoch == view.epoch);
+            }
+            monoio::time::sleep(Duration::from_millis(2)).await;
+        }
+        false
+    }
+
+    async fn answer(self: Rc<Self>, from: IpAddr, bytes: Vec<u8>) -> Vec<u8> {
+        let Ok(call) = borsh::from_slice::<Call>(&bytes) else { return Vec::new() };
+        match call {
+            Call::Group(message) => encode(&self.group_message(from, message)),
+            Call::Watch(hello, seen) => encode(&self.news(hello, seen).await),
+            Call::Status => encode(&self.status()),
+            _ => Vec::new(),
+        }
+    }
+
+    fn group_message(self: &Rc<Self>, from: IpAddr, message: Message) -> Reply {
+        let (reply, out) = self.group.borrow_mut().handle(from, message, self.now());
+        self.send(out);
+        reply
+    }
+
+    /// Answers a watcher: at once if there is news, else when there is, or after a while.
+    async fn news(self: &Rc<Self>, hello: Hello, seen: Seen) -> News {
+        let until = self.now() + HOLD.as_millis() as u64;
+        let store = hello.role == Role::Store;
+        self.census.borrow_mut().heard(&hello, seen, self.now());
+        loop {
+            let Some(state) = self.committed_state() else {
+                let group = self.group.borrow();
+                let primary = group.primary().filter(|ip| *ip != self.process.settings.own_ip());
+                return News { primary, group: group.addresses(), ..News::default() };
+            };
+            let news = self.newer(&state, seen, store);
+            let left = until.saturating_sub(self.now());
+            if news.configuration.is_some() || news.stores.is_some() || news.list.is_some() || left == 0 {
+                return news;
+            }
+            let before = self.changes.get();
+            // A primary that loses its place says so soon, and watchers go to the next.
+            let wait = Duration::from_millis(left.min(250));
+            let _ = monoio::time::timeout(wait, self.changes.changed(before)).await;
+        }
+    }
+
+    fn newer(&self, state: &State, seen: Seen, store: bool) -> News {
+        let published = self.published.borrow();
+        let configuration = state.version > seen.version && !state.body.is_empty();
+        let list = store && published.list > seen.list;
+        News {
+            leads: true,
+            primary: Some(self.process.settings.own_ip()),
+            group: self.group.borrow().addresses(),
+            configuration: configuration.then(|| (state.version, state.body.clone())),
+            stores: (state.stores.epoch > seen.stores).then(|| state.stores.clone()),
+            list: list.then(|| (published.list, published.endpoints.clone())),
+        }
+    }
+
+    fn status(&self) -> String {
+        let group = self.group.borrow();
+        let state = &group.durable().state;
+        let members = group.view().map_or(Vec::new(), |view| view.members.clone());
+        let stores = state.stores.stores.iter().map(|store| {
+            serde_json::json!({"name": store.name, "ip": store.ip.to_string(), "zone": store.zone, "lost": store.gone})
+        });
+        let status = serde_json::json!({
+            "node": self.process.settings.node_name,
+            "leads": group.leads(self.now()).is_some(),
+            "primary": group.primary().map(|ip| ip.to_string()),
+            "epoch": group.view().map_or(0, |view| view.epoch),
+            "members": members.iter().map(|m| m.name.clone()).collect::<Vec<_>>(),
+            "version": state.version,
+            "change": state.at.1,
+            "stores": stores.collect::<Vec<_>>(),
+            "endpoints": self.published.borrow().endpoints.len(),
+            "watchers": self.census.borrow().watchers(),
+        });
+        status.to_string()
+    }
+
+    async fn hand_over(self: &Rc<Self>) {
+        let out = self.group.borrow_mut().hand_over();
+        let asked = !out.is_empty();
+        self.send(out);
+        let until = self.now() + HAND_OVER.as_millis() as u64;
+        while asked && self.now() < until && !self.group.borrow().primary_elsewhere() {
+            monoio::time::sleep(Duration::from_millis(10)).await;
+        }
+        // Answers that are being written go out.
+        monoio::time::sleep(Duration::from_millis(100)).await;
+        log::info!("stops");
+    }
+}
+
+fn encode<T: borsh::BorshSerialize>(answer: &T) -> Vec<u8> {
+    borsh::to_vec(answer).expect("writing to memory")
+}
+
+/// Starts the role.
+pub fn start() -> anyhow::Result<()> {
+    process::run(run)
+}
--- /dev/null
+++ b/crates/node/src/lib.rs
@@ -0,0 +1,16 @@
+//! The roles of mallowstep, each a process.
+//!
+//! | module | what it is |
+//! | --- | --- |
+//! | [`process`] | settings, logs, signals and the loop that every role runs in |
+//! | [`calls`] | what members ask of each other |
+//! | [`watch`] | the configuration, the stores and the endpoints, as the control group tells them |
+//! | [`edge`] | takes messages from clients and hands them to stores |
+//! | [`store`] | keeps messages on disk, in two places, and delivers them |
+//! | [`control`] | the control group: the operator's API, the list of endpoints, who is there |
+pub mod calls;
+pub mod control;
+pub mod edge;
+pub mod process;
+pub mod store;
+pub mod watch;
--- /dev/null
+++ b/crates/node/src/store/copies.rs
@@ -0,0 +1,298 @@
+//! Copies at other stores: what happens to this store's messages goes to each peer that holds some, in its order.
+use super::Store;
+use crate::calls::{Call, Given};
+use futures_channel::oneshot;
+use net::wake::Notify;
+use queue::{Entry, Stage};
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeSet, HashSet};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// How long a peer may take for a batch.
+const REPLICATE: Duration = Duration::from_millis(1_000);
+/// How long a peer may take to tell what it holds, or to give it.
+const RECONCILE: Duration = Duration::from_millis(2_000);
+/// After a failure.
+const PAUSE: Duration = Duration::from_millis(100);
+/// A peer that hasn't answered for so long isn't waited for alone.
+pub const HEDGE: Duration = Duration::from_millis(120);
+
+struct Pending {
+    entry: Entry,
+    waiting: Option<oneshot::Sender<bool>>,
+}
+
+/// The way to one other store.
+pub struct Copier {
+    pub disk: u64,
+    address: SocketAddr,
+    pending: RefCell<Vec<Pending>>,
+    wake: Notify,
+    /// What the peer holds of this store is known, and it answers.
+    settled: Cell<bool>,
+    /// The peer's disk is lost, or it has another address.
+    ended: Cell<bool>,
+    /// Nothing is under way to it.
+    idle: Cell<bool>,
+}
+
+impl Copier {
+    /// Starts the way to a store.
+    pub fn start(store: Rc<Store>, disk: u64, address: SocketAddr) -> Rc<Copier> {
+        let copier = Rc::new(Copier {
+            disk,
+            address,
+            pending: RefCell::default(),
+            wake: Notify::default(),
+            settled: Cell::new(false),
+            ended: Cell::new(false),
+            idle: Cell::new(true),
+        });
+        monoio::spawn(copier.clone().run(store));
+        copier
+    }
+
+    /// Whether messages can be copied there now.
+    pub fn is_settled(&self) -> bool {
+        self.settled.get() && !self.ended.get()
+    }
+
+    /// Everything that was to be told is told.
+    pub fn is_idle(&self) -> bool {
+        !self.is_settled() || (self.idle.get() && self.pending.borrow().is_empty())
+    }
+
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// The store isn't there any more, as far as this way goes.
+    pub fn end(&self) {
+        self.ended.set(true);
+        self.wake.notify();
+    }
+
+    /// Sends a record, and tells whether it is on the peer's disk.
+    pub fn copy(&self, entry: Entry) -> oneshot::Receiver<bool> {
+        let (sender, receiver) = oneshot::channel();
+        self.pending.borrow_mut().push(Pending { entry, waiting: Some(sender) });
+        self.wake.notify();
+        receiver
+    }
+
+    /// Sends a record.
+    pub fn tell(&self, entry: Entry) {
+        if self.settled.get() {
+            self.pending.borrow_mut().push(Pending { entry, waiting: None });
+            self.wake.notify();
+        }
+    }
+
+    async fn run(self: Rc<Self>, store: Rc<Store>) {
+        while !self.ended.get() {
+            if !self.settled.get() {
+                let settled = self.reconcile(&store).await;
+                self.settled.set(settled);
+                if !settled {
+                    self.drop_pending();
+                    monoio::time::sleep(PAUSE).await;
+                }
+                continue;
+            }
+            let batch = std::mem::take(&mut *self.pending.borrow_mut());
+            if batch.is_empty() {
+                self.wake.notified().await;
+                continue;
+            }
+            self.idle.set(false);
+            self.send(&store, batch).await;
+            self.idle.set(true);
+        }
+        self.drop_pending();
+    }
+
+    fn drop_pending(&self) {
+        for pending in self.pending.borrow_mut().drain(..) {
+            if let Some(waiting) = pending.waiting {
+                let _ = waiting.send(false);
+            }
+        }
+    }
+
+    async fn send(&self, store: &Rc<Store>, batch: Vec<Pending>) {
+        let (entries, waiting): (Vec<Entry>, Vec<_>) =
+            batch.into_iter().map(|p| (p.entry, p.waiting)).unzip();
+        let told: Vec<String> = entries.iter().filter_map(ended_id).collect();
+        let call = Call::Replicate { owner: store.disk, entries };
+        let kept = store.peers.call::<Call, bool>(self.address, &call, REPLICATE).await.unwrap_or(false);
+        if kept {
+            let mut queue = store.queue.borrow_mut();
+            for id in told {
+                if let Some(known) = queue.owned_mut(&id) {
+                    known.untold.remove(&self.disk);
+                }
+            }
+        } else {
+            self.settled.set(false);
+        }
+        for waiting in waiting.into_iter().flatten() {
+            let _ = waiting.send(kept);
+        }
+    }
+
+    /// Learns what the peer holds of this store's messages: ends that it doesn't know are told again, and what this
+    /// store doesn't know is fetched.
+    async fn reconcile(&self, store: &Rc<Store>) -> bool {
+        let call = Call::Held { owner: store.disk };
+        let Ok(Some(held)) =
+            store.peers.call::<Call, Option<Vec<String>>>(self.address, &call, RECONCILE).await
+        else {
+            return false;
+        };
+        let held: HashSet<String> = held.into_iter().collect();
+        let mut ends = Vec::new();
+        let mut unknown = Vec::new();
+        {
+            let mut queue = store.queue.borrow_mut();
+            for id in &held {
+                match (queue.end_of(id).cloned(), queue.owned(id).is_some()) {
+                    (Some(end), _) => ends.push(Entry::Ended(end)),
+                    (None, false) => unknown.push(id.clone()),
+                    (None, true) => {
+                        let known = queue.owned_mut(id).expect("just seen");
+                        known.copies.insert(self.disk);
+                        known.sent.insert(self.disk);
+                    }
+                }
+            }
+            queue.not_held(self.disk, &held);
+        }
+        if !ends.is_empty() {
+            let call = Call::Replicate { owner: store.disk, entries: ends };
+            if !store.peers.call::<Call, bool>(self.address, &call, RECONCILE).await.unwrap_or(false) {
+                return false;
+            }
+        }
+        if !unknown.is_empty() {
+            let call = Call::Fetch { ids: unknown };
+            let Ok(given) = store.peers.call::<Call, Vec<Given>>(self.address, &call, RECONCILE).await else {
+                return false;
+            };
+            log::info!("{} messages are only known at another store", given.len());
+            store.adopt(given, Some(self.disk)).await;
+        }
+        store.needs_repair.set(true);
+        true
+    }
+}
+
+fn ended_id(entry: &Entry) -> Option<String> {
+    match entry {
+        Entry::Ended(end) => Some(end.id.clone()),
+        _ => None,
+    }
+}
+
+impl Store {
+    /// Copies a message to another store: to the next one if the first doesn't answer soon. Returns once one has it.
+    pub async fn copy_somewhere(self: &Rc<Self>, id: &str, entry: &Entry) {
+        let mut tried: Vec<oneshot::Receiver<bool>> = Vec::new();
+        let mut asked: Vec<u64> = Vec::new();
+        loop {
+            let next = self.settled_copiers().into_iter().find(|copier| !asked.contains(&copier.disk));
+            match next {
+                Some(copier) => {
+                    asked.push(copier.disk);
+                    if let Some(known) = self.queue.borrow_mut().owned_mut(id) {
+                        known.sent.insert(copier.disk);
+                    }
+                    tried.push(self.copy_to(&copier, id, entry));
+                }
+                None if asked.is_empty() => monoio::time::sleep(PAUSE).await,
+                // All have been asked: again, once those have failed.
+                None => {
+                    monoio::time::sleep(PAUSE).await;
+                    asked.clear();
+                }
+            }
+            if self.first_copied(id, &mut tried).await {
+                return;
+            }
+        }
+    }
+
+    fn copy_to(self: &Rc<Self>, copier: &Rc<Copier>, id: &str, entry: &Entry) -> oneshot::Receiver<bool> {
+        let (sender, receiver) = oneshot::channel();
+        let copied = copier.copy(entry.clone());
+        let (store, id, disk) = (self.clone(), id.to_string(), copier.disk);
+        monoio::spawn(async move {
+            let kept = copied.await.unwrap_or(false);
+            if kept {
+                if let Some(known) = store.queue.borrow_mut().owned_mut(&id) {
+                    known.copies.insert(disk);
+                }
+            }
+            let _ = sender.send(kept);
+        });
+        receiver
+    }
+
+    /// Waits until one of the copies is there, all have failed, or it is time to ask another store.
+    async fn first_copied(&self, id: &str, tried: &mut Vec<oneshot::Receiver<bool>>) -> bool {
+        let there = || self.queue.borrow().owned(id).is_none_or(|known| !known.copies.is_empty());
+        if let Some(last) = tried.last_mut() {
+            let answered = monoio::time::timeout(HEDGE, last).await;
+            if let Ok(answer) = answered {
+                tried.pop();
+                if answer.unwrap_or(false) {
+                    return true;
+                }
+            }
+        }
+        there()
+    }
+
+    /// Other stores that answer, a different one first each time.
+    pub fn settled_copiers(&self) -> Vec<Rc<Copier>> {
+        let copiers = self.copiers.borrow();
+        let mut settled: Vec<_> = copiers.values().filter(|copier| copier.is_settled()).cloned().collect();
+        if !settled.is_empty() {
+            let turn = self.turn.get();
+            self.turn.set(turn + 1);
+            let count = settled.len();
+            settled.rotate_left(turn % count);
+        }
+        settled
+    }
+
+    /// Copies messages again that are at no other active store any more.
+    pub async fn repair(self: &Rc<Self>) {
+        let active: BTreeSet<u64> = self.copiers.borrow().keys().copied().collect();
+        let all_settled = self.copiers.borrow().values().all(|copier| copier.is_settled());
+        let patient = self.clock.ms() < self.started + 3_000;
+        if active.is_empty() || (!all_settled && patient) {
+            return;
+        }
+        self.needs_repair.set(false);
+        let lacking: Vec<(String, Entry)> = {
+            let queue = self.queue.borrow();
+            let live = queue.all_owned().filter(|k| matches!(k.stage, Stage::Waiting | Stage::Running));
+            let lacking = live.filter(|known| known.copies.is_disjoint(&active));
+            let entry =
+                |message: &queue::Message| Entry::Message { owner: self.disk, message: message.clone() };
+            lacking.map(|known| (known.message.id.clone(), entry(&known.message))).collect()
+        };
+        if !lacking.is_empty() {
+            log::info!("{} messages are copied again", lacking.len());
+        }
+        for (id, entry) in lacking {
+            let store = self.clone();
+            if let Some(known) = self.queue.borrow_mut().owned_mut(&id) {
+                known.copies.clear();
+            }
+            store.copy_somewhere(&id, &entry).await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/store/deliver.rs
@@ -0,0 +1,286 @@
+//! The delivery sender of a store: messages that may run go to endpoints that may take them.
+use super::endpoints::Call;
+use super::Store;
+use crate::process::wall_ms;
+use net::client::CallError;
+use net::http::{encode_request, Response};
+use policy::api::Outcome as Told;
+use queue::{End, Entry, Message, Outcome};
+use settings::{Configuration, Route};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// How often caps are chosen (the paper's control rate).
+const CONTROL: Duration = Duration::from_millis(100);
+/// The longest sleep without a reason to wake.
+const IDLE: u64 = 1_000;
+/// An answer may come so much after the route's time.
+const SLACK: Duration = Duration::from_millis(100);
+/// Pauses between the attempts of a message.
+const FAILED_PAUSE: u64 = 60;
+const LONGEST_FAILED_PAUSE: u64 = 500;
+const UNKNOWN_PAUSE: u64 = 60;
+const NOT_RUN_PAUSE: u64 = 10;
+/// Share of a service's rate that is used, and messages that may go at once.
+const RATE_SHARE: f64 = 0.97;
+const BURST: f64 = 3.0;
+
+/// A store's share of a service's rate.
+pub struct Bucket {
+    tokens: f64,
+    at: u64,
+}
+
+/// What an answer, or its absence, says of the message.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Verdict {
+    Done(String),
+    Never,
+    Failed,
+    NotRun,
+    Moved,
+    Unknown,
+}
+
+/// Reads an answer to a delivery.
+pub fn verdict(id: &str, answer: &Result<Response, CallError>) -> Verdict {
+    let response = match answer {
+        Ok(response) => response,
+        Err(CallError::NotSent) => return Verdict::NotRun,
+        Err(_) => return Verdict::Unknown,
+    };
+    let of = response.header("x-request-id");
+    if !of.is_empty() && of != id {
+        return Verdict::Unknown;
+    }
+    let not_run = response.headers.contains_key("x-not-executed");
+    let signature = response.header("x-server-signature");
+    match response.status.as_u16() {
+        421 => Verdict::Moved,
+        _ if not_run => Verdict::NotRun,
+        200..=299 if !signature.is_empty() => Verdict::Done(signature.to_string()),
+        422 => Verdict::Never,
+        500 => Verdict::Failed,
+        _ => Verdict::Unknown,
+    }
+}
+
+fn outcome(verdict: &Verdict, answer: &Result<Response, CallError>) -> Told {
+    match (verdict, answer) {
+        (Verdict::Done(_) | Verdict::Never, _) => Told::Served,
+        (Verdict::Failed, _) => Told::ServerError,
+        (Verdict::Moved, _) => Told::CalledOff,
+        (_, Err(CallError::NotSent)) => Told::NoConnection,
+        (Verdict::NotRun, _) => Told::TurnedAway,
+        (_, Err(CallError::TimedOut)) => Told::NoAnswer,
+        _ => Told::ConnectionLost,
+    }
+}
+
+/// Running, waiting and slots, as an endpoint tells them.
+fn load(answer: &Result<Response, CallError>) -> Option<(usize, usize)> {
+    let told = answer.as_ref().ok()?.header("x-server-load");
+    let mut numbers = told.split(',').map(|part| part.trim().parse::<usize>());
+    let (running, waiting, slots) = (numbers.next()?.ok()?, numbers.next()?.ok()?, numbers.next()?.ok()?);
+    Some((running + waiting, slots))
+}
+
+/// Delivers for good.
+pub async fn deliver(store: Rc<Store>) {
+    monoio::spawn(choose_caps(store.clone()));
+    monoio::spawn(follow(store.clone()));
+    loop {
+        let next = store.start_due();
+        let wait = Duration::from_millis(next.saturating_sub(wall_ms()).clamp(1, IDLE));
+        let _ = monoio::time::timeout(wait, store.work.notified()).await;
+    }
+}
+
+async fn choose_caps(store: Rc<Store>) {
+    loop {
+        monoio::time::sleep(CONTROL).await;
+        store.endpoints.borrow_mut().choose_caps(store.clock.ns());
+    }
+}
+
+/// Takes each new list and configuration; messages whose route was dropped end.
+async fn follow(store: Rc<Store>) {
+    let mut seen = 0;
+    loop {
+        let changes = store.known.changes.changed(seen);
+        let _ = monoio::time::timeout(Duration::from_millis(1_000), changes).await;
+        if seen != store.known.changes.get() {
+            seen = store.known.changes.get();
+            let configuration = store.known.configuration();
+            let senders = store.known.stores().active().count();
+            store.endpoints.borrow_mut().update(&configuration, &store.known.endpoints(), senders);
+        }
+        store.end_what_is_over();
+        let endpoints = &store.endpoints;
+        store.client.sweep(|address| endpoints.borrow().knows(address));
+        store.work.notify();
+    }
+}
+
+impl Store {
+    fn end_what_is_over(self: &Rc<Self>) {
+        let now = wall_ms();
+        let version = self.known.version();
+        if version == 0 {
+            return;
+        }
+        let configuration = self.known.configuration();
+        let there =
+            |message: &Message| message.version > version || configuration.named(&message.route).is_some();
+        let over = self.queue.borrow().over(now, there);
+        for id in over {
+            log::info!("{id} ends: its route or its time is over");
+            self.finish(End { id, outcome: Outcome::DeadLetter, at: now });
+        }
+        let keep = (self.settings.bounds.status_ttl_s * 1_000.0) as u64;
+        self.queue.borrow_mut().forget(now.saturating_sub(keep));
+    }
+
+    /// Starts all that may run; tells when to look again.
+    fn start_due(self: &Rc<Self>) -> u64 {
+        let now = wall_ms();
+        let mut next = self.queue.borrow().next_due(now).unwrap_or(now + IDLE);
+        if self.known.version() == 0 || self.paused.get() {
+            return next;
+        }
+        let configuration = self.known.configuration();
+        let names: Vec<String> = self.queue.borrow().routes().cloned().collect();
+        let mut routes: Vec<&Route> = names.iter().filter_map(|name| configuration.named(name)).collect();
+        routes.sort_by_key(|route| route.priority);
+        for route in routes {
+            next = next.min(self.start_route(&configuration, route, now));
+        }
+        next
+    }
+
+    fn may_run(&self, message: &Message) -> bool {
+        match message.ordered {
+            true => self.inheriting.borrow().is_empty(),
+            false => !self.leaving.get(),
+        }
+    }
+
+    fn start_route(self: &Rc<Self>, configuration: &Rc<Configuration>, route: &Route, now: u64) -> u64 {
+        let steady = self.clock.ms();
+        loop {
+            let due = {
+                let queue = self.queue.borrow();
+                let mut due = queue.due(&route.name, now);
+                let may_run = |id: &str| queue.owned(id).is_some_and(|known| self.may_run(&known.message));
+                let found = due.find(|(_, id)| may_run(id)).map(|(_, id)| id.clone());
+                found
+            };
+            let Some(id) = due else { return now + IDLE };
+            let picked = self.endpoints.borrow().pick(&route.service, &self.settings.zone, steady);
+            let Some(endpoint) = picked else {
+                let next = self.endpoints.borrow().next_try(&route.service, steady);
+                return next.map_or(now + IDLE, |at| now + (at - steady));
+            };
+            if let Some(wait) = self.spend(configuration, &route.service, steady) {
+                return now + wait;
+            }
+            self.start_one(configuration, route, &id, endpoint);
+        }
+    }
+
+    /// Takes one call from the store's share of the service's rate; the time to wait where there is none.
+    fn spend(&self, configuration: &Configuration, service: &str, now: u64) -> Option<u64> {
+        let rate = configuration.service(service).map_or(0.0, |service| service.rate_per_s);
+        if rate <= 0.0 {
+            return None;
+        }
+        let stores = self.known.stores().active().count().max(1) as f64;
+        let rate = rate * RATE_SHARE / stores;
+        let mut buckets = self.buckets.borrow_mut();
+        // What an earlier process sent isn't known: a new one begins with nothing.
+        let bucket = buckets.entry(service.to_string()).or_insert(Bucket { tokens: 0.0, at: now });
+        let passed = now.saturating_sub(bucket.at) as f64 / 1_000.0;
+        bucket.tokens = (bucket.tokens + passed * rate).min(BURST);
+        bucket.at = now;
+        if bucket.tokens >= 1.0 {
+            bucket.tokens -= 1.0;
+            return None;
+        }
+        Some(((1.0 - bucket.tokens) / rate * 1_000.0).ceil() as u64)
+    }
+
+    fn start_one(self: &Rc<Self>, configuration: &Rc<Configuration>, route: &Route, id: &str, at: usize) {
+        let Some(message) = self.queue.borrow_mut().start(id) else { return };
+        let began = self.clock.ns();
+        let mut endpoints = self.endpoints.borrow_mut();
+        let class = endpoints.class(&route.service, &route.name);
+        let (address, instance, level) = endpoints.begin(&route.service, at, class, began);
+        let classes = endpoints.deadlines(configuration, &route.service);
+        let call = Call { service: route.service.clone(), address, instance, class, classes, level, began };
+        self.running.set(self.running.get() + 1);
+        monoio::spawn(self.clone().run_one(message, call, route.timeout_ms, route.max_attempts as u32));
+    }
+
+    async fn run_one(self: Rc<Self>, message: Rc<Message>, call: Call, timeout_ms: u64, most: u32) {
+        let request = request(&message, &call, timeout_ms);
+        let within = Duration::from_millis(timeout_ms) + SLACK;
+        let answer = self.client.call(call.address, request, within).await;
+        let verdict = verdict(&message.id, &answer);
+        if !matches!(verdict, Verdict::Done(_)) {
+            log::debug!("{} at {}: {verdict:?}", message.id, call.address);
+        }
+        let clock = (self.clock.ms(), self.clock.ns());
+        self.endpoints.borrow_mut().end(&call, outcome(&verdict, &answer), load(&answer), clock);
+        self.running.set(self.running.get() - 1);
+        self.conclude(&message.id, verdict, most);
+        self.work.notify();
+    }
+
+    fn conclude(self: &Rc<Self>, id: &str, verdict: Verdict, most: u32) {
+        let now = wall_ms();
+        let end = |outcome| End { id: id.to_string(), outcome, at: now };
+        let failed = self.queue.borrow().owned(id).map_or(0, |known| known.attempts);
+        match verdict {
+            Verdict::Done(signature) => self.finish(end(Outcome::Completed { signature })),
+            Verdict::Never => self.finish(end(Outcome::DeadLetter)),
+            Verdict::Failed if failed + 1 >= most => self.finish(end(Outcome::DeadLetter)),
+            Verdict::Failed => {
+                let attempts = failed + 1;
+                let pause = (FAILED_PAUSE << attempts.min(8)).min(LONGEST_FAILED_PAUSE);
+                self.queue.borrow_mut().retry(id, attempts, now + pause);
+                let entry = Entry::Failed { id: id.to_string(), attempts };
+                self.log.note(&entry);
+                self.tell_copies(id, &entry);
+            }
+            Verdict::NotRun | Verdict::Moved => {
+                self.queue.borrow_mut().retry(id, failed, now + NOT_RUN_PAUSE);
+            }
+            Verdict::Unknown => self.queue.borrow_mut().retry(id, failed, now + UNKNOWN_PAUSE),
+        }
+    }
+
+    /// For an operator's tool.
+    pub fn backlog(&self) -> BTreeMap<String, usize> {
+        let queue = self.queue.borrow();
+        let backlog = queue.routes().map(|route| (route.clone(), queue.backlog(route))).collect();
+        backlog
+    }
+}
+
+/// The delivery: the request as it arrived, with this attempt's time and the endpoint that is meant.
+fn request(message: &Message, call: &Call, timeout_ms: u64) -> Vec<u8> {
+    let timeout = timeout_ms.to_string();
+    let mut headers =
+        vec![("Host", message.host.as_str()), ("X-Request-Id", &message.id), ("X-Deadline-Ms", &timeout)];
+    if let Some(instance) = &call.instance {
+        headers.push(("X-Expected-Instance", instance));
+    }
+    if let Some(key) = &message.key {
+        headers.push(("X-Ordering-Key", key));
+    }
+    if !message.content_type.is_empty() {
+        headers.push(("Content-Type", &message.content_type));
+    }
+    encode_request(&message.method, &message.target, &headers, &message.body)
+}
--- /dev/null
+++ b/crates/node/src/store/log.rs
@@ -0,0 +1,197 @@
+//! The store's log: records go to the ring of files in batches, by a thread that may wait for the disk.
+use futures_channel::oneshot;
+use net::wake::Notify;
+use queue::Entry;
+use ring::{Record, Ring, RingError, SegmentId, Shape};
+use std::cell::{Cell, RefCell};
+use std::collections::{HashMap, HashSet};
+use std::path::Path;
+use std::rc::Rc;
+use std::sync::mpsc;
+use std::time::{Duration, Instant};
+
+/// Bytes of one file of the ring.
+const SEGMENT_BYTES: usize = 4 * 1024 * 1024;
+/// Share of the disk that the ring takes.
+const DISK_SHARE: f64 = 0.6;
+/// Files of the ring, at least.
+const FEWEST_SEGMENTS: usize = 8;
+/// After a failure of the disk.
+const PAUSE: Duration = Duration::from_millis(200);
+
+enum Job {
+    Append(Vec<Vec<u8>>, oneshot::Sender<Result<Done, RingError>>),
+    ReleaseOldest,
+}
+
+struct Done {
+    places: Vec<SegmentId>,
+    free: usize,
+    oldest: Option<SegmentId>,
+}
+
+struct Pending {
+    id: String,
+    payload: Vec<u8>,
+}
+
+/// The log of one store.
+pub struct Log {
+    pending: RefCell<Vec<Pending>>,
+    waiting: RefCell<Vec<oneshot::Sender<bool>>>,
+    wake: Notify,
+    jobs: mpsc::Sender<Job>,
+    /// Whose records stand in which file.
+    places: RefCell<HashMap<SegmentId, HashSet<String>>>,
+    segments: usize,
+    free: Cell<usize>,
+    oldest: Cell<Option<SegmentId>>,
+    /// Since when a batch is being written.
+    writing_since: Cell<Option<Instant>>,
+}
+
+/// The ring's shape on a disk of so many megabytes.
+pub fn shape(disk_mb: f64) -> Shape {
+    let segments = (disk_mb * DISK_SHARE * 1_048_576.0) as usize / SEGMENT_BYTES;
+    Shape { segments: segments.max(FEWEST_SEGMENTS), segment_bytes: SEGMENT_BYTES }
+}
+
+/// Whose record an entry is.
+fn id_of(entry: &Entry) -> &str {
+    match entry {
+        Entry::Disk(_) => "",
+        Entry::Message { message, .. } => &message.id,
+        Entry::Failed { id, .. } | Entry::CalledBack { id } | Entry::Dropped { id } => id,
+        Entry::Ended(end) => &end.id,
+    }
+}
+
+impl Log {
+    /// Opens the log; `visit` is given each record, oldest first.
+    pub fn open(folder: &Path, shape: Shape, visit: &mut dyn FnMut(Entry)) -> anyhow::Result<Rc<Log>> {
+        let mut places: HashMap<SegmentId, HashSet<String>> = HashMap::new();
+        let mut read = |segment: SegmentId, record: Record| {
+            if let Ok(entry) = borsh::from_slice::<Entry>(&record.payload) {
+                places.entry(segment).or_default().insert(id_of(&entry).to_string());
+                visit(entry);
+            }
+        };
+        let ring = Ring::open(folder, shape, &mut read)?.ring;
+        let (free, oldest) = (ring.free(), ring.oldest());
+        let (jobs, taken) = mpsc::channel();
+        std::thread::Builder::new().name("disk".to_string()).spawn(move || work(ring, taken))?;
+        let log = Rc::new(Log {
+            pending: RefCell::default(),
+            waiting: RefCell::default(),
+            wake: Notify::default(),
+            jobs,
+            places: RefCell::new(places),
+            segments: shape.segments,
+            free: Cell::new(free),
+            oldest: Cell::new(oldest),
+            writing_since: Cell::new(None),
+        });
+        monoio::spawn(log.clone().write_batches());
+        Ok(log)
+    }
+
+    /// Appends records, and waits until they last; false if the disk failed.
+    pub async fn write(&self, entries: &[Entry]) -> bool {
+        entries.iter().for_each(|entry| self.push(entry));
+        let (sender, receiver) = oneshot::channel();
+        self.waiting.borrow_mut().push(sender);
+        self.wake.notify();
+        receiver.await.unwrap_or(false)
+    }
+
+    /// Appends a record; it lasts soon.
+    pub fn note(&self, entry: &Entry) {
+        self.push(entry);
+        self.wake.notify();
+    }
+
+    fn push(&self, entry: &Entry) {
+        let payload = borsh::to_vec(entry).expect("writing to memory");
+        self.pending.borrow_mut().push(Pending { id: id_of(entry).to_string(), payload });
+    }
+
+    /// How long the disk has been at work on one batch.
+    pub fn lag(&self) -> Duration {
+        self.writing_since.get().map_or(Duration::ZERO, |since| since.elapsed())
+    }
+
+    /// The share of the ring's files that are free.
+    pub fn free_share(&self) -> f64 {
+        self.free.get() as f64 / self.segments as f64
+    }
+
+    /// The oldest file, and whose records stand in it.
+    pub fn oldest(&self) -> Option<(SegmentId, Vec<String>)> {
+        let oldest = self.oldest.get()?;
+        let places = self.places.borrow();
+        Some((oldest, places.get(&oldest).into_iter().flatten().cloned().collect()))
+    }
+
+    /// Nothing that counts stands in the oldest file any more.
+    pub fn release(&self, segment: SegmentId) {
+        self.places.borrow_mut().remove(&segment);
+        let _ = self.jobs.send(Job::ReleaseOldest);
+    }
+
+    async fn write_batches(self: Rc<Self>) {
+        loop {
+            let batch = std::mem::take(&mut *self.pending.borrow_mut());
+            let waiting = std::mem::take(&mut *self.waiting.borrow_mut());
+            if batch.is_empty() && waiting.is_empty() {
+                self.wake.notified().await;
+                continue;
+            }
+            let (ids, payloads) = batch.into_iter().map(|pending| (pending.id, pending.payload)).unzip();
+            let written = self.write_batch(ids, payloads).await;
+            for waiter in waiting {
+                let _ = waiter.send(written);
+            }
+            if !written {
+                monoio::time::sleep(PAUSE).await;
+            }
+        }
+    }
+
+    async fn write_batch(&self, ids: Vec<String>, payloads: Vec<Vec<u8>>) -> bool {
+        let (sender, receiver) = oneshot::channel();
+        self.writing_since.set(Some(Instant::now()));
+        let sent = self.jobs.send(Job::Append(payloads, sender)).is_ok();
+        let done = receiver.await;
+        self.writing_since.set(None);
+        match done {
+            Ok(Ok(done)) if sent => {
+                let mut places = self.places.borrow_mut();
+                for (id, segment) in ids.into_iter().zip(done.places) {
+                    places.entry(segment).or_default().insert(id);
+                }
+                self.free.set(done.free);
+                self.oldest.set(done.oldest);
+                true
+            }
+            Ok(Err(error)) => {
+                log::error!("the log cannot be written: {error}");
+                false
+            }
+            _ => false,
+        }
+    }
+}
+
+/// The disk's thread.
+fn work(mut ring: Ring, jobs: mpsc::Receiver<Job>) {
+    while let Ok(job) = jobs.recv() {
+        match job {
+            Job::Append(payloads, done) => {
+                let written = ring.append(&payloads).and_then(|places| ring.sync().map(|()| places));
+                let (free, oldest) = (ring.free(), ring.oldest());
+                let _ = done.send(written.map(|places| Done { places, free, oldest }));
+            }
+            Job::ReleaseOldest => ring.release_oldest(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/store/takeover.rs
@@ -0,0 +1,151 @@
+//! Taking over what a lost store owned: all active stores give what they keep of it, then its messages run here.
+use super::Store;
+use crate::calls::{Call, Given};
+use queue::{End, Entry, Message};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+const CLAIM: Duration = Duration::from_millis(3_000);
+const PAUSE: Duration = Duration::from_millis(150);
+
+impl Store {
+    /// Takes over from every lost store whose heir this one is.
+    pub async fn take_over(self: Rc<Self>, lost: u64) {
+        let mut asked = Vec::new();
+        loop {
+            let stores = self.known.stores();
+            let others: Vec<_> = stores.active().filter(|store| store.disk != self.disk).cloned().collect();
+            let next = others.iter().find(|store| !asked.contains(&store.disk)).cloned();
+            let Some(next) = next else { break };
+            let to = SocketAddr::new(next.ip, self.port);
+            match self.peers.call::<Call, Option<Vec<Given>>>(to, &Call::Claim { lost }, CLAIM).await {
+                Ok(Some(given)) => {
+                    log::info!("{} messages of a lost store come from {}", given.len(), next.name);
+                    self.adopt(given, None).await;
+                    asked.push(next.disk);
+                }
+                _ => monoio::time::sleep(PAUSE).await,
+            }
+        }
+        let own = self.given_of(lost);
+        self.adopt(own, None).await;
+        while self.lacks_copies() {
+            self.needs_repair.set(true);
+            monoio::time::sleep(PAUSE).await;
+        }
+        for disk in asked {
+            if let Some(store) = self.known.store(disk) {
+                let to = SocketAddr::new(store.ip, self.port);
+                let _ = self.peers.call::<Call, bool>(to, &Call::Claimed { lost }, CLAIM).await;
+            }
+        }
+        self.inheriting.borrow_mut().remove(&lost);
+        self.inherited.borrow_mut().insert(lost);
+        self.work.notify();
+        log::info!("took over from a lost store");
+    }
+
+    fn lacks_copies(&self) -> bool {
+        let queue = self.queue.borrow();
+        let any = queue
+            .all_owned()
+            .any(|known| matches!(known.stage, queue::Stage::Waiting) && known.copies.is_empty());
+        any
+    }
+
+    /// What is kept here of a store's messages.
+    pub fn given_of(&self, owner: u64) -> Vec<Given> {
+        let queue = self.queue.borrow();
+        let copies = queue.copies_of(owner);
+        copies.map(|copy| Given { message: (*copy.message).clone(), attempts: copy.attempts }).collect()
+    }
+
+    /// Owns messages from now on, and lets them run; `copy` already holds them.
+    pub async fn adopt(self: &Rc<Self>, given: Vec<Given>, copy: Option<u64>) {
+        let mut entries = Vec::new();
+        let mut ids = Vec::new();
+        for Given { message, attempts } in given {
+            let id = message.id.clone();
+            let entry = Entry::Message { owner: self.disk, message: message.clone() };
+            if !self.queue.borrow_mut().add(message) {
+                continue;
+            }
+            entries.push(entry);
+            if attempts > 0 {
+                entries.push(Entry::Failed { id: id.clone(), attempts });
+                self.queue.borrow_mut().copy_failed(&id, attempts);
+            }
+            ids.push(id);
+        }
+        while !entries.is_empty() && !self.log.write(&entries).await {
+            monoio::time::sleep(PAUSE).await;
+        }
+        let mut queue = self.queue.borrow_mut();
+        for id in ids {
+            if let (Some(known), Some(disk)) = (queue.owned_mut(&id), copy) {
+                known.copies.insert(disk);
+                known.sent.insert(disk);
+            }
+            queue.accept(&id);
+        }
+        drop(queue);
+        self.needs_repair.set(true);
+        self.work.notify();
+    }
+
+    /// Ends a message: on the disk, at the copies, and by call-back.
+    pub fn finish(self: &Rc<Self>, end: End) {
+        let id = end.id.clone();
+        if !self.queue.borrow_mut().end(end.clone()) {
+            return;
+        }
+        self.tell_copies(&id, &Entry::Ended(end.clone()));
+        let owes =
+            self.queue.borrow().owned(&id).filter(|known| known.owes_callback).map(|k| k.message.clone());
+        match owes {
+            Some(message) => {
+                let store = self.clone();
+                monoio::spawn(async move {
+                    while !store.log.write(&[Entry::Ended(end.clone())]).await {
+                        monoio::time::sleep(PAUSE).await;
+                    }
+                    store.call_back(&message, &end);
+                });
+            }
+            None => self.log.note(&Entry::Ended(end)),
+        }
+    }
+
+    fn call_back(self: &Rc<Self>, message: &Message, end: &End) {
+        if let Some(url) = &message.callback {
+            self.callbacks.push(self.clone(), url, &message.id, &end.outcome);
+        }
+    }
+
+    /// Call-backs that were owed when the process ended.
+    pub fn owed_callbacks(self: &Rc<Self>) {
+        let owed: Vec<_> = {
+            let queue = self.queue.borrow();
+            let owed = queue.all_owned().filter(|known| known.owes_callback);
+            let ended = owed.filter_map(|known| match &known.stage {
+                queue::Stage::Ended(end) => Some((known.message.clone(), end.clone())),
+                _ => None,
+            });
+            ended.collect()
+        };
+        owed.iter().for_each(|(message, end)| self.call_back(message, end));
+    }
+
+    /// Tells the stores that hold copies of a message what happened to it.
+    pub fn tell_copies(&self, id: &str, entry: &Entry) {
+        let holders: Vec<u64> = match self.queue.borrow().owned(id) {
+            Some(known) => known.copies.union(&known.sent).copied().collect(),
+            None => return,
+        };
+        let copiers = self.copiers.borrow();
+        for copier in holders.iter().filter_map(|disk| copiers.get(disk)) {
+            copier.tell(entry.clone());
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/watch.rs
@@ -0,0 +1,141 @@
+//! What the control group tells: the configuration in force, the stores, the endpoints.
+//!
+//! Each watcher asks with what it has, and is answered when there is something newer, or after a while. It asks the
+//! primary of the group; another member says who that is.
+use crate::calls::{Call, Endpoint, Hello, News, Seen};
+use control::{Store, StoreView};
+use net::rpc::Peers;
+use net::wake::Watched;
+use settings::Configuration;
+use std::cell::{Cell, RefCell};
+use std::net::{IpAddr, SocketAddr};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// The longest that a question waits for news.
+pub const HOLD: Duration = Duration::from_millis(1_000);
+/// No answer for so long: another member is asked.
+const PATIENCE: Duration = Duration::from_millis(1_500);
+/// Between two members that couldn't answer.
+const PAUSE: Duration = Duration::from_millis(100);
+
+/// What is known by now; versions of it never fall.
+pub struct Known {
+    pub configuration: RefCell<Rc<Configuration>>,
+    pub stores: RefCell<Rc<StoreView>>,
+    pub endpoints: RefCell<Rc<Vec<Endpoint>>>,
+    seen: Cell<Seen>,
+    /// Rises with each change.
+    pub changes: Watched,
+    /// Addresses of the control group.
+    group: RefCell<Vec<IpAddr>>,
+}
+
+impl Known {
+    pub fn new(seeds: Vec<IpAddr>) -> Rc<Known> {
+        Rc::new(Known {
+            configuration: RefCell::default(),
+            stores: RefCell::default(),
+            endpoints: RefCell::default(),
+            seen: Cell::default(),
+            changes: Watched::default(),
+            group: RefCell::new(seeds),
+        })
+    }
+
+    /// The version of the configuration in force; 0 before the first.
+    pub fn version(&self) -> u64 {
+        self.seen.get().version
+    }
+
+    /// The configuration in force.
+    pub fn configuration(&self) -> Rc<Configuration> {
+        self.configuration.borrow().clone()
+    }
+
+    /// The stores.
+    pub fn stores(&self) -> Rc<StoreView> {
+        self.stores.borrow().clone()
+    }
+
+    /// A store by the identity of its disk, if that isn't lost.
+    pub fn store(&self, disk: u64) -> Option<Store> {
+        self.stores.borrow().get(disk).filter(|store| !store.gone).cloned()
+    }
+
+    /// The endpoints on the platform's list.
+    pub fn endpoints(&self) -> Rc<Vec<Endpoint>> {
+        self.endpoints.borrow().clone()
+    }
+
+    fn take(&self, news: News) {
+        let mut seen = self.seen.get();
+        let before = seen;
+        if let Some((version, body)) = news.configuration.filter(|(version, _)| *version > seen.version) {
+            match Configuration::parse(&body) {
+                Ok(configuration) => *self.configuration.borrow_mut() = Rc::new(configuration),
+                Err(faults) => log::error!("version {version} cannot be read here: {faults}"),
+            }
+            seen.version = version;
+            log::info!("version {version} is in force");
+        }
+        if let Some(stores) = news.stores.filter(|stores| stores.epoch > seen.stores) {
+            seen.stores = stores.epoch;
+            *self.stores.borrow_mut() = Rc::new(stores);
+        }
+        if let Some((number, endpoints)) = news.list.filter(|(number, _)| *number > seen.list) {
+            seen.list = number;
+            *self.endpoints.borrow_mut() = Rc::new(endpoints);
+        }
+        if seen != before {
+            self.seen.set(seen);
+            self.changes.raise();
+        }
+    }
+
+    fn take_group(&self, news: &News) {
+        if !news.group.is_empty() {
+            *self.group.borrow_mut() = news.group.clone();
+        }
+    }
+
+    /// The members and seeds, one after the other.
+    fn in_turn(&self, turn: usize, seeds: &[IpAddr]) -> Option<IpAddr> {
+        let group = self.group.borrow();
+        let others = seeds.iter().filter(|seed| !group.contains(seed));
+        let all: Vec<&IpAddr> = group.iter().chain(others).collect();
+        (!all.is_empty()).then(|| *all[turn % all.len()])
+    }
+}
+
+/// Asks for news for good.
+pub async fn watch(known: Rc<Known>, peers: Rc<Peers>, hello: Hello, port: u16, seeds: Vec<IpAddr>) {
+    let mut next: Option<IpAddr> = None;
+    let mut failed: Option<IpAddr> = None;
+    let mut turn = 0;
+    loop {
+        let to = next.take().or_else(|| known.in_turn(turn, &seeds));
+        turn += 1;
+        let Some(to) = to else {
+            monoio::time::sleep(PAUSE).await;
+            continue;
+        };
+        let call = Call::Watch(hello.clone(), known.seen.get());
+        match peers.call::<Call, News>(SocketAddr::new(to, port), &call, PATIENCE).await {
+            Ok(news) if news.leads => {
+                known.take_group(&news);
+                known.take(news);
+                (next, failed) = (Some(to), None);
+                continue;
+            }
+            Ok(news) => {
+                known.take_group(&news);
+                next = news.primary.filter(|primary| *primary != to && Some(*primary) != failed);
+            }
+            Err(_) => failed = Some(to),
+        }
+        if next.is_none() {
+            monoio::time::sleep(PAUSE).await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/queue/src/lib.rs
@@ -0,0 +1,18 @@
+//! The durable queue of one store. No I/O and no clock: times are passed in.
+//!
+//! What happens to messages is a row of [`Entry`] records, which the store keeps on its disk and gives to the stores
+//! that hold copies. [`Queue`] is the view folded from them: which messages are owned here, which are kept for others,
+//! which may run now, in which order, and which have ended.
+//!
+//! | module | what it is |
+//! | --- | --- |
+//! | [`entry`] | the records |
+//! | [`view`] | the fold, and what may run |
+pub mod entry;
+pub mod view;
+
+pub use entry::{End, Entry, Message, Outcome};
+pub use view::{Copy, Known, Queue, Stage};
+
+/// Milliseconds of the wall clock, since 1970.
+pub type WallMs = u64;
--- /dev/null
+++ b/crates/queue/src/view.rs
@@ -0,0 +1,397 @@
+//! The view of all messages that is folded from the records, and what may run.
+use crate::entry::{End, Entry, Message, Outcome};
+use crate::WallMs;
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::rc::Rc;
+
+/// Where a message stands.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Stage {
+    /// Not on enough disks yet.
+    Copying,
+    /// It may run once it is due and, with a key, once those before it have ended.
+    Waiting,
+    /// At an endpoint.
+    Running,
+    Ended(End),
+}
+
+/// What is known of a message that is owned here.
+#[derive(Clone, Debug)]
+pub struct Known {
+    pub message: Rc<Message>,
+    pub stage: Stage,
+    /// Attempts that failed.
+    pub attempts: u32,
+    /// Not to be tried again earlier.
+    pub not_before: WallMs,
+    /// Disks that hold a copy.
+    pub copies: BTreeSet<u64>,
+    /// Disks that were sent a copy, and may hold it.
+    pub sent: BTreeSet<u64>,
+    /// The call-back about its end is still owed.
+    pub owes_callback: bool,
+    /// Disks whose copy doesn't know of the end yet.
+    pub untold: BTreeSet<u64>,
+}
+
+/// A message that is kept for another store.
+#[derive(Clone, Debug)]
+pub struct Copy {
+    pub owner: u64,
+    pub message: Rc<Message>,
+    pub attempts: u32,
+}
+
+/// What may run of one service, by due time and age.
+type Ready = BTreeSet<(WallMs, WallMs, String)>;
+
+/// The view of one store.
+#[derive(Default)]
+pub struct Queue {
+    disk: u64,
+    /// Bytes of the bodies of live messages and copies.
+    bytes: usize,
+    owned: HashMap<String, Known>,
+    copies: HashMap<String, Copy>,
+    /// Ends of messages that others own, or owned.
+    ends: HashMap<String, End>,
+    /// Waiting messages by route; of those with a key only the first.
+    ready: BTreeMap<String, Ready>,
+    /// Messages of a key in the order in which they were taken.
+    keys: HashMap<String, VecDeque<String>>,
+}
+
+impl Queue {
+    /// The queue of a store with this disk.
+    pub fn new(disk: u64) -> Queue {
+        Queue { disk, ..Queue::default() }
+    }
+
+    /// Folds one record that was read from the disk at a start. Every message that is there counts as taken: whoever
+    /// handed it in may have been told so.
+    pub fn recover(&mut self, entry: Entry) {
+        match entry {
+            Entry::Disk(disk) => self.disk = disk,
+            Entry::Message { owner, message } if owner == self.disk => {
+                self.add(message);
+            }
+            Entry::Message { owner, message } => self.keep(owner, message),
+            Entry::Failed { id, attempts } => self.note_attempts(&id, attempts),
+            Entry::Ended(end) => {
+                self.end(end);
+            }
+            Entry::CalledBack { id } => self.called_back(&id),
+            Entry::Dropped { id } => {
+                self.drop_copy(&id);
+            }
+        }
+    }
+
+    /// After all records were folded: what is owned here may run.
+    pub fn recovered(&mut self) {
+        let copying = self.owned.values().filter(|known| known.stage == Stage::Copying);
+        let mut ids: Vec<_> = copying.map(|k| (k.message.order, k.message.id.clone())).collect();
+        ids.sort_unstable();
+        ids.iter().for_each(|(_, id)| self.accept(id));
+    }
+
+    /// The highest place that an owned message has.
+    pub fn highest_order(&self) -> u64 {
+        self.owned.values().map(|known| known.message.order).max().unwrap_or(0)
+    }
+
+    /// The identity of the disk.
+    pub fn disk(&self) -> u64 {
+        self.disk
+    }
+
+    /// Takes a message to own it; it doesn't run before [`Queue::accept`]. False if it is known already.
+    pub fn add(&mut self, message: Message) -> bool {
+        if self.owned.contains_key(&message.id) || self.ends.contains_key(&message.id) {
+            return false;
+        }
+        self.drop_copy(&message.id);
+        self.bytes += message.body.len();
+        let known = Known {
+            owes_callback: message.callback.is_some(),
+            stage: Stage::Copying,
+            attempts: 0,
+            not_before: 0,
+            copies: BTreeSet::new(),
+            sent: BTreeSet::new(),
+            untold: BTreeSet::new(),
+            message: Rc::new(message),
+        };
+        self.owned.insert(known.message.id.clone(), known);
+        true
+    }
+
+    /// A message is on enough disks: it may run, behind those of its key.
+    pub fn accept(&mut self, id: &str) {
+        let Some(known) = self.owned.get_mut(id).filter(|known| known.stage == Stage::Copying) else {
+            return;
+        };
+        known.stage = Stage::Waiting;
+        let message = known.message.clone();
+        if let Some(key) = order_key(&message) {
+            return self.join_line(key, &message);
+        }
+        self.make_ready(id);
+    }
+
+    /// Takes its place in the line of its key. Only the first of a line is ready; one that has begun stays first.
+    fn join_line(&mut self, key: String, message: &Message) {
+        let line = self.keys.entry(key).or_default();
+        let begun = line.front().and_then(|id| self.owned.get(id)).is_some_and(|k| k.stage == Stage::Running);
+        let owned = &self.owned;
+        let earlier = |id: &String| owned.get(id).is_some_and(|known| known.message.order < message.order);
+        let place = line.iter().position(|id| !earlier(id)).unwrap_or(line.len()).max(usize::from(begun));
+        let displaced = line.front().filter(|_| place == 0).cloned();
+        line.insert(place, message.id.clone());
+        if let Some(other) = displaced {
+            self.unready(&other);
+        }
+        if place == 0 {
+            self.make_ready(&message.id);
+        }
+    }
+
+    fn unready(&mut self, id: &str) {
+        let Some(known) = self.owned.get(id) else { return };
+        if let Some(ready) = self.ready.get_mut(&known.message.route) {
+            ready.remove(&place(known));
+        }
+    }
+
+    fn make_ready(&mut self, id: &str) {
+        let Some(known) = self.owned.get(id) else { return };
+        let place = place(known);
+        self.ready.entry(known.message.route.clone()).or_default().insert(place);
+    }
+
+    /// Routes with messages that may run, by route the earliest that is due.
+    pub fn routes(&self) -> impl Iterator<Item = &String> {
+        self.ready.iter().filter(|(_, ready)| !ready.is_empty()).map(|(route, _)| route)
+    }
+
+    /// The first messages of a route that are due, as `(when they fell due, id)`.
+    pub fn due(&self, route: &str, now: WallMs) -> impl Iterator<Item = (WallMs, &String)> {
+        let ready = self.ready.get(route).into_iter().flatten();
+        ready.take_while(move |(due, _, _)| *due <= now).map(|(due, _, id)| (*due, id))
+    }
+
+    /// When the next message falls due that isn't yet.
+    pub fn next_due(&self, now: WallMs) -> Option<WallMs> {
+        let after = (now + 1, 0, String::new());
+        self.ready.values().filter_map(|ready| ready.range(after.clone()..).next().map(|place| place.0)).min()
+    }
+
+    /// Waiting messages of a route that may run or become due.
+    pub fn backlog(&self, route: &str) -> usize {
+        self.ready.get(route).map_or(0, BTreeSet::len)
+    }
+
+    /// A message goes to an endpoint.
+    pub fn start(&mut self, id: &str) -> Option<Rc<Message>> {
+        let known = self.owned.get_mut(id).filter(|known| known.stage == Stage::Waiting)?;
+        let place = place(known);
+        known.stage = Stage::Running;
+        if let Some(ready) = self.ready.get_mut(&known.message.route) {
+            ready.remove(&place);
+        }
+        Some(known.message.clone())
+    }
+
+    /// It did not end; it may be tried again from a time on.
+    pub fn retry(&mut self, id: &str, attempts: u32, not_before: WallMs) {
+        let Some(known) = self.owned.get_mut(id).filter(|known| known.stage == Stage::Running) else {
+            return;
+        };
+        known.stage = Stage::Waiting;
+        known.attempts = known.attempts.max(attempts);
+        known.not_before = not_before;
+        self.make_ready(id);
+    }
+
+    fn note_attempts(&mut self, id: &str, attempts: u32) {
+        if let Some(known) = self.owned.get_mut(id) {
+            known.attempts = known.attempts.max(attempts);
+        } else if let Some(copy) = self.copies.get_mut(id) {
+            copy.attempts = copy.attempts.max(attempts);
+        }
+    }
+
+    /// Attempts of a copy, as its owner tells.
+    pub fn copy_failed(&mut self, id: &str, attempts: u32) {
+        self.note_attempts(id, attempts);
+    }
+
+    /// A message has ended. False if it had already, or isn't known.
+    pub fn end(&mut self, end: End) -> bool {
+        let id = end.id.clone();
+        if self.drop_copy(&id) {
+            self.ends.insert(id, end);
+            return true;
+        }
+        let Some(known) = self.owned.get_mut(&id) else {
+            self.ends.entry(id).or_insert(end);
+            return false;
+        };
+        if matches!(known.stage, Stage::Ended(_)) {
+            return false;
+        }
+        let place = place(known);
+        if let Some(ready) = self.ready.get_mut(&known.message.route) {
+            ready.remove(&place);
+        }
+        known.untold = known.copies.union(&known.sent).copied().collect();
+        let keep_body = end.outcome == Outcome::DeadLetter;
+        known.stage = Stage::Ended(end);
+        let message = known.message.clone();
+        if !keep_body {
+            self.bytes -= message.body.len();
+            known.message = Rc::new(Message { body: Vec::new(), ..(*message).clone() });
+        }
+        self.next_of_key(&message);
+        true
+    }
+
+    fn next_of_key(&mut self, message: &Message) {
+        let Some(key) = order_key(message) else { return };
+        let Some(line) = self.keys.get_mut(&key) else { return };
+        let was_first = line.front() == Some(&message.id);
+        line.retain(|id| *id != message.id);
+        let next = line.front().cloned();
+        match next {
+            Some(next) if was_first => self.make_ready(&next),
+            Some(_) => {}
+            None => {
+                self.keys.remove(&key);
+            }
+        }
+    }
+
+    /// The call-back about an end was accepted.
+    pub fn called_back(&mut self, id: &str) {
+        if let Some(known) = self.owned.get_mut(id) {
+            known.owes_callback = false;
+        }
+    }
+
+    /// Keeps a copy for another store.
+    pub fn keep(&mut self, owner: u64, message: Message) {
+        if self.owned.contains_key(&message.id) || self.ends.contains_key(&message.id) {
+            return;
+        }
+        let attempts = self.copies.get(&message.id).map_or(0, |copy| copy.attempts);
+        self.drop_copy(&message.id);
+        self.bytes += message.body.len();
+        self.copies.insert(message.id.clone(), Copy { owner, message: Rc::new(message), attempts });
+    }
+
+    /// Drops a copy.
+    pub fn drop_copy(&mut self, id: &str) -> bool {
+        let dropped = self.copies.remove(id);
+        self.bytes -= dropped.as_ref().map_or(0, |copy| copy.message.body.len());
+        dropped.is_some()
+    }
+
+    /// A message that is owned here.
+    pub fn owned(&self, id: &str) -> Option<&Known> {
+        self.owned.get(id)
+    }
+
+    /// The same, to note who holds copies of it.
+    pub fn owned_mut(&mut self, id: &str) -> Option<&mut Known> {
+        self.owned.get_mut(id)
+    }
+
+    /// A disk holds only these of what is owned here: it has no copy of others, and needn't be told of their ends.
+    pub fn not_held(&mut self, disk: u64, held: &std::collections::HashSet<String>) {
+        for known in self.owned.values_mut().filter(|known| !held.contains(&known.message.id)) {
+            known.copies.remove(&disk);
+            known.untold.remove(&disk);
+        }
+    }
+
+    /// All messages that are owned here.
+    pub fn all_owned(&self) -> impl Iterator<Item = &Known> {
+        self.owned.values()
+    }
+
+    /// A copy that is kept here.
+    pub fn copy(&self, id: &str) -> Option<&Copy> {
+        self.copies.get(id)
+    }
+
+    /// Copies that are kept for a store.
+    pub fn copies_of(&self, owner: u64) -> impl Iterator<Item = &Copy> {
+        self.copies.values().filter(move |copy| copy.owner == owner)
+    }
+
+    /// The end of a message that another store owns or owned.
+    pub fn end_of(&self, id: &str) -> Option<&End> {
+        match self.owned.get(id).map(|known| &known.stage) {
+            Some(Stage::Ended(end)) => Some(end),
+            Some(_) => None,
+            None => self.ends.get(id),
+        }
+    }
+
+    /// Bytes of the bodies that are held.
+    pub fn bytes(&self) -> usize {
+        self.bytes
+    }
+
+    /// When the oldest message was taken that has not ended.
+    pub fn oldest(&self) -> Option<WallMs> {
+        let live = self.owned.values().filter(|known| !matches!(known.stage, Stage::Ended(_)));
+        live.map(|known| known.message.taken_at).min()
+    }
+
+    /// Messages by stage: waiting or copying, running, ended; and copies.
+    pub fn counts(&self) -> (usize, usize, usize, usize) {
+        let of =
+            |wanted: fn(&Stage) -> bool| self.owned.values().filter(|known| wanted(&known.stage)).count();
+        let waiting = of(|stage| matches!(stage, Stage::Waiting | Stage::Copying));
+        let ended = of(|stage| matches!(stage, Stage::Ended(_)));
+        (waiting, of(|stage| *stage == Stage::Running), ended, self.copies.len())
+    }
+
+    /// Messages that have not ended and whose route or time is over.
+    pub fn over(&self, now: WallMs, route_there: impl Fn(&Message) -> bool) -> Vec<String> {
+        let live = self.owned.values().filter(|known| !matches!(known.stage, Stage::Ended(_)));
+        let over = live.filter(|known| now >= known.message.expires_at || !route_there(&known.message));
+        over.map(|known| known.message.id.clone()).collect()
+    }
+
+    /// Forgets ends older than a time, where nobody waits to be told of them.
+    pub fn forget(&mut self, before: WallMs) {
+        self.ends.retain(|_, end| end.at >= before);
+        let bytes = &mut self.bytes;
+        self.owned.retain(|_, known| {
+            let Stage::Ended(end) = &known.stage else { return true };
+            let stays = end.at >= before || known.owes_callback || !known.untold.is_empty();
+            if !stays {
+                *bytes -= known.message.body.len();
+            }
+            stays
+        });
+    }
+
+    /// Whether a record still counts: what it tells of has not been forgotten.
+    pub fn counts_still(&self, id: &str) -> bool {
+        self.owned.contains_key(id) || self.copies.contains_key(id) || self.ends.contains_key(id)
+    }
+}
+
+/// Order is kept among the messages of one key, whatever their routes.
+fn order_key(message: &Message) -> Option<String> {
+    message.key.clone().filter(|_| message.ordered)
+}
+
+fn place(known: &Known) -> (WallMs, WallMs, String) {
+    let message = &known.message;
+    (message.due_at.max(known.not_before), message.taken_at, message.id.clone())
+}
--- /dev/null
+++ b/crates/settings/src/lib.rs
@@ -0,0 +1,17 @@
+//! Checked settings: the process's own file and the configuration that the operator sends.
+//!
+//! Both are declared with one macro, [`declare!`]: each setting with its type, its default and its check. A reader
+//! goes through the whole text and names every fault at once, each with its remedy.
+//!
+//! | module | what it is |
+//! | --- | --- |
+//! | [`declare`](mod@declare) | the macro and the types it can read |
+//! | [`process`] | the settings file of a process |
+//! | [`configuration`] | routes, services and limits, as the operator sends them |
+pub mod configuration;
+pub mod declare;
+pub mod process;
+
+pub use configuration::{Configuration, Limits, Route, Service};
+pub use declare::{Fault, Faults};
+pub use process::ProcessSettings;
