--- a/crates/node/src/calls.rs
+++ b/crates/node/src/calls.rs
@@ -88,6 +88,15 @@
     pub body: Option<Vec<u8>>,
 }
 
+/// What a store has of another one's messages.
+#[derive(Clone, Debug, Default, BorshSerialize, BorshDeserialize)]
+pub struct HeldFor {
+    /// Copies that it keeps.
+    pub copies: Vec<String>,
+    /// Messages that it took because the other gave no clear answer.
+    pub taken: Vec<String>,
+}
+
 /// A message as one store gives it to another.
 #[derive(Clone, Debug, BorshSerialize, BorshDeserialize)]
 pub struct Given {
@@ -108,7 +117,7 @@
     Put(Message),
     /// Store to store: what happened to the sender's messages. Answered with whether it is on the disk.
     Replicate { owner: u64, entries: Vec<Entry> },
-    /// Store to store: which messages of this owner do you keep? Answered with their ids.
+    /// Store to store: what do you have of this owner's messages? Answered with [`HeldFor`], if the owner is known.
     Held { owner: u64 },
     /// Store to store: give me these. Answered with [`Given`].
     Fetch { ids: Vec<String> },
@@ -116,6 +125,10 @@
     Claim { lost: u64 },
     /// Store to store: what was claimed is safe; copies for the lost store may go.
     Claimed { lost: u64 },
+    /// Store to store: I have taken this message, leave it to me. Answered with false if it has begun.
+    Leave { id: String },
+    /// Edge to store: do you answer?
+    Ping,
     /// Edge to store; answered with [`Found`].
     Find { id: String, body: bool },
 }
--- a/crates/node/src/control/census.rs
+++ b/crates/node/src/control/census.rs
@@ -10,14 +10,16 @@
 const EVERY: Duration = Duration::from_millis(100);
 /// After the first store came, others are waited for so long before the keys are shared out.
 const FIRST_STORES: u64 = 1_500;
-/// A store that is silent for so long, while a new one without a share is there, is lost.
-const REPLACED: u64 = 3_000;
+/// A store that is silent for so long, while an empty one has come since, is lost.
+const REPLACED: u64 = 4_000;
 /// A store that is silent for so long is lost.
 const LOST: u64 = 15_000;
 
 struct Watcher {
     hello: Hello,
     seen: Seen,
+    /// When it was heard first, and last.
+    first: u64,
     at: u64,
 }
 
@@ -37,7 +39,8 @@
             self.first_store.get_or_insert(now);
         }
         let name = format!("{}/{}", hello.name, hello.disk);
-        self.watchers.insert(name, Watcher { hello: hello.clone(), seen, at: now });
+        let first = self.watchers.get(&name).map_or(now, |watcher| watcher.first);
+        self.watchers.insert(name, Watcher { hello: hello.clone(), seen, first, at: now });
         self.watchers.retain(|_, watcher| now < watcher.at + 60_000);
     }
 
@@ -60,6 +63,20 @@
         now.saturating_sub(heard.or(self.since).unwrap_or(now))
     }
 
+    /// How long a store may be silent: less if an empty one came since.
+    fn patience(&self, store: &Store, view: &StoreView, now: u64) -> u64 {
+        let of = |disk: u64| self.stores().find(|watcher| watcher.hello.disk == disk);
+        let Some(heard) = of(store.disk).map(|watcher| watcher.at) else { return LOST };
+        let successor = |other: &Store| {
+            let came = of(other.disk).is_some_and(|watcher| watcher.first > heard);
+            came && self.silent(other.disk, now) < 2_000 && !view.owners.contains(&other.disk)
+        };
+        match view.active().any(successor) {
+            true => REPLACED,
+            false => LOST,
+        }
+    }
+
     /// What should change in the view of the stores.
     fn wanted(&mut self, view: &StoreView, now: u64) -> Option<Command> {
         let since = *self.since.get_or_insert(now);
@@ -83,11 +100,9 @@
         if now < since + REPLACED {
             return None;
         }
-        let fresh = |disk: u64| self.silent(disk, now) < 2_000 && !view.owners.contains(&disk);
-        let spare = view.active().any(|store| fresh(store.disk));
-        let patience = if spare { REPLACED } else { LOST };
         let alive = view.active().filter(|store| self.silent(store.disk, now) < 2_000).count();
-        let lost = view.active().find(|store| self.silent(store.disk, now) >= patience);
+        let lost =
+            view.active().find(|store| self.silent(store.disk, now) >= self.patience(store, view, now));
         lost.filter(|_| alive >= 2).map(|store| Command::StoreLost(store.disk))
     }
 }
--- a/crates/node/src/edge.rs
+++ b/crates/node/src/edge.rs
@@ -8,16 +8,22 @@
 use net::http::{Answer, Bounds, Request};
 use net::rpc::{Peers, RpcError};
 use net::server::{Server, ServerBounds};
+use net::wake::Watched;
 use queue::{Message, Outcome};
 use settings::Route;
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
-use std::net::{IpAddr, SocketAddr};
+use std::collections::HashSet;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-/// A store that couldn't be reached isn't tried for so long, as long as there is another.
-const AVOID_MS: u64 = 300;
+/// A store that hasn't answered for so long is suspected, and another one is asked.
+const SWITCH: Duration = Duration::from_millis(110);
+/// How often a suspected store is asked whether it answers, and for how long.
+const PING_EVERY: Duration = Duration::from_millis(150);
+const PING: Duration = Duration::from_millis(300);
+/// The share of a client's time that stores are waited for.
+const PATIENCE_SHARE: f64 = 0.45;
 /// The longest that a store is waited for.
 const LONGEST_PUT: Duration = Duration::from_millis(1_500);
 /// Asking stores about a message.
@@ -27,14 +33,87 @@
 /// What is left of the grace when the process ends at the latest.
 const RESERVE_S: f64 = 0.8;
 
+/// Stores that don't answer, by address. They are asked until they do.
+#[derive(Default)]
+struct Health {
+    suspects: RefCell<HashSet<SocketAddr>>,
+}
+
+impl Health {
+    fn suspect(&self, store: SocketAddr) {
+        self.suspects.borrow_mut().insert(store);
+    }
+
+    fn is_suspect(&self, store: SocketAddr) -> bool {
+        self.suspects.borrow().contains(&store)
+    }
+
+    async fn ask_suspects(self: Rc<Self>, peers: Rc<Peers>) {
+        loop {
+            monoio::time::sleep(PING_EVERY).await;
+            let suspects: Vec<SocketAddr> = self.suspects.borrow().iter().copied().collect();
+            for store in suspects {
+                let (health, peers) = (self.clone(), peers.clone());
+                monoio::spawn(async move {
+                    if peers.call::<Call, bool>(store, &Call::Ping, PING).await.is_ok() {
+                        health.suspects.borrow_mut().remove(&store);
+                    }
+                });
+            }
+        }
+    }
+}
+
+/// The answers of stores that were given the same message.
+#[derive(Default)]
+struct Race {
+    answers: RefCell<Vec<(u64, Result<PutAnswer, RpcError>)>>,
+    changed: Watched,
+}
+
+/// A message on its way to a store.
+struct Put {
+    message: Message,
+    /// Stores that haven't answered.
+    open: usize,
+    unclear: bool,
+    refusal: Refusal,
+}
+
+impl Race {
+    /// Notes the answers that came.
+    fn take(&self, put: &mut Put) -> Vec<PutAnswer> {
+        let mut told = Vec::new();
+        for (disk, answer) in self.answers.borrow_mut().drain(..) {
+            put.open -= 1;
+            match answer {
+                Ok(PutAnswer::Refused(why)) => put.refused(disk, why),
+                Err(RpcError::Unreachable) => put.refused(disk, Refusal::NoCopy),
+                Ok(PutAnswer::Unclear) | Err(_) => put.unclear = true,
+                Ok(PutAnswer::Taken) => {}
+            }
+            told.extend(answer.ok());
+        }
+        told
+    }
+}
+
+impl Put {
+    /// A store didn't write the message anywhere.
+    fn refused(&mut self, disk: u64, why: Refusal) {
+        self.refusal = why;
+        self.message.also_at.retain(|other| *other != disk);
+    }
+}
+
 struct Edge {
     process: Process,
     known: Rc<Known>,
     peers: Rc<Peers>,
     server: Rc<Server>,
     leaving: Cell<bool>,
-    /// Until when a store is avoided.
-    avoided: RefCell<HashMap<IpAddr, u64>>,
+    /// Which stores don't answer.
+    health: Rc<Health>,
     turn: Cell<usize>,
 }
 
@@ -51,7 +130,7 @@
         peers: Rc::new(Peers::default()),
         server: Server::new(bounds(&settings::Limits::default())),
         leaving: Cell::new(false),
-        avoided: RefCell::default(),
+        health: Rc::new(Health::default()),
         turn: Cell::new(unique() as usize % 1_000),
         process,
     });
@@ -64,6 +143,7 @@
     };
     monoio::spawn(watch(edge.known.clone(), edge.peers.clone(), hello, settings.member_port(), seeds));
     monoio::spawn(edge.clone().follow_limits());
+    monoio::spawn(edge.health.clone().ask_suspects(edge.peers.clone()));
     edge.clone().serve_readiness(settings.listen.readiness.as_deref())?;
     edge.clone().serve_clients(settings.listen.http.as_deref())?;
     stopped(&edge.process.stopping).await;
@@ -134,7 +214,7 @@
 
     async fn answer(self: Rc<Self>, request: Request) -> Answer {
         if self.known.version() == 0 {
-            return later("no configuration is known here yet; ask again");
+            return later("no configuration is known here yet; ask again").with("Retry-After", "0");
         }
         let path = request.path().to_string();
         if request.method == "GET" {
@@ -155,13 +235,15 @@
 
     async fn take(&self, request: &Request, route: &Route, host: &str) -> Answer {
         let message = self.message(request, route, host);
-        let patience = request.header("x-deadline-ms").parse().map_or(LONGEST_PUT, Duration::from_millis);
+        let deadline = request.header("x-deadline-ms").parse().map_or(LONGEST_PUT, Duration::from_millis);
+        let patience = deadline.mul_f64(PATIENCE_SHARE);
         let id = message.id.clone();
         match self.put(message, patience.min(LONGEST_PUT)).await {
             PutAnswer::Taken => Answer::empty(202).with("X-Queue-Message-Id", id),
             PutAnswer::Refused(refusal) => {
                 log::debug!("{id} not taken: {refusal:?}");
                 later("no store can take the message now; ask again")
+                    .with("Retry-After", retry_after(deadline))
             }
             PutAnswer::Unclear => {
                 Answer::text(504, "the message may have been taken; nothing is known of it")
@@ -192,50 +274,98 @@
             version: self.known.version(),
             taken_at: now,
             due_at: now + delay,
+            aim_ms: route.target_start_ms,
+            also_at: Vec::new(),
             expires_at: now + (route.retention_s * 1_000.0) as u64,
             body: request.body.to_vec(),
         }
     }
 
-    /// Hands a message to the stores that may have it, one after the other, until one takes it or nothing more can be
-    /// said.
+    /// Hands a message to the stores that may have it, until one takes it or nothing more can be said. Where one
+    /// doesn't answer soon the next is asked too, and told so: the first leaves the message to it.
     async fn put(&self, message: Message, patience: Duration) -> PutAnswer {
         let stores = self.known.stores();
-        let mut refusal = Refusal::NoCopy;
-        for store in self.candidates(&message, &stores) {
-            let to = SocketAddr::new(store.ip, self.process.settings.member_port());
-            let call = Call::Put(message.clone());
-            match self.peers.call::<Call, PutAnswer>(to, &call, patience).await {
-                Ok(PutAnswer::Refused(why)) => refusal = why,
-                Ok(answer) => return answer,
-                Err(RpcError::Unreachable) => self.avoid(store.ip),
-                Err(_) => {
-                    self.avoid(store.ip);
-                    return PutAnswer::Unclear;
+        let mut candidates = self.candidates(&message, &stores).into_iter();
+        let race = Rc::new(Race::default());
+        let mut put = Put { message, open: 0, unclear: false, refusal: Refusal::NoCopy };
+        let until = self.process.clock.ms() + patience.as_millis() as u64;
+        loop {
+            match candidates.next() {
+                Some(store) => {
+                    put.open += 1;
+                    self.ask(&store, &put.message, patience, &race);
+                    put.message.also_at.push(store.disk);
                 }
+                None if put.open == 0 => break,
+                None => {}
             }
+            let last = candidates.len() == 0;
+            loop {
+                let left = Duration::from_millis(until.saturating_sub(self.process.clock.ms()));
+                let wait = if last { left } else { left.min(SWITCH) };
+                let seen = race.changed.get();
+                let told = race.take(&mut put);
+                if told.contains(&PutAnswer::Taken) {
+                    return PutAnswer::Taken;
+                }
+                if put.open == 0 {
+                    break;
+                }
+                if monoio::time::timeout(wait, race.changed.changed(seen)).await.is_err() {
+                    break;
+                }
+            }
+            if self.process.clock.ms() >= until {
+                break;
+            }
+        }
+        match put.unclear || put.open > 0 {
+            true => PutAnswer::Unclear,
+            false => PutAnswer::Refused(put.refusal),
         }
-        PutAnswer::Refused(refusal)
     }
 
-    /// The owner of an ordered message's key; else the stores of this zone, then others, those that answer first.
+    /// Asks one store, and lets the race know how it answers. One that is late is suspected.
+    fn ask(&self, store: &Store, message: &Message, patience: Duration, race: &Rc<Race>) {
+        let to = SocketAddr::new(store.ip, self.process.settings.member_port());
+        let call = Call::Put(message.clone());
+        let (peers, race, health, disk) = (self.peers.clone(), race.clone(), self.health.clone(), store.disk);
+        let answered = Rc::new(Cell::new(false));
+        let (late, suspected) = (answered.clone(), self.health.clone());
+        monoio::spawn(async move {
+            monoio::time::sleep(SWITCH).await;
+            if !late.get() {
+                suspected.suspect(to);
+            }
+        });
+        monoio::spawn(async move {
+            let answer = peers.call::<Call, PutAnswer>(to, &call, patience).await;
+            answered.set(true);
+            if answer.is_err() {
+                health.suspect(to);
+            }
+            race.answers.borrow_mut().push((disk, answer));
+            race.changed.raise();
+        });
+    }
+
+    /// The owner of an ordered message's key; else the stores of this zone, then others. A suspect gets nothing:
+    /// what it would be given might be lost or not, and the client couldn't be told to come again.
     fn candidates(&self, message: &Message, stores: &StoreView) -> Vec<Store> {
+        let suspected = |store: &Store| {
+            self.health.is_suspect(SocketAddr::new(store.ip, self.process.settings.member_port()))
+        };
         if let Some(key) = message.key.as_ref().filter(|_| message.ordered) {
-            return stores.owner(key).filter(|store| !store.gone).into_iter().cloned().collect();
+            let owner = stores.owner(key).filter(|store| !store.gone && !suspected(store));
+            return owner.into_iter().cloned().collect();
         }
-        let now = self.process.clock.ms();
-        let avoided = |store: &Store| self.avoided.borrow().get(&store.ip).is_some_and(|until| now < *until);
         let turn = self.turn.get();
         self.turn.set(turn + 1);
-        let mut active: Vec<Store> = stores.active().cloned().collect();
-        let count = active.len().max(1);
-        active.rotate_left(turn % count);
-        active.sort_by_key(|store| (avoided(store), store.zone != self.process.settings.zone));
-        active
-    }
-
-    fn avoid(&self, ip: IpAddr) {
-        self.avoided.borrow_mut().insert(ip, self.process.clock.ms() + AVOID_MS);
+        let mut sound: Vec<Store> = stores.active().filter(|store| !suspected(store)).cloned().collect();
+        let count = sound.len().max(1);
+        sound.rotate_left(turn % count);
+        sound.sort_by_key(|store| store.zone != self.process.settings.zone);
+        sound
     }
 
     async fn state(&self, id: &str) -> Answer {
@@ -286,7 +416,15 @@
 
 /// A request that has not run and never will: the client may come again.
 fn later(why: &str) -> Answer {
-    Answer::text(503, why).with("Retry-After", "0")
+    Answer::text(503, why)
+}
+
+/// When a client should come again, in whole seconds: later if it has the time.
+fn retry_after(deadline: Duration) -> &'static str {
+    match deadline >= Duration::from_millis(1_150) {
+        true => "1",
+        false => "0",
+    }
 }
 
 /// The state of a message that has ended, as clients and receivers of call-backs read it.
--- a/crates/node/src/store/copies.rs
+++ b/crates/node/src/store/copies.rs
@@ -1,23 +1,25 @@
 //! Copies at other stores: what happens to this store's messages goes to each peer that holds some, in its order.
 use super::Store;
-use crate::calls::{Call, Given};
+use crate::calls::{Call, Given, HeldFor};
 use futures_channel::oneshot;
 use net::wake::Notify;
-use queue::{Entry, Stage};
+use queue::{Entry, Message, Stage};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeSet, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// How long a peer may take for a batch.
 const REPLICATE: Duration = Duration::from_millis(1_000);
 /// How long a peer may take to tell what it holds, or to give it.
 const RECONCILE: Duration = Duration::from_millis(2_000);
+/// How long another store may take to leave a message to this one.
+const LEAVE: Duration = Duration::from_millis(400);
 /// After a failure.
 const PAUSE: Duration = Duration::from_millis(100);
 /// A peer that hasn't answered for so long isn't waited for alone.
-pub const HEDGE: Duration = Duration::from_millis(120);
+pub const HEDGE: Duration = Duration::from_millis(40);
 
 struct Pending {
     entry: Entry,
@@ -34,8 +36,8 @@
     settled: Cell<bool>,
     /// The peer's disk is lost, or it has another address.
     ended: Cell<bool>,
-    /// Nothing is under way to it.
-    idle: Cell<bool>,
+    /// When the batch that is under way to it was sent.
+    sent_at: Cell<Option<Instant>>,
 }
 
 impl Copier {
@@ -48,7 +50,7 @@
             wake: Notify::default(),
             settled: Cell::new(false),
             ended: Cell::new(false),
-            idle: Cell::new(true),
+            sent_at: Cell::new(None),
         });
         monoio::spawn(copier.clone().run(store));
         copier
@@ -61,7 +63,7 @@
 
     /// Everything that was to be told is told.
     pub fn is_idle(&self) -> bool {
-        !self.is_settled() || (self.idle.get() && self.pending.borrow().is_empty())
+        !self.is_settled() || (self.sent_at.get().is_none() && self.pending.borrow().is_empty())
     }
 
     pub fn address(&self) -> SocketAddr {
@@ -95,6 +97,7 @@
             if !self.settled.get() {
                 let settled = self.reconcile(&store).await;
                 self.settled.set(settled);
+                store.all_settled();
                 if !settled {
                     self.drop_pending();
                     monoio::time::sleep(PAUSE).await;
@@ -106,9 +109,9 @@
                 self.wake.notified().await;
                 continue;
             }
-            self.idle.set(false);
+            self.sent_at.set(Some(Instant::now()));
             self.send(&store, batch).await;
-            self.idle.set(true);
+            self.sent_at.set(None);
         }
         self.drop_pending();
     }
@@ -146,12 +149,10 @@
     /// store doesn't know is fetched.
     async fn reconcile(&self, store: &Rc<Store>) -> bool {
         let call = Call::Held { owner: store.disk };
-        let Ok(Some(held)) =
-            store.peers.call::<Call, Option<Vec<String>>>(self.address, &call, RECONCILE).await
-        else {
-            return false;
-        };
-        let held: HashSet<String> = held.into_iter().collect();
+        let held = store.peers.call::<Call, Option<HeldFor>>(self.address, &call, RECONCILE).await;
+        let Ok(Some(HeldFor { copies, taken })) = held else { return false };
+        store.leave_to_others(taken);
+        let held: HashSet<String> = copies.into_iter().collect();
         let mut ends = Vec::new();
         let mut unknown = Vec::new();
         {
@@ -186,6 +187,11 @@
         store.needs_repair.set(true);
         true
     }
+
+    /// The batch under way takes longer than it should.
+    fn is_late(&self) -> bool {
+        self.sent_at.get().is_some_and(|at| at.elapsed() > HEDGE)
+    }
 }
 
 fn ended_id(entry: &Entry) -> Option<String> {
@@ -254,6 +260,59 @@
         there()
     }
 
+    /// Once all other stores have told what they have, recovered messages needn't wait.
+    fn all_settled(&self) {
+        if self.copiers.borrow().values().all(|copier| copier.is_settled()) {
+            self.recovered_until.set(0);
+            self.work.notify();
+        }
+    }
+
+    /// Asks the stores that were given a message before to leave it to this one. False if one of them has begun.
+    pub async fn ask_to_leave(&self, message: &Message) -> bool {
+        for disk in &message.also_at {
+            let Some(other) = self.known.store(*disk) else { continue };
+            let to = SocketAddr::new(other.ip, self.port);
+            let call = Call::Leave { id: message.id.clone() };
+            // One that doesn't answer is in trouble: it hears of the message before it runs what it recovers.
+            if self.peers.call::<Call, bool>(to, &call, LEAVE).await == Ok(false) {
+                return false;
+            }
+        }
+        true
+    }
+
+    /// Another store has taken a message: it isn't run here, nor taken if it comes yet. False if it has begun.
+    pub fn leave_one(&self, id: &str) -> bool {
+        let began = self
+            .queue
+            .borrow()
+            .owned(id)
+            .is_some_and(|k| matches!(k.stage, Stage::Running | Stage::Ended(_)));
+        if !began {
+            self.leave_to_others(vec![id.to_string()]);
+            self.not_wanted.borrow_mut().insert(id.to_string());
+        }
+        !began
+    }
+
+    /// Messages that others took, because this store gave no clear answer, and that haven't begun here.
+    pub fn leave_to_others(&self, taken: Vec<String>) {
+        let mut left = 0;
+        for id in taken {
+            let entry = Entry::Dropped { owner: self.disk, id: id.clone() };
+            let holders = self.holders(&id);
+            if self.queue.borrow_mut().leave(&id) {
+                self.log.note(&entry);
+                self.tell(&holders, &entry);
+                left += 1;
+            }
+        }
+        if left > 0 {
+            log::info!("{left} messages are left to stores that took them meanwhile");
+        }
+    }
+
     /// Other stores that answer, a different one first each time.
     pub fn settled_copiers(&self) -> Vec<Rc<Copier>> {
         let copiers = self.copiers.borrow();
@@ -263,6 +322,7 @@
             self.turn.set(turn + 1);
             let count = settled.len();
             settled.rotate_left(turn % count);
+            settled.sort_by_key(|copier| copier.is_late());
         }
         settled
     }
@@ -280,8 +340,7 @@
             let queue = self.queue.borrow();
             let live = queue.all_owned().filter(|k| matches!(k.stage, Stage::Waiting | Stage::Running));
             let lacking = live.filter(|known| known.copies.is_disjoint(&active));
-            let entry =
-                |message: &queue::Message| Entry::Message { owner: self.disk, message: message.clone() };
+            let entry = |message: &Message| Entry::Message { owner: self.disk, message: message.clone() };
             lacking.map(|known| (known.message.id.clone(), entry(&known.message))).collect()
         };
         if !lacking.is_empty() {
--- a/crates/node/src/store/deliver.rs
+++ b/crates/node/src/store/deliver.rs
@@ -15,6 +15,8 @@
 const CONTROL: Duration = Duration::from_millis(100);
 /// The longest sleep without a reason to wake.
 const IDLE: u64 = 1_000;
+/// The shortest, in milliseconds.
+const SOONEST: u64 = 2;
 /// An answer may come so much after the route's time.
 const SLACK: Duration = Duration::from_millis(100);
 /// Pauses between the attempts of a message.
@@ -145,7 +147,7 @@
     /// Starts all that may run; tells when to look again.
     fn start_due(self: &Rc<Self>) -> u64 {
         let now = wall_ms();
-        let mut next = self.queue.borrow().next_due(now).unwrap_or(now + IDLE);
+        let mut next = now + IDLE;
         if self.known.version() == 0 || self.paused.get() {
             return next;
         }
@@ -156,26 +158,21 @@
         for route in routes {
             next = next.min(self.start_route(&configuration, route, now));
         }
-        next
+        let due = self.queue.borrow().next_due().unwrap_or(next);
+        next.min(due.max(now + SOONEST))
     }
 
     fn may_run(&self, message: &Message) -> bool {
         match message.ordered {
             true => self.inheriting.borrow().is_empty(),
-            false => !self.leaving.get(),
+            false => !self.leaving.get() && self.clock.ms() >= self.recovered_until.get(),
         }
     }
 
     fn start_route(self: &Rc<Self>, configuration: &Rc<Configuration>, route: &Route, now: u64) -> u64 {
         let steady = self.clock.ms();
         loop {
-            let due = {
-                let queue = self.queue.borrow();
-                let mut due = queue.due(&route.name, now);
-                let may_run = |id: &str| queue.owned(id).is_some_and(|known| self.may_run(&known.message));
-                let found = due.find(|(_, id)| may_run(id)).map(|(_, id)| id.clone());
-                found
-            };
+            let due = self.queue.borrow_mut().next(&route.name, now, |message| self.may_run(message));
             let Some(id) = due else { return now + IDLE };
             let picked = self.endpoints.borrow().pick(&route.service, &self.settings.zone, steady);
             let Some(endpoint) = picked else {
--- a/crates/node/src/store/endpoints.rs
+++ b/crates/node/src/store/endpoints.rs
@@ -10,7 +10,7 @@
 const UNTOLD_SLOTS: usize = 16;
 const MS: i64 = 1_000_000;
 /// First and longest pause of an endpoint that failed.
-const DOUBT_MS: (u64, u64) = (150, 1_000);
+const DOUBT_MS: (u64, u64) = (50, 400);
 /// An endpoint that turned a message away as full gets none for so long.
 const FULL_MS: u64 = 40;
 /// One that isn't who it was.
--- a/crates/node/src/store/log.rs
+++ b/crates/node/src/store/log.rs
@@ -61,7 +61,7 @@
     match entry {
         Entry::Disk(_) => "",
         Entry::Message { message, .. } => &message.id,
-        Entry::Failed { id, .. } | Entry::CalledBack { id } | Entry::Dropped { id } => id,
+        Entry::Failed { id, .. } | Entry::CalledBack { id } | Entry::Dropped { id, .. } => id,
         Entry::Ended(end) => &end.id,
     }
 }
--- a/crates/node/src/store/mod.rs
+++ b/crates/node/src/store/mod.rs
@@ -15,7 +15,7 @@
 pub mod log;
 pub mod takeover;
 
-use crate::calls::{Call, Found, Given, Hello, PutAnswer, Refusal, Role};
+use crate::calls::{Call, Found, Given, HeldFor, Hello, PutAnswer, Refusal, Role};
 use crate::process::{self, stopped, unique, Clock, Process};
 use crate::watch::{watch, Known};
 use anyhow::Context as _;
@@ -26,7 +26,7 @@
 use queue::{Entry, Message, Queue, Stage};
 use settings::ProcessSettings;
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, HashSet};
 use std::net::{IpAddr, SocketAddr};
 use std::path::Path;
 use std::rc::Rc;
@@ -42,6 +42,8 @@
 const MEMORY_SHARE: f64 = 0.4;
 /// How often repairs and the ring are looked after.
 const CARE: Duration = Duration::from_millis(200);
+/// How long recovered messages wait to hear whether others took them, in milliseconds.
+const RECOVERED_WAIT: u64 = 1_200;
 /// What is left of the grace when the process ends at the latest.
 const RESERVE_S: f64 = 0.9;
 
@@ -76,6 +78,10 @@
     pub inherited: RefCell<BTreeSet<u64>>,
     /// Lost stores that nothing is kept for any more.
     fenced: RefCell<BTreeSet<u64>>,
+    /// Messages that other stores have taken, and that may still come here.
+    not_wanted: RefCell<HashSet<String>>,
+    /// Until then, or until all copies are known, messages that were recovered and may be elsewhere wait.
+    pub recovered_until: Cell<u64>,
     /// About to stop: only ordered messages go on.
     pub leaving: Cell<bool>,
     /// Nothing is delivered or taken any more.
@@ -127,6 +133,8 @@
         inheriting: RefCell::default(),
         inherited: RefCell::default(),
         fenced: RefCell::default(),
+        recovered_until: Cell::new(process.clock.ms() + RECOVERED_WAIT),
+        not_wanted: RefCell::default(),
         leaving: Cell::new(false),
         paused: Cell::new(false),
         settings,
@@ -265,6 +273,8 @@
             Call::Fetch { ids } => encode(&self.fetch(&ids)),
             Call::Claim { lost } => encode(&self.claim(lost)),
             Call::Claimed { lost } => encode(&self.claimed(lost)),
+            Call::Leave { id } => encode(&self.leave_one(&id)),
+            Call::Ping => encode(&true),
             Call::Find { id, body } => encode(&self.find(&id, body)),
             Call::Status => encode(&self.status()),
             Call::Watch(..) | Call::Group(_) => Vec::new(),
@@ -305,10 +315,13 @@
         if let Some(refusal) = self.refusal(&message) {
             return PutAnswer::Refused(refusal);
         }
+        if self.not_wanted.borrow().contains(&message.id) {
+            return PutAnswer::Refused(Refusal::NotOwner);
+        }
         let id = message.id.clone();
         message.order = self.next_order();
         let entry = Entry::Message { owner: self.disk, message: message.clone() };
-        if !self.queue.borrow_mut().add(message) {
+        if !self.queue.borrow_mut().add(message.clone()) {
             return PutAnswer::Unclear;
         }
         self.taking.set(self.taking.get() + 1);
@@ -316,15 +329,25 @@
         let copied = monoio::spawn(async move { store.copy_somewhere(&copy_id, &copy_entry).await });
         let written = self.log.write(std::slice::from_ref(&entry)).await;
         copied.await;
-        self.taking.set(self.taking.get() - 1);
         if !written {
+            self.taking.set(self.taking.get() - 1);
             return PutAnswer::Unclear;
         }
-        self.queue.borrow_mut().accept(&id);
-        self.work.notify();
+        monoio::spawn(self.clone().accept(message));
         PutAnswer::Taken
     }
 
+    /// A message is safe: it may run, unless a store that was given it before has begun with it.
+    async fn accept(self: Rc<Self>, message: Message) {
+        if self.ask_to_leave(&message).await {
+            self.queue.borrow_mut().accept(&message.id);
+        } else {
+            self.leave_to_others(vec![message.id]);
+        }
+        self.taking.set(self.taking.get() - 1);
+        self.work.notify();
+    }
+
     /// Keeps what another store says of its messages; false if that isn't a store any more.
     async fn keep(&self, owner: u64, entries: Vec<Entry>) -> bool {
         if self.paused.get() || self.known.store(owner).is_none() || self.fenced.borrow().contains(&owner) {
@@ -344,6 +367,7 @@
                     Entry::Ended(end) => {
                         queue.end(end.clone());
                     }
+                    Entry::Dropped { id, .. } => queue.drop_copy_of(owner, id),
                     _ => continue,
                 }
                 kept.push(entry);
@@ -356,12 +380,12 @@
         true
     }
 
-    /// Ids of what is kept for an owner; nothing if that isn't known as a store.
-    fn held(&self, owner: u64) -> Option<Vec<String>> {
+    /// What is here of an owner's messages; nothing if that isn't known as a store.
+    fn held(&self, owner: u64) -> Option<HeldFor> {
         self.known.store(owner)?;
         let queue = self.queue.borrow();
-        let held = queue.copies_of(owner).map(|copy| copy.message.id.clone()).collect();
-        Some(held)
+        let copies = queue.copies_of(owner).map(|copy| copy.message.id.clone()).collect();
+        Some(HeldFor { copies, taken: queue.taken_from(owner) })
     }
 
     fn fetch(&self, ids: &[String]) -> Vec<Given> {
@@ -383,8 +407,8 @@
         let ids: Vec<String> = self.given_of(lost).into_iter().map(|given| given.message.id).collect();
         let mut queue = self.queue.borrow_mut();
         for id in ids {
-            queue.drop_copy(&id);
-            self.log.note(&Entry::Dropped { id });
+            queue.drop_copy_of(lost, &id);
+            self.log.note(&Entry::Dropped { owner: lost, id });
         }
         true
     }
--- a/crates/node/src/store/takeover.rs
+++ b/crates/node/src/store/takeover.rs
@@ -139,10 +139,18 @@
 
     /// Tells the stores that hold copies of a message what happened to it.
     pub fn tell_copies(&self, id: &str, entry: &Entry) {
-        let holders: Vec<u64> = match self.queue.borrow().owned(id) {
-            Some(known) => known.copies.union(&known.sent).copied().collect(),
-            None => return,
-        };
+        self.tell(&self.holders(id), entry);
+    }
+
+    /// Stores that may hold a copy of a message.
+    pub fn holders(&self, id: &str) -> Vec<u64> {
+        let queue = self.queue.borrow();
+        let known = queue.owned(id);
+        known.map_or(Vec::new(), |known| known.copies.union(&known.sent).copied().collect())
+    }
+
+    /// Tells stores a record.
+    pub fn tell(&self, holders: &[u64], entry: &Entry) {
         let copiers = self.copiers.borrow();
         for copier in holders.iter().filter_map(|disk| copiers.get(disk)) {
             copier.tell(entry.clone());
--- a/crates/queue/src/entry.rs
+++ b/crates/queue/src/entry.rs
@@ -25,6 +25,10 @@
     pub taken_at: WallMs,
     /// Not to run earlier.
     pub due_at: WallMs,
+    /// Milliseconds after it fell due in which a run is to begin.
+    pub aim_ms: u64,
+    /// Disks of stores that were given it before without a clear answer: they leave it to this one.
+    pub also_at: Vec<u64>,
     /// It ends then, run or not.
     pub expires_at: WallMs,
     pub body: Vec<u8>,
@@ -60,6 +64,6 @@
     Ended(End),
     /// The call-back about its end was accepted.
     CalledBack { id: String },
-    /// A copy isn't needed any more; nothing is said about its end.
-    Dropped { id: String },
+    /// Another store has it: this owner's message, or copy of it, isn't needed any more.
+    Dropped { owner: u64, id: String },
 }
--- a/crates/queue/src/lib.rs
+++ b/crates/queue/src/lib.rs
@@ -7,8 +7,10 @@
 //! | module | what it is |
 //! | --- | --- |
 //! | [`entry`] | the records |
+//! | `ready` | what may run of a route, and in which order |
 //! | [`view`] | the fold, and what may run |
 pub mod entry;
+mod ready;
 pub mod view;
 
 pub use entry::{End, Entry, Message, Outcome};
--- a/crates/queue/src/view.rs
+++ b/crates/queue/src/view.rs
@@ -1,9 +1,16 @@
 //! The view of all messages that is folded from the records, and what may run.
 use crate::entry::{End, Entry, Message, Outcome};
+use crate::ready::{Place, Ready};
 use crate::WallMs;
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::rc::Rc;
 
+/// How far a line of a key is looked through for a message that may still run in its aim.
+const LONGEST_LOOK: usize = 16;
+
+/// After so many times its aim, a message has waited for very long.
+const VERY_LATE: u64 = 11;
+
 /// Where a message stands.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Stage {
@@ -33,6 +40,14 @@
     pub owes_callback: bool,
     /// Disks whose copy doesn't know of the end yet.
     pub untold: BTreeSet<u64>,
+    /// Where it stands among those of its route that may run.
+    place: Option<Place>,
+}
+
+impl Known {
+    fn due_at(&self) -> WallMs {
+        self.message.due_at.max(self.not_before)
+    }
 }
 
 /// A message that is kept for another store.
@@ -43,9 +58,6 @@
     pub attempts: u32,
 }
 
-/// What may run of one service, by due time and age.
-type Ready = BTreeSet<(WallMs, WallMs, String)>;
-
 /// The view of one store.
 #[derive(Default)]
 pub struct Queue {
@@ -82,8 +94,11 @@
                 self.end(end);
             }
             Entry::CalledBack { id } => self.called_back(&id),
-            Entry::Dropped { id } => {
-                self.drop_copy(&id);
+            Entry::Dropped { owner, id } if owner == self.disk => {
+                self.leave(&id);
+            }
+            Entry::Dropped { owner, id } => {
+                self.drop_copy_of(owner, &id);
             }
         }
     }
@@ -121,6 +136,7 @@
             copies: BTreeSet::new(),
             sent: BTreeSet::new(),
             untold: BTreeSet::new(),
+            place: None,
             message: Rc::new(message),
         };
         self.owned.insert(known.message.id.clone(), known);
@@ -142,7 +158,7 @@
 
     /// Takes its place in the line of its key. Only the first of a line is ready; one that has begun stays first.
     fn join_line(&mut self, key: String, message: &Message) {
-        let line = self.keys.entry(key).or_default();
+        let line = self.keys.entry(key.clone()).or_default();
         let begun = line.front().and_then(|id| self.owned.get(id)).is_some_and(|k| k.stage == Stage::Running);
         let owned = &self.owned;
         let earlier = |id: &String| owned.get(id).is_some_and(|known| known.message.order < message.order);
@@ -154,52 +170,90 @@
         }
         if place == 0 {
             self.make_ready(&message.id);
+        } else if let Some(first) = self.keys.get(&key).and_then(|line| line.front()).cloned() {
+            // It may be worth more now to get on with this line.
+            if self.owned.get(&first).is_some_and(|known| known.stage == Stage::Waiting) {
+                self.make_ready(&first);
+            }
         }
     }
 
     fn unready(&mut self, id: &str) {
-        let Some(known) = self.owned.get(id) else { return };
-        if let Some(ready) = self.ready.get_mut(&known.message.route) {
-            ready.remove(&place(known));
+        let Some(known) = self.owned.get_mut(id) else { return };
+        if let (Some(place), Some(ready)) = (known.place.take(), self.ready.get_mut(&known.message.route)) {
+            ready.remove(id, place);
         }
     }
 
+    /// It waits for its time; [`Queue::next`] moves it on.
     fn make_ready(&mut self, id: &str) {
-        let Some(known) = self.owned.get(id) else { return };
-        let place = place(known);
-        self.ready.entry(known.message.route.clone()).or_default().insert(place);
+        self.unready(id);
+        let Some(known) = self.owned.get_mut(id) else { return };
+        let place = Place::Future(known.due_at());
+        known.place = Some(place);
+        self.ready.entry(known.message.route.clone()).or_default().insert(id, place);
+    }
+
+    /// Where a message that is due stands: how many are to run before the first of its line that may still run in its
+    /// aim, and until when that is; late ones come after all of these.
+    fn place_of(&self, id: &str, now: WallMs) -> Option<Place> {
+        let known = self.owned.get(id)?;
+        let line = order_key(&known.message).and_then(|key| self.keys.get(&key));
+        let aim = |message: &Message| message.due_at + message.aim_ms;
+        let in_line = line.into_iter().flatten().take(LONGEST_LOOK).enumerate();
+        let fresh = match line {
+            Some(_) => in_line
+                .filter_map(|(rank, id)| Some((rank as u32, aim(&self.owned.get(id)?.message))))
+                .find(|(_, aim)| *aim > now),
+            None => Some((0, aim(&known.message))).filter(|(_, aim)| *aim > now),
+        };
+        Some(match fresh {
+            Some((rank, aim)) => Place::Fresh(rank, aim),
+            None => Place::Late(known.message.due_at + known.message.aim_ms * VERY_LATE),
+        })
     }
 
-    /// Routes with messages that may run, by route the earliest that is due.
-    pub fn routes(&self) -> impl Iterator<Item = &String> {
-        self.ready.iter().filter(|(_, ready)| !ready.is_empty()).map(|(route, _)| route)
+    fn place_again(&mut self, id: &str, now: WallMs) {
+        self.unready(id);
+        let Some(place) = self.place_of(id, now) else { return };
+        let Some(known) = self.owned.get_mut(id) else { return };
+        known.place = Some(place);
+        self.ready.entry(known.message.route.clone()).or_default().insert(id, place);
+    }
+
+    /// The message of a route that is to run next, of those that `may_run`: first those that can still begin within
+    /// their aim, then late ones in their order.
+    pub fn next(&mut self, route: &str, now: WallMs, may_run: impl Fn(&Message) -> bool) -> Option<String> {
+        while let Some(id) = self.ready.get(route)?.first_due(now) {
+            self.place_again(&id, now);
+        }
+        while let Some(id) = self.ready.get(route)?.first_stale(now) {
+            self.place_again(&id, now);
+        }
+        let allowed = |id: &&String| self.owned.get(*id).is_some_and(|known| may_run(&known.message));
+        self.ready.get(route)?.in_order(now).find(allowed).cloned()
     }
 
-    /// The first messages of a route that are due, as `(when they fell due, id)`.
-    pub fn due(&self, route: &str, now: WallMs) -> impl Iterator<Item = (WallMs, &String)> {
-        let ready = self.ready.get(route).into_iter().flatten();
-        ready.take_while(move |(due, _, _)| *due <= now).map(|(due, _, id)| (*due, id))
+    /// Routes with messages that may run, by route the earliest that is due.
+    pub fn routes(&self) -> impl Iterator<Item = &String> {
+        self.ready.iter().filter(|(_, ready)| ready.len() > 0).map(|(route, _)| route)
     }
 
     /// When the next message falls due that isn't yet.
-    pub fn next_due(&self, now: WallMs) -> Option<WallMs> {
-        let after = (now + 1, 0, String::new());
-        self.ready.values().filter_map(|ready| ready.range(after.clone()..).next().map(|place| place.0)).min()
+    pub fn next_due(&self) -> Option<WallMs> {
+        self.ready.values().filter_map(Ready::next_due).min()
     }
 
     /// Waiting messages of a route that may run or become due.
     pub fn backlog(&self, route: &str) -> usize {
-        self.ready.get(route).map_or(0, BTreeSet::len)
+        self.ready.get(route).map_or(0, Ready::len)
     }
 
     /// A message goes to an endpoint.
     pub fn start(&mut self, id: &str) -> Option<Rc<Message>> {
+        self.unready(id);
         let known = self.owned.get_mut(id).filter(|known| known.stage == Stage::Waiting)?;
-        let place = place(known);
         known.stage = Stage::Running;
-        if let Some(ready) = self.ready.get_mut(&known.message.route) {
-            ready.remove(&place);
-        }
         Some(known.message.clone())
     }
 
@@ -234,6 +288,7 @@
             self.ends.insert(id, end);
             return true;
         }
+        self.unready(&id);
         let Some(known) = self.owned.get_mut(&id) else {
             self.ends.entry(id).or_insert(end);
             return false;
@@ -241,10 +296,6 @@
         if matches!(known.stage, Stage::Ended(_)) {
             return false;
         }
-        let place = place(known);
-        if let Some(ready) = self.ready.get_mut(&known.message.route) {
-            ready.remove(&place);
-        }
         known.untold = known.copies.union(&known.sent).copied().collect();
         let keep_body = end.outcome == Outcome::DeadLetter;
         known.stage = Stage::Ended(end);
@@ -297,6 +348,34 @@
         dropped.is_some()
     }
 
+    /// Drops a copy, if it is one of this owner's.
+    pub fn drop_copy_of(&mut self, owner: u64, id: &str) {
+        if self.copies.get(id).is_some_and(|copy| copy.owner == owner) {
+            self.drop_copy(id);
+        }
+    }
+
+    /// Leaves a message that hasn't begun to another store; false if it has begun, or isn't owned here.
+    pub fn leave(&mut self, id: &str) -> bool {
+        let left = self.owned.get(id).is_some_and(|k| matches!(k.stage, Stage::Copying | Stage::Waiting));
+        if !left {
+            return false;
+        }
+        self.unready(id);
+        if let Some(known) = self.owned.remove(id) {
+            self.bytes -= known.message.body.len();
+            self.next_of_key(&known.message);
+        }
+        true
+    }
+
+    /// Messages that are safe here, and that were given to a store before without a clear answer.
+    pub fn taken_from(&self, disk: u64) -> Vec<String> {
+        let safe = self.owned.values().filter(|known| known.stage != Stage::Copying);
+        let taken = safe.filter(|known| known.message.also_at.contains(&disk));
+        taken.map(|known| known.message.id.clone()).collect()
+    }
+
     /// A message that is owned here.
     pub fn owned(&self, id: &str) -> Option<&Known> {
         self.owned.get(id)
@@ -390,8 +469,3 @@
 fn order_key(message: &Message) -> Option<String> {
     message.key.clone().filter(|_| message.ordered)
 }
-
-fn place(known: &Known) -> (WallMs, WallMs, String) {
-    let message = &known.message;
-    (message.due_at.max(known.not_before), message.taken_at, message.id.clone())
-}
