--- a/crates/control/src/group.rs
+++ b/crates/control/src/group.rs
@@ -1,8 +1,8 @@
 //! Primary and backup, and the members whose epochs decide who they are.
 //!
-//! A change is acknowledged once it is on the synced disks of the primary and the backup of one epoch. A new epoch is
+//! A change is acknowledged once it is on the synced disks of the primary and the backups of one epoch. A new epoch is
 //! begun by one that was primary or backup in the last: a majority of the members promises it to take nothing of lower
-//! epochs, it gives the state to a backup, and a majority accepts the new view. Members need not hold the state; what
+//! epochs, it gives the state to its backups, and a majority accepts the new view. Members need not hold the state; what
 //! they keep of it is the epoch and its view. There is no log that a majority replicates.
 use crate::state::{Command, Rejected, State};
 use crate::view::{Member, View};
@@ -16,9 +16,19 @@
 /// Without word from a primary for so long, a member looks for another.
 const PATIENCE: Ms = 700;
 /// The same after a start, when nobody was heard yet.
-const START_PATIENCE: Ms = 250;
+const START_PATIENCE: Ms = 60;
 /// More of it with each place in the order of members, so that not all try at once.
 const PATIENCE_STEP: Ms = 150;
+/// The same after a start.
+const START_STEP: Ms = 60;
+/// After an attempt that came to nothing.
+const AGAIN: Ms = 100;
+/// Epochs are asked for by rounds, in which each machine has its own.
+const EPOCHS_A_ROUND: u64 = 64;
+/// A machine that was promised an epoch has so long to lead it.
+const LEAVE: Ms = 400;
+/// How long answers to a probe are waited for.
+const PROBE: Ms = 150;
 /// A primary that no majority has answered for so long is none any more.
 const LEASE: Ms = 1_200;
 /// How long a step on the way to a new epoch may take.
@@ -101,11 +111,22 @@
     pub message: Message,
 }
 
+/// What a machine is at, for logs and status.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stage {
+    Follows,
+    LooksForPrimary,
+    AsksForEpoch(u64),
+    CopiesState(u64),
+    InstallsView(u64),
+    Leads(u64),
+}
+
 enum Role {
     Follower,
     Probing { since: Ms, standings: BTreeMap<u64, Standing> },
     Preparing { since: Ms, epoch: u64, promises: BTreeMap<u64, Standing>, plan: Option<Vec<Member>> },
-    Copying { since: Ms, view: View, from: Option<View> },
+    Copying { since: Ms, view: View, from: Option<View>, copied: BTreeSet<u64> },
     Installing { since: Ms, view: View, from: Option<View>, accepted: BTreeSet<u64> },
     Primary(Primary),
 }
@@ -115,8 +136,8 @@
     pinged: Ms,
     /// When each machine answered last, by disk.
     answered: BTreeMap<u64, Ms>,
-    /// The number of the last change that the backup has.
-    committed: u64,
+    /// The number of the last change that each backup has.
+    copied: BTreeMap<u64, u64>,
     sent: Option<(u64, Ms)>,
 }
 
@@ -135,6 +156,8 @@
     storage: S,
     role: Role,
     heard: Ms,
+    /// Another machine is on its way to an epoch: it is left alone until then.
+    leave_until: Ms,
     /// When a primary was heard; nothing in this life yet.
     heard_primary: Option<Ms>,
     started: Ms,
@@ -154,6 +177,7 @@
             storage,
             role,
             heard: now,
+            leave_until: 0,
             heard_primary: None,
             started: now,
             line: 0,
@@ -172,6 +196,18 @@
         self.primary
     }
 
+    /// What this machine is at.
+    pub fn stage(&self) -> Stage {
+        match &self.role {
+            Role::Follower => Stage::Follows,
+            Role::Probing { .. } => Stage::LooksForPrimary,
+            Role::Preparing { epoch, .. } => Stage::AsksForEpoch(*epoch),
+            Role::Copying { view, .. } => Stage::CopiesState(view.epoch),
+            Role::Installing { view, .. } => Stage::InstallsView(view.epoch),
+            Role::Primary(primary) => Stage::Leads(primary.view.epoch),
+        }
+    }
+
     /// The view in which this machine is primary, if a majority has answered lately.
     pub fn leads(&self, now: Ms) -> Option<&View> {
         match &self.role {
@@ -180,10 +216,10 @@
         }
     }
 
-    /// The number of the last change that is on two disks.
+    /// The number of the last change that is on the primary's and all backups' disks.
     pub fn committed(&self) -> u64 {
         match &self.role {
-            Role::Primary(primary) => primary.committed,
+            Role::Primary(primary) => primary.committed(),
             _ => 0,
         }
     }
@@ -266,7 +302,7 @@
         match &self.role {
             // The state that a new epoch begins with is on two disks.
             Role::Primary(primary) => {
-                (primary.committed >= change.number && self.leads(now).is_some()).then_some(true)
+                (primary.committed() >= change.number && self.leads(now).is_some()).then_some(true)
             }
             _ => None,
         }
@@ -280,9 +316,10 @@
     fn replicate(&mut self, now: Ms) -> Vec<Out> {
         let state = self.durable.state.clone();
         let Role::Primary(primary) = &mut self.role else { return Vec::new() };
-        let Some(ip) = primary.ip_of(primary.view.backup) else { return Vec::new() };
         primary.sent = Some((state.at.1, now));
-        vec![Out { to: ip, message: Message::Replicate(primary.view.epoch, state) }]
+        let message = Message::Replicate(primary.view.epoch, state);
+        let ips = primary.view.backups.iter().filter_map(|disk| primary.ip_of(*disk));
+        ips.map(|to| Out { to, message: message.clone() }).collect()
     }
 
     /// Answers another machine.
@@ -295,7 +332,11 @@
                 }
                 true
             }
-            Message::Prepare(epoch) => epoch > self.durable.promised && self.promise(epoch),
+            Message::Prepare(epoch) if epoch > self.durable.promised => {
+                self.leave_until = now + LEAVE;
+                self.promise(epoch)
+            }
+            Message::Prepare(_) => false,
             Message::Replicate(epoch, state) => {
                 let taken = self.heed(epoch);
                 if taken {
@@ -309,7 +350,8 @@
             Message::Install(view) => self.heed(view.epoch) && self.accept(view),
             Message::Ping(view) => self.pinged(from, view, now),
             Message::Transfer(epoch) => {
-                let mine = self.view().is_some_and(|v| v.epoch == epoch && v.backup == self.settings.me.disk);
+                let me = self.settings.me.disk;
+                let mine = self.view().is_some_and(|v| v.epoch == epoch && v.backups.contains(&me));
                 if mine {
                     out = self.prepare(None, now);
                 }
@@ -370,7 +412,7 @@
     pub fn tick(&mut self, now: Ms) -> Vec<Out> {
         match &self.role {
             Role::Follower => self.follow(now),
-            Role::Probing { since, .. } if now >= since + STEP => self.judge_probe(now, true),
+            Role::Probing { since, .. } if now >= since + PROBE => self.judge_probe(now, true),
             Role::Preparing { since, .. } | Role::Copying { since, .. } | Role::Installing { since, .. }
                 if now >= since + STEP =>
             {
@@ -384,10 +426,18 @@
 
     fn rest(&mut self, now: Ms) -> Vec<Out> {
         self.role = Role::Follower;
-        self.heard = now.saturating_sub(PATIENCE - 200);
+        // The next attempt comes soon, and not at the same moment as another member's.
+        self.heard = (now + AGAIN).saturating_sub(self.first_patience());
         Vec::new()
     }
 
+    fn first_patience(&self) -> Ms {
+        match self.heard_primary {
+            None => START_PATIENCE,
+            Some(_) => PATIENCE,
+        }
+    }
+
     fn rank(&self) -> u64 {
         let ip = self.settings.me.ip;
         self.addresses().iter().position(|other| *other == ip).unwrap_or(9) as u64
@@ -396,9 +446,9 @@
     fn follow(&mut self, now: Ms) -> Vec<Out> {
         let view = self.view();
         let expected = view.is_none_or(|view| view.holds_state(self.settings.me.disk));
-        let first = if self.heard_primary.is_none() { START_PATIENCE } else { PATIENCE };
-        let patience = first + PATIENCE_STEP * self.rank() + if expected { 0 } else { 400 };
-        if now < self.heard + patience {
+        let step = if self.heard_primary.is_none() { START_STEP } else { PATIENCE_STEP };
+        let patience = self.first_patience() + step * self.rank() + if expected { 0 } else { 400 };
+        if now < self.heard + patience || now < self.leave_until {
             return Vec::new();
         }
         let me = self.standing(now);
@@ -426,11 +476,15 @@
                 promises.insert(disk, standing);
                 self.judge_promises(now)
             }
-            (Role::Copying { view, .. }, Message::Replicate(of, _)) if view.epoch == *of => {
+            (Role::Copying { view, copied, .. }, Message::Replicate(of, _)) if view.epoch == *of => {
                 if !reply.taken {
                     return self.rest(now);
                 }
-                self.install(now)
+                copied.insert(disk);
+                match view.backups.iter().all(|backup| copied.contains(backup)) {
+                    true => self.install(now),
+                    false => Vec::new(),
+                }
             }
             (Role::Installing { view, accepted, .. }, Message::Install(of)) if view == of => {
                 if !reply.taken {
@@ -447,8 +501,9 @@
                 }
                 primary.answered.insert(disk, now);
                 if let Message::Replicate(epoch, state) = sent {
-                    if reply.taken && *epoch == primary.view.epoch && disk == primary.view.backup {
-                        primary.committed = primary.committed.max(state.at.1);
+                    if reply.taken && *epoch == primary.view.epoch {
+                        let copied = primary.copied.entry(disk).or_default();
+                        *copied = (*copied).max(state.at.1);
                     }
                 }
                 Vec::new()
@@ -494,7 +549,9 @@
             Role::Probing { standings, .. } => standings.values().map(|s| s.promised).max().unwrap_or(0),
             _ => 0,
         };
-        let epoch = known.max(self.durable.promised) + 1;
+        // No two machines ask for the same epoch: of two that ask at once, the higher one wins.
+        let round = known.max(self.durable.promised) / EPOCHS_A_ROUND + 1;
+        let epoch = round * EPOCHS_A_ROUND + self.rank().min(EPOCHS_A_ROUND - 1);
         self.promise(epoch);
         let promises = BTreeMap::from([(self.settings.me.disk, self.standing(now))]);
         self.role = Role::Preparing { since: now, epoch, promises, plan };
@@ -522,20 +579,23 @@
             (Some(view), None) => view.members.clone(),
             (None, None) => self.founding_members(promises),
         };
+        let wanted = self.settings.tolerance.min(members.len().saturating_sub(1));
         let there = |disk: &u64| *disk != me && promises.contains_key(disk);
-        let before = from.as_ref().map(|view| if view.primary == me { view.backup } else { view.primary });
-        let mut candidates = members.iter().map(|member| member.disk).filter(there);
-        let backup = match before.filter(|disk| there(disk) && members.iter().any(|m| m.disk == *disk)) {
-            Some(disk) => Some(disk),
-            // The other holder of the state may still answer; only then is another one taken.
-            None if waiting_for_more && before.is_some_and(|disk| members.iter().any(|m| m.disk == disk)) => {
-                return Vec::new()
-            }
-            None => candidates.next(),
-        };
-        let Some(backup) = backup else { return Vec::new() };
+        let held = |disk: &u64| from.as_ref().is_some_and(|view| view.holds_state(*disk));
+        let mut candidates: Vec<u64> =
+            members.iter().map(|member| member.disk).filter(|d| *d != me).collect();
+        // Others that hold the state may still answer; only then are others taken.
+        if waiting_for_more && candidates.iter().any(|disk| held(disk) && !there(disk)) {
+            return Vec::new();
+        }
+        candidates.retain(|disk| there(disk));
+        candidates.sort_by_key(|disk| !held(disk));
+        candidates.truncate(wanted);
+        if candidates.len() < wanted {
+            return Vec::new();
+        }
         let previous = from.as_ref().map_or_else(Vec::new, |view| view.members.clone());
-        let view = View { epoch: *epoch, primary: me, backup, members, previous };
+        let view = View { epoch: *epoch, primary: me, backups: candidates, members, previous };
         self.copy(view, from, now)
     }
 
@@ -547,10 +607,11 @@
     fn copy(&mut self, view: View, from: Option<View>, now: Ms) -> Vec<Out> {
         self.durable.state.at.0 = view.epoch;
         self.save();
-        let ip = view.members.iter().find(|member| member.disk == view.backup).map(|member| member.ip);
+        let backups = view.members.iter().filter(|member| view.backups.contains(&member.disk));
+        let ips: Vec<IpAddr> = backups.map(|member| member.ip).collect();
         let message = Message::Replicate(view.epoch, self.durable.state.clone());
-        self.role = Role::Copying { since: now, view, from };
-        ip.into_iter().map(|to| Out { to, message: message.clone() }).collect()
+        self.role = Role::Copying { since: now, view, from, copied: BTreeSet::new() };
+        ips.into_iter().map(|to| Out { to, message: message.clone() }).collect()
     }
 
     fn install(&mut self, now: Ms) -> Vec<Out> {
@@ -570,9 +631,10 @@
             return Vec::new();
         }
         let answered = accepted.iter().map(|disk| (*disk, now)).collect();
-        let committed = self.durable.state.at.1;
+        let last = self.durable.state.at.1;
         let view = view.clone();
-        self.role = Role::Primary(Primary { view, pinged: now, answered, committed, sent: None });
+        let copied = view.backups.iter().map(|disk| (*disk, last)).collect();
+        self.role = Role::Primary(Primary { view, pinged: now, answered, copied, sent: None });
         self.primary = Some(self.settings.me.ip);
         self.ping(now)
     }
@@ -594,9 +656,12 @@
             self.heard = now;
             return Vec::new();
         }
-        let backup_heard = primary.answered.get(&primary.view.backup).copied().unwrap_or(0);
-        let waits = primary.committed < last;
-        if now >= backup_heard + BACKUP_PATIENCE {
+        let waits = primary.committed() < last;
+        let silent = |disk: &u64| now >= primary.answered.get(disk).copied().unwrap_or(0) + BACKUP_PATIENCE;
+        // A backup that just joined has its time too.
+        if primary.view.backups.iter().any(silent)
+            && primary.could_do_better(me, now, self.settings.tolerance)
+        {
             return self.prepare(None, now);
         }
         if let Some(members) = self.better_members(now) {
@@ -647,8 +712,8 @@
     /// This machine is about to stop: the backup is asked to take its place.
     pub fn hand_over(&mut self) -> Vec<Out> {
         let Role::Primary(primary) = &self.role else { return Vec::new() };
-        let backup = primary.ip_of(primary.view.backup);
         let message = Message::Transfer(primary.view.epoch);
+        let backup = primary.view.backups.iter().find_map(|disk| primary.ip_of(*disk));
         backup.into_iter().map(|to| Out { to, message: message.clone() }).collect()
     }
 
@@ -662,6 +727,20 @@
 }
 
 impl Primary {
+    /// The number of the last change that all backups have.
+    fn committed(&self) -> u64 {
+        let of = |disk: &u64| self.copied.get(disk).copied().unwrap_or(0);
+        self.view.backups.iter().map(of).min().unwrap_or(0)
+    }
+
+    /// Enough members answer for a view with all its backups.
+    fn could_do_better(&self, me: u64, now: Ms, tolerance: usize) -> bool {
+        let heard = |disk: u64| self.answered.get(&disk).copied().unwrap_or(0);
+        let others =
+            self.view.members.iter().filter(|m| m.disk != me && now < heard(m.disk) + BACKUP_PATIENCE);
+        others.count() >= tolerance.min(self.view.members.len().saturating_sub(1))
+    }
+
     fn lease(&self, me: u64, now: Ms) -> bool {
         let fresh = self.answered.iter().filter(|(disk, at)| **disk != me && now < **at + LEASE);
         self.view.is_majority(fresh.map(|(disk, _)| disk).chain([&me]))
--- a/crates/control/src/view.rs
+++ b/crates/control/src/view.rs
@@ -10,13 +10,14 @@
     pub ip: IpAddr,
 }
 
-/// An epoch with its primary and its backup, which both hold every acknowledged change, and all members, whose
+/// An epoch with its primary and its backups, which all hold every acknowledged change, and all members, whose
 /// majority decides on the next epoch.
 #[derive(Clone, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
 pub struct View {
     pub epoch: u64,
     pub primary: u64,
-    pub backup: u64,
+    /// As many as machines may be lost at once.
+    pub backups: Vec<u64>,
     pub members: Vec<Member>,
     /// The members of the view before, as long as this one has other members: both majorities decide.
     pub previous: Vec<Member>,
@@ -25,7 +26,7 @@
 impl View {
     /// Whether a disk holds every change that was acknowledged before the next epoch.
     pub fn holds_state(&self, disk: u64) -> bool {
-        self.primary == disk || self.backup == disk
+        self.primary == disk || self.backups.contains(&disk)
     }
 
     /// Whether a disk may vote.
--- a/crates/control/tests/network/mod.rs
+++ b/crates/control/tests/network/mod.rs
@@ -9,6 +9,8 @@
 use std::rc::Rc;
 
 const STEP: Ms = 10;
+/// A new system has so long to come to its size.
+const FOUNDED: Ms = 5_000;
 
 /// A mistake that is planted to see whether the properties find it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -73,6 +75,10 @@
     cut_until: Ms,
     next_disk: u64,
     bug: Bug,
+    /// How many machines may be lost at once.
+    tolerance: usize,
+    /// Machines act at the same moments, every so often, and all messages take as long as each other.
+    lockstep: Option<Ms>,
     waiting: Vec<Waiting>,
     acknowledged: BTreeMap<u64, u64>,
     /// Who led each epoch.
@@ -88,7 +94,7 @@
 }
 
 impl Network {
-    pub fn new(seed: u64, count: usize, bug: Bug) -> Network {
+    pub fn new(seed: u64, count: usize, tolerance: usize, bug: Bug) -> Network {
         let mut network = Network {
             lot: Pcg64Mcg::seed_from_u64(seed),
             now: 1,
@@ -99,11 +105,13 @@
             cut_until: 0,
             next_disk: 100,
             bug,
+            tolerance,
+            lockstep: None,
             waiting: Vec::new(),
             acknowledged: BTreeMap::new(),
             leaders: BTreeMap::new(),
             version: 0,
-            whole_at: 3_000,
+            whole_at: FOUNDED,
             seen: Seen::default(),
         };
         for i in 0..count {
@@ -120,6 +128,42 @@
         network
     }
 
+    /// The same, with machines that act at the same moments.
+    pub fn lockstep(seed: u64, count: usize, every: Ms) -> Network {
+        Network { lockstep: Some(every), ..Network::new(seed, count, 1, Bug::None) }
+    }
+
+    /// Kills all machines at once after a calm start, and tells how long it takes until somebody leads again.
+    pub fn recovery(mut self) -> Option<Ms> {
+        while self.now < FOUNDED {
+            self.step();
+        }
+        (0..self.machines.len()).for_each(|i| self.kill(i, 500));
+        let back = self.now + 500;
+        while self.now < back + 10_000 {
+            self.step();
+            if self
+                .machines
+                .iter()
+                .any(|m| m.group.as_ref().is_some_and(|group| group.leads(self.now).is_some()))
+            {
+                return Some(self.now - back);
+            }
+        }
+        None
+    }
+
+    fn is_lost(&mut self) -> bool {
+        self.lockstep.is_none() && self.lot.random_bool(0.02)
+    }
+
+    fn delay(&mut self) -> Ms {
+        match self.lockstep {
+            Some(_) => 10,
+            None => self.lot.random_range(1..25),
+        }
+    }
+
     fn start(&mut self, i: usize, founder: bool) {
         let founders = self.machines.iter().take(3).map(|machine| machine.ip).collect();
         let machine = &mut self.machines[i];
@@ -130,7 +174,8 @@
             self.next_disk += 1;
         }
         let me = Member { disk: durable.disk, name: format!("m{i}"), ip: machine.ip };
-        let settings = Settings { me, founders, founder: founder && fresh && i < 3, tolerance: 1 };
+        let settings =
+            Settings { me, founders, founder: founder && fresh && i < 3, tolerance: self.tolerance };
         machine.group = Some(Group::new(settings, durable, machine.disk.clone(), self.now));
     }
 
@@ -150,10 +195,10 @@
     fn send(&mut self, from: usize, out: Vec<Out>) {
         for Out { to, message } in out {
             let Some(to) = self.index(to) else { continue };
-            if self.is_cut(from, to) || self.lot.random_bool(0.02) {
+            if self.is_cut(from, to) || self.is_lost() {
                 continue;
             }
-            let delay = self.lot.random_range(1..25);
+            let delay = self.delay();
             let from = self.machines[from].ip;
             self.schedule(delay, Event::Arrive { to, from, message });
         }
@@ -195,7 +240,7 @@
             self.happen(event);
         }
         for i in 0..self.machines.len() {
-            if self.works(i) {
+            if self.works(i) && self.lockstep.is_none_or(|every| self.now % every < STEP) {
                 let now = self.now;
                 let out = self.machines[i].group.as_mut().expect("works").tick(now);
                 self.send(i, out);
@@ -223,8 +268,8 @@
                 let (reply, out) = group.handle(from, message.clone(), now);
                 self.send(to, out);
                 let Some(back) = self.index(from) else { return };
-                if !self.is_cut(to, back) && !self.lot.random_bool(0.02) {
-                    let delay = self.lot.random_range(1..25);
+                if !self.is_cut(to, back) && !self.is_lost() {
+                    let delay = self.delay();
                     self.schedule(delay, Event::Return { to: back, message, reply });
                 }
             }
@@ -292,20 +337,27 @@
         if self.now < self.whole_at || !self.lot.random_bool(0.02) {
             return;
         }
-        let i = self.lot.random_range(0..self.machines.len());
         let span = self.lot.random_range(100..4_000);
-        match self.lot.random_range(0..6) {
-            0 | 1 => self.kill(i, span),
-            2 => self.wipe(i, span),
-            3 => {
-                self.machines[i].frozen_until = self.now + span;
+        if self.lot.random_bool(0.15) {
+            (0..self.machines.len()).for_each(|i| self.kill(i, span));
+        } else {
+            for _ in 0..self.tolerance {
+                let i = self.lot.random_range(0..self.machines.len());
+                self.hit(i, span);
             }
-            4 => self.cut(i, span),
-            _ => (0..self.machines.len()).for_each(|i| self.kill(i, span)),
         }
         self.whole_at = self.now + span + 4_500;
     }
 
+    fn hit(&mut self, i: usize, span: Ms) {
+        match self.lot.random_range(0..5) {
+            0 | 1 => self.kill(i, span),
+            2 => self.wipe(i, span),
+            3 => self.machines[i].frozen_until = self.now + span,
+            _ => self.cut(i, span),
+        }
+    }
+
     fn kill(&mut self, i: usize, span: Ms) {
         self.machines[i].group = None;
         self.machines[i].down_until = self.now + span;
@@ -352,7 +404,7 @@
         if let Some(lost) = self.acknowledged.keys().find(|version| !taken.contains(version)) {
             self.seen.broken = Some(format!("version {lost} was acknowledged and is lost"));
         }
-        if group.view().unwrap().members.len() < 3 {
+        if group.view().unwrap().members.len() < self.machines.len().min(2 * self.tolerance + 1) {
             self.seen.broken = Some("a member was lost and not replaced".to_string());
         }
     }
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -15,7 +15,7 @@
 use crate::process::{self, stopped, unique, Process};
 use crate::watch::HOLD;
 use anyhow::Context as _;
-use control::{Command, Group, Member, Message, Out, Rejected, Reply, State};
+use control::{Command, Group, Member, Message, Out, Rejected, Reply, Stage, State};
 use monoio::net::TcpListener;
 use net::http::Bounds;
 use net::rpc::{serve, Peers};
@@ -55,6 +55,7 @@
     /// A change is on its way; others wait for its end.
     changing: Cell<bool>,
     census: RefCell<census::Census>,
+    stage: Cell<Stage>,
 }
 
 /// How a change that was asked for ended.
@@ -94,6 +95,7 @@
         changes: Watched::default(),
         changing: Cell::new(false),
         census: RefCell::default(),
+        stage: Cell::new(Stage::Follows),
         process,
     });
     let listener = TcpListener::bind(member_address).context("the members' port is taken; free it")?;
@@ -136,6 +138,14 @@
             let out = self.group.borrow_mut().tick(self.now());
             self.send(out);
             self.publish();
+            self.note_stage();
+        }
+    }
+
+    fn note_stage(&self) {
+        let stage = self.group.borrow().stage();
+        if self.stage.replace(stage) != stage {
+            log::info!("{stage:?}");
         }
     }
 
@@ -155,6 +165,7 @@
         let reply = self.peers.call::<Call, Reply>(to, &call, GROUP_CALL).await.ok()?;
         let more = self.group.borrow_mut().reply(&out.message, reply.clone(), self.now());
         self.publish();
+        self.note_stage();
         self.send(more);
         Some(reply)
     }
--- a/crates/node/src/store/copies.rs
+++ b/crates/node/src/store/copies.rs
@@ -2,7 +2,7 @@
 use super::Store;
 use crate::calls::{Call, Given, HeldFor};
 use futures_channel::oneshot;
-use net::wake::Notify;
+use net::wake::{Notify, Watched};
 use queue::{Entry, Message, Stage};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeSet, HashSet};
@@ -21,6 +21,14 @@
 /// A peer that hasn't answered for so long isn't waited for alone.
 pub const HEDGE: Duration = Duration::from_millis(40);
 
+/// What is heard of the copies of one message.
+#[derive(Default)]
+struct Answers {
+    /// Stores that are expected to answer.
+    open: Cell<usize>,
+    changed: Watched,
+}
+
 struct Pending {
     entry: Entry,
     waiting: Option<oneshot::Sender<bool>>,
@@ -202,62 +210,62 @@
 }
 
 impl Store {
-    /// Copies a message to another store: to the next one if the first doesn't answer soon. Returns once one has it.
-    pub async fn copy_somewhere(self: &Rc<Self>, id: &str, entry: &Entry) {
-        let mut tried: Vec<oneshot::Receiver<bool>> = Vec::new();
+    /// Copies a message to as many other stores as may be lost at once, and to another where one doesn't answer soon.
+    /// Returns once enough have it.
+    pub async fn copy_enough(self: &Rc<Self>, id: &str, entry: &Entry) {
+        let answers = Rc::new(Answers::default());
         let mut asked: Vec<u64> = Vec::new();
         loop {
-            let next = self.settled_copiers().into_iter().find(|copier| !asked.contains(&copier.disk));
-            match next {
-                Some(copier) => {
-                    asked.push(copier.disk);
-                    if let Some(known) = self.queue.borrow_mut().owned_mut(id) {
-                        known.sent.insert(copier.disk);
-                    }
-                    tried.push(self.copy_to(&copier, id, entry));
-                }
-                None if asked.is_empty() => monoio::time::sleep(PAUSE).await,
-                // All have been asked: again, once those have failed.
-                None => {
-                    monoio::time::sleep(PAUSE).await;
-                    asked.clear();
-                }
-            }
-            if self.first_copied(id, &mut tried).await {
+            let seen = answers.changed.get();
+            let missing = self.missing_copies(id);
+            if missing == 0 {
                 return;
             }
+            // Those that have not answered count as copies to come, but for one more after each hedge.
+            let more = missing.saturating_sub(answers.open.get());
+            let candidates =
+                self.settled_copiers().into_iter().filter(|copier| !asked.contains(&copier.disk));
+            let candidates: Vec<_> = candidates.take(more).collect();
+            if more > 0 && candidates.is_empty() && answers.open.get() == 0 {
+                monoio::time::sleep(PAUSE).await;
+                asked.clear();
+                continue;
+            }
+            for copier in candidates {
+                asked.push(copier.disk);
+                self.copy_to(&copier, id, entry, &answers);
+            }
+            if monoio::time::timeout(HEDGE, answers.changed.changed(seen)).await.is_err() {
+                answers.open.set(answers.open.get().saturating_sub(1));
+            }
         }
     }
 
-    fn copy_to(self: &Rc<Self>, copier: &Rc<Copier>, id: &str, entry: &Entry) -> oneshot::Receiver<bool> {
-        let (sender, receiver) = oneshot::channel();
+    /// How many copies a message still needs.
+    fn missing_copies(&self, id: &str) -> usize {
+        let queue = self.queue.borrow();
+        let copiers = self.copiers.borrow();
+        let Some(known) = queue.owned(id) else { return 0 };
+        let there = known.copies.iter().filter(|disk| copiers.contains_key(disk)).count();
+        self.copies_needed.saturating_sub(there)
+    }
+
+    fn copy_to(self: &Rc<Self>, copier: &Rc<Copier>, id: &str, entry: &Entry, answers: &Rc<Answers>) {
+        if let Some(known) = self.queue.borrow_mut().owned_mut(id) {
+            known.sent.insert(copier.disk);
+        }
+        answers.open.set(answers.open.get() + 1);
         let copied = copier.copy(entry.clone());
-        let (store, id, disk) = (self.clone(), id.to_string(), copier.disk);
+        let (store, id, disk, answers) = (self.clone(), id.to_string(), copier.disk, answers.clone());
         monoio::spawn(async move {
-            let kept = copied.await.unwrap_or(false);
-            if kept {
+            if copied.await.unwrap_or(false) {
                 if let Some(known) = store.queue.borrow_mut().owned_mut(&id) {
                     known.copies.insert(disk);
                 }
             }
-            let _ = sender.send(kept);
+            answers.open.set(answers.open.get().saturating_sub(1));
+            answers.changed.raise();
         });
-        receiver
-    }
-
-    /// Waits until one of the copies is there, all have failed, or it is time to ask another store.
-    async fn first_copied(&self, id: &str, tried: &mut Vec<oneshot::Receiver<bool>>) -> bool {
-        let there = || self.queue.borrow().owned(id).is_none_or(|known| !known.copies.is_empty());
-        if let Some(last) = tried.last_mut() {
-            let answered = monoio::time::timeout(HEDGE, last).await;
-            if let Ok(answer) = answered {
-                tried.pop();
-                if answer.unwrap_or(false) {
-                    return true;
-                }
-            }
-        }
-        there()
     }
 
     /// Once all other stores have told what they have, recovered messages needn't wait.
@@ -325,11 +333,22 @@
             self.turn.set(turn + 1);
             let count = settled.len();
             settled.rotate_left(turn % count);
-            settled.sort_by_key(|copier| copier.is_late());
+            // Bytes between zones cost; where a zone may be lost, the copy has to be in another.
+            let far = self.settings.tolerance.zones > 0;
+            let here = |disk: u64| view.get(disk).is_some_and(|store| store.zone == self.settings.zone);
+            settled.sort_by_key(|copier| (copier.is_late(), here(copier.disk) == far));
         }
         settled
     }
 
+    async fn copy_again(self: Rc<Self>, id: String, entry: Entry) {
+        let copiers = self.copiers.borrow().clone();
+        if let Some(known) = self.queue.borrow_mut().owned_mut(&id) {
+            known.copies.retain(|disk| copiers.contains_key(disk));
+        }
+        self.copy_enough(&id, &entry).await;
+    }
+
     /// Copies messages again that are at no other active store any more.
     pub async fn repair(self: &Rc<Self>) {
         let active: BTreeSet<u64> = self.copiers.borrow().keys().copied().collect();
@@ -342,7 +361,8 @@
         let lacking: Vec<(String, Entry)> = {
             let queue = self.queue.borrow();
             let live = queue.all_owned().filter(|k| matches!(k.stage, Stage::Waiting | Stage::Running));
-            let lacking = live.filter(|known| known.copies.is_disjoint(&active));
+            let enough = self.copies_needed.min(active.len());
+            let lacking = live.filter(|known| known.copies.intersection(&active).count() < enough);
             let entry = |message: &Message| Entry::Message { owner: self.disk, message: message.clone() };
             lacking.map(|known| (known.message.id.clone(), entry(&known.message))).collect()
         };
@@ -350,11 +370,7 @@
             log::info!("{} messages are copied again", lacking.len());
         }
         for (id, entry) in lacking {
-            let store = self.clone();
-            if let Some(known) = self.queue.borrow_mut().owned_mut(&id) {
-                known.copies.clear();
-            }
-            store.copy_somewhere(&id, &entry).await;
+            monoio::spawn(self.clone().copy_again(id, entry));
         }
     }
 }
--- a/crates/node/src/store/deliver.rs
+++ b/crates/node/src/store/deliver.rs
@@ -24,9 +24,12 @@
 const LONGEST_FAILED_PAUSE: u64 = 500;
 const UNKNOWN_PAUSE: u64 = 60;
 const NOT_RUN_PAUSE: u64 = 10;
-/// Share of a service's rate that is used, and messages that may go at once.
+/// Share of a service's rate that is used.
 const RATE_SHARE: f64 = 0.97;
+/// Messages that a store may send at once, at the most.
 const BURST: f64 = 3.0;
+/// What a service bears beyond its rate in one window, as a share of that and in messages; all stores share it.
+const OVERAGE: (f64, f64) = (0.1, 5.0);
 
 /// A store's share of a service's rate.
 pub struct Bucket {
@@ -193,12 +196,14 @@
             return None;
         }
         let stores = self.known.stores().active().count().max(1) as f64;
+        let spare = rate * self.settings.bounds.ceiling_window_s * OVERAGE.0 + OVERAGE.1;
+        let burst = (spare * 0.8 / stores).clamp(1.0, BURST);
         let rate = rate * RATE_SHARE / stores;
         let mut buckets = self.buckets.borrow_mut();
         // What an earlier process sent isn't known: a new one begins with nothing.
         let bucket = buckets.entry(service.to_string()).or_insert(Bucket { tokens: 0.0, at: now });
         let passed = now.saturating_sub(bucket.at) as f64 / 1_000.0;
-        bucket.tokens = (bucket.tokens + passed * rate).min(BURST);
+        bucket.tokens = (bucket.tokens + passed * rate).min(burst);
         bucket.at = now;
         if bucket.tokens >= 1.0 {
             bucket.tokens -= 1.0;
--- a/crates/node/src/store/mod.rs
+++ b/crates/node/src/store/mod.rs
@@ -73,6 +73,8 @@
     /// Bytes of messages that are owned and not ended, about.
     pub turn: Cell<usize>,
     pub needs_repair: Cell<bool>,
+    /// Copies of each message at other stores: as many as machines may be lost at once.
+    pub copies_needed: usize,
     /// Lost stores that are being taken over from, and those that were.
     pub inheriting: RefCell<BTreeSet<u64>>,
     pub inherited: RefCell<BTreeSet<u64>>,
@@ -135,6 +137,7 @@
         taking: Cell::new(0),
         turn: Cell::new(0),
         needs_repair: Cell::new(true),
+        copies_needed: settings.tolerance.machines.max(1) as usize,
         inheriting: RefCell::default(),
         inherited: RefCell::default(),
         fenced: RefCell::default(),
@@ -350,7 +353,7 @@
         if owner.is_some_and(|owner| owner != Some(self.disk)) {
             return Some(Refusal::NotOwner);
         }
-        if !self.copiers.borrow().values().any(|copier| copier.is_settled()) {
+        if self.copiers.borrow().values().filter(|copier| copier.is_settled()).count() < self.copies_needed {
             return Some(Refusal::NoCopy);
         }
         let full = self.log.lag() > DISK_LAG || self.log.free_share() < FULL_BELOW || self.is_memory_full();
@@ -385,7 +388,7 @@
         }
         self.taking.set(self.taking.get() + 1);
         let (store, copy_id, copy_entry) = (self.clone(), id.clone(), entry.clone());
-        let copied = monoio::spawn(async move { store.copy_somewhere(&copy_id, &copy_entry).await });
+        let copied = monoio::spawn(async move { store.copy_enough(&copy_id, &copy_entry).await });
         let written = self.log.write(std::slice::from_ref(&entry)).await;
         copied.await;
         if !written {
--- a/crates/node/src/store/takeover.rs
+++ b/crates/node/src/store/takeover.rs
@@ -46,12 +46,15 @@
         log::info!("took over from a lost store");
     }
 
-    /// A message that has not ended is at no other active store.
+    /// A message that has not ended is at too few other active stores.
     pub fn lacks_copies(&self) -> bool {
         let copiers = self.copiers.borrow();
         let queue = self.queue.borrow();
         let mut live = queue.all_owned().filter(|k| matches!(k.stage, Stage::Waiting | Stage::Running));
-        let lacks = live.any(|known| !known.copies.iter().any(|disk| copiers.contains_key(disk)));
+        let enough = self.copies_needed.min(copiers.len());
+        let there =
+            |known: &queue::Known| known.copies.iter().filter(|disk| copiers.contains_key(disk)).count();
+        let lacks = live.any(|known| there(known) < enough);
         lacks
     }
 
--- a/crates/settings/src/process.rs
+++ b/crates/settings/src/process.rs
@@ -44,6 +44,7 @@
     #[derive(Clone, Debug, Default)]
     pub struct FaultTolerance {
         "Machines" machines: u64 = [1], any;
+        "Zones" zones: u64 = [0], any;
     }
 }
 
@@ -76,7 +77,7 @@
         "Bootstrap" bootstrap: bool = [false], any;
         "Limits" limits: MachineLimits = [], any;
         "DataDir" data_dir: Option<String> = [None], any;
-        "FaultTolerance" tolerance: FaultTolerance = [FaultTolerance { machines: 1 }], any;
+        "FaultTolerance" tolerance: FaultTolerance = [FaultTolerance { machines: 1, zones: 0 }], any;
         "Bounds" bounds: Bounds =
             [Bounds { grace_s: 6.0, status_ttl_s: 120.0, ceiling_window_s: 5.0 }], any;
         "CloudApi" cloud: Option<CloudApi> = [None], any;
