--- a/crates/node/src/store/callbacks.rs
+++ b/crates/node/src/store/callbacks.rs
@@ -10,7 +10,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-/// Connections to one receiver.
+/// Connections to one receiver from all stores together, and from one store at the most.
+const ALL_LANES: usize = 48;
 const LANES: usize = 6;
 const CALL: Duration = Duration::from_millis(4_000);
 const FIRST_PAUSE: Duration = Duration::from_millis(150);
@@ -57,7 +58,8 @@
         let mut receivers = self.receivers.borrow_mut();
         let receiver = receivers.entry(address).or_default();
         receiver.jobs.push_back(job);
-        if receiver.lanes < LANES {
+        let stores = store.known.stores().active().count().max(1);
+        if receiver.lanes < (ALL_LANES / stores).clamp(1, LANES) {
             receiver.lanes += 1;
             monoio::spawn(run_lane(store, address));
         }
--- a/crates/node/src/store/copies.rs
+++ b/crates/node/src/store/copies.rs
@@ -336,7 +336,8 @@
             // Bytes between zones cost; where a zone may be lost, the copy has to be in another.
             let far = self.settings.tolerance.zones > 0;
             let here = |disk: u64| view.get(disk).is_some_and(|store| store.zone == self.settings.zone);
-            settled.sort_by_key(|copier| (copier.is_late(), here(copier.disk) == far));
+            // Whether one is late changes by the clock: it is asked once for each.
+            settled.sort_by_cached_key(|copier| (copier.is_late(), here(copier.disk) == far));
         }
         settled
     }
