--- a/crates/node/src/store/copies.rs
+++ b/crates/node/src/store/copies.rs
@@ -202,6 +202,19 @@
     }
 }
 
+/// Puts stores in the order in which they are asked: those that aren't late first, then those at the wanted place, a
+/// different one first each turn. Whether one is late changes by the clock, so that it is asked once for each.
+pub fn in_preference<T>(
+    stores: &mut [T],
+    turn: usize,
+    late: impl Fn(&T) -> bool,
+    wanted: impl Fn(&T) -> bool,
+) {
+    let count = stores.len().max(1);
+    stores.rotate_left(turn % count);
+    stores.sort_by_cached_key(|store| (late(store), !wanted(store)));
+}
+
 fn ended_id(entry: &Entry) -> Option<String> {
     match entry {
         Entry::Ended(end) => Some(end.id.clone()),
@@ -328,17 +341,12 @@
         let stays = |disk: u64| view.get(disk).is_some_and(|store| !store.retiring);
         let there = copiers.values().filter(|copier| copier.is_settled() && stays(copier.disk));
         let mut settled: Vec<_> = there.cloned().collect();
-        if !settled.is_empty() {
-            let turn = self.turn.get();
-            self.turn.set(turn + 1);
-            let count = settled.len();
-            settled.rotate_left(turn % count);
-            // Bytes between zones cost; where a zone may be lost, the copy has to be in another.
-            let far = self.settings.tolerance.zones > 0;
-            let here = |disk: u64| view.get(disk).is_some_and(|store| store.zone == self.settings.zone);
-            // Whether one is late changes by the clock: it is asked once for each.
-            settled.sort_by_cached_key(|copier| (copier.is_late(), here(copier.disk) == far));
-        }
+        let turn = self.turn.get();
+        self.turn.set(turn + 1);
+        // Bytes between zones cost; where a zone may be lost, the copy has to be in another.
+        let elsewhere = self.settings.tolerance.zones > 0;
+        let here = |disk: u64| view.get(disk).is_some_and(|store| store.zone == self.settings.zone);
+        in_preference(&mut settled, turn, |copier| copier.is_late(), |copier| here(copier.disk) != elsewhere);
         settled
     }
 
--- /dev/null
+++ b/crates/policy/tests/admission.rs
@@ -0,0 +1,51 @@
+//! The cap alone, as senders with a queue of their own use it.
+use policy::admission::{Admission, ClassDeadline};
+use policy::api::Outcome;
+
+const MS: i64 = 1_000_000;
+const CLASSES: [ClassDeadline; 1] = [ClassDeadline { deadline: 100 * MS }];
+
+#[test]
+fn a_new_endpoint_starts_at_three_quarters_of_its_slots() {
+    assert_eq!(Admission::new(8, &CLASSES).cap(), 6);
+    assert_eq!(Admission::new(1, &CLASSES).cap(), 1);
+}
+
+#[test]
+fn a_level_at_which_the_deadline_is_missed_is_left_and_found_again() {
+    let mut admission = Admission::new(8, &CLASSES);
+    let mut now = 0;
+    let mut play = |admission: &mut Admission, slow_above: usize, rounds: usize| {
+        for _ in 0..rounds {
+            now += 20 * MS;
+            admission.arrived(0, now);
+            let level = admission.cap();
+            let took = if level > slow_above { 150 * MS } else { 40 * MS };
+            admission.book(Outcome::Served, took, 0, level, now);
+            admission.choose(now);
+        }
+    };
+    play(&mut admission, 2, 600);
+    assert!(admission.cap() <= 3, "cap {}", admission.cap());
+    play(&mut admission, 8, 1_500);
+    assert_eq!(admission.cap(), 6);
+}
+
+#[test]
+fn quick_errors_are_no_quick_answers() {
+    let mut admission = Admission::new(8, &CLASSES);
+    for i in 1..200 {
+        let now = i * 20 * MS;
+        admission.arrived(0, now);
+        admission.book(Outcome::ServerError, MS, 0, admission.cap(), now);
+        admission.choose(now);
+    }
+    assert_eq!(admission.cap(), 1, "where every class misses everywhere the slots are others'");
+}
+
+#[test]
+fn other_slots_keep_what_was_measured() {
+    let mut admission = Admission::new(8, &CLASSES);
+    admission.change(4, &CLASSES);
+    assert_eq!((admission.cap(), admission.slots()), (3, 4));
+}
