A message that two stores were given has one owner after losses too

The heir now adopts only once all stores have told what they took; recovered and inherited messages ask first. Tests of the queue, and of which stores are given up.

--- a/crates/node/src/calls.rs
+++ b/crates/node/src/calls.rs
@@ -111,6 +111,15 @@
     pub taken: Vec<String>,
 }
 
+/// What a store has of a lost one's messages.
+#[derive(Clone, Debug, Default, BorshSerialize, BorshDeserialize)]
+pub struct Estate {
+    /// Copies that it kept.
+    pub given: Vec<Given>,
+    /// Messages that it took because the lost one gave no clear answer: they aren't the heir's.
+    pub taken: Vec<String>,
+}
+
 /// A message as one store gives it to another.
 #[derive(Clone, Debug, BorshSerialize, BorshDeserialize)]
 pub struct Given {
@@ -136,7 +145,7 @@
     Held { owner: u64 },
     /// Store to store: give me these. Answered with [`Given`].
     Fetch { ids: Vec<String> },
-    /// Store to store: I take over what this lost store owned. Answered with all that is kept of it.
+    /// Store to store: I take over what this lost store owned. Answered with its [`Estate`].
     Claim { lost: u64 },
     /// Store to store: what was claimed is safe; copies for the lost store may go.
     Claimed { lost: u64 },
--- a/crates/node/src/control/census.rs
+++ b/crates/node/src/control/census.rs
@@ -6,6 +6,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+#[cfg(test)]
+#[path = "census_tests.rs"]
+mod tests;
+
 /// How often it is looked.
 const EVERY: Duration = Duration::from_millis(100);
 /// After the first store came, others are waited for so long before the keys are shared out.
--- /dev/null
+++ b/crates/node/src/control/census_tests.rs
@@ -0,0 +1,122 @@
+//! Which stores are taken for lost.
+use super::*;
+use crate::calls::Custody;
+use rstest::rstest;
+use std::net::{IpAddr, Ipv4Addr};
+
+fn hello(machine: u8, disk: u64) -> Hello {
+    Hello {
+        name: format!("store-{machine}"),
+        ip: IpAddr::V4(Ipv4Addr::new(10, 0, 0, machine)),
+        zone: "a".to_string(),
+        role: Role::Store,
+        disk,
+        custody: Custody::default(),
+    }
+}
+
+/// A census and a view in which time passes: those that are up are heard every 100 ms.
+struct Play {
+    census: Census,
+    view: StoreView,
+    now: u64,
+    up: Vec<(u8, u64)>,
+}
+
+impl Play {
+    fn new(machines: u8) -> Play {
+        let up = (1..=machines).map(|machine| (machine, u64::from(machine))).collect();
+        Play { census: Census::default(), view: StoreView::default(), now: 1, up }
+    }
+
+    /// Lets time pass; the disks that were given up.
+    fn pass(&mut self, span: u64) -> Vec<u64> {
+        let mut lost = Vec::new();
+        for _ in 0..span / 100 {
+            self.now += 100;
+            for (machine, disk) in &self.up {
+                self.census.heard(&hello(*machine, *disk), Seen::default(), self.now);
+            }
+            match self.census.wanted(&self.view, self.now) {
+                Some(Command::StoreSeen(store)) => {
+                    let before = self.view.active().find(|s| s.name == store.name && s.disk != store.disk);
+                    let before = before.map(|store| store.disk);
+                    self.view.put(store);
+                    before.into_iter().for_each(|disk| self.view.lose(disk));
+                    lost.extend(before);
+                }
+                Some(Command::ShareOut) => self.view.share_out(),
+                Some(Command::StoreLost(disk)) => {
+                    self.view.lose(disk);
+                    lost.push(disk);
+                }
+                _ => {}
+            }
+        }
+        lost
+    }
+}
+
+#[test]
+fn keys_are_shared_out_among_all_first_stores() {
+    let mut play = Play::new(3);
+    play.pass(2_500);
+    let owned = |disk| play.view.owners.iter().filter(|owner| **owner == disk).count();
+    assert!((1..=3).all(|disk| owned(disk) >= 21));
+}
+
+/// A store that joined before another fell silent is not that one's successor.
+#[rstest]
+#[case(3_200)]
+#[case(7_000)]
+#[case(12_000)]
+fn a_store_that_is_down_is_not_given_up_for_a_spare_one_that_was_there_before(#[case] down: u64) {
+    let mut play = Play::new(3);
+    play.pass(3_000);
+    play.up.push((4, 4));
+    play.pass(5_000);
+    play.up.retain(|(machine, _)| *machine != 2);
+    assert_eq!(play.pass(down), Vec::<u64>::new());
+    play.up.push((2, 2));
+    assert_eq!(play.pass(5_000), Vec::<u64>::new());
+}
+
+#[test]
+fn one_that_an_empty_store_came_after_is_given_up_soon() {
+    let mut play = Play::new(3);
+    play.pass(5_000);
+    play.up.retain(|(machine, _)| *machine != 2);
+    play.pass(1_000);
+    play.up.push((5, 5));
+    assert_eq!(play.pass(2_500), Vec::<u64>::new());
+    assert_eq!(play.pass(2_000), [2]);
+    assert!(play.view.owners.contains(&5) && !play.view.owners.contains(&2));
+}
+
+#[test]
+fn another_disk_at_the_same_machine_tells_at_once_that_the_first_is_lost() {
+    let mut play = Play::new(3);
+    play.pass(5_000);
+    play.up.retain(|(machine, _)| *machine != 2);
+    play.up.push((2, 20));
+    assert_eq!(play.pass(500), [2]);
+    assert_eq!(play.view.final_heir(2), Some(20));
+}
+
+#[test]
+fn nothing_is_given_up_where_fewer_than_two_would_be_left() {
+    let mut play = Play::new(2);
+    play.pass(5_000);
+    play.up.retain(|(machine, _)| *machine != 2);
+    assert_eq!(play.pass(60_000), Vec::<u64>::new());
+}
+
+#[test]
+fn a_new_primary_waits_its_time_before_it_gives_anybody_up() {
+    let mut play = Play::new(3);
+    play.pass(5_000);
+    play.up.retain(|(machine, _)| *machine != 2);
+    play.census = Census::default();
+    assert_eq!(play.pass(10_000), Vec::<u64>::new());
+    assert_eq!(play.pass(6_000), [2]);
+}
--- a/crates/node/src/store/copies.rs
+++ b/crates/node/src/store/copies.rs
@@ -255,7 +255,7 @@
     }
 
     /// How many copies a message still needs.
-    fn missing_copies(&self, id: &str) -> usize {
+    pub fn missing_copies(&self, id: &str) -> usize {
         let queue = self.queue.borrow();
         let copiers = self.copiers.borrow();
         let Some(known) = queue.owned(id) else { return 0 };
--- a/crates/node/src/store/mod.rs
+++ b/crates/node/src/store/mod.rs
@@ -15,7 +15,7 @@
 pub mod log;
 pub mod takeover;
 
-use crate::calls::{Call, Custody, Found, Given, HeldFor, Hello, PutAnswer, Refusal, Role};
+use crate::calls::{Call, Custody, Estate, Found, Given, HeldFor, Hello, PutAnswer, Refusal, Role};
 use crate::process::{self, stopped, unique, Clock, Process};
 use crate::watch::{watch, Known};
 use anyhow::Context as _;
@@ -69,7 +69,7 @@
     /// Deliveries under way.
     pub running: Cell<usize>,
     /// Messages that are being taken.
-    taking: Cell<usize>,
+    pub taking: Cell<usize>,
     /// Bytes of messages that are owned and not ended, about.
     pub turn: Cell<usize>,
     pub needs_repair: Cell<bool>,
@@ -115,7 +115,7 @@
         );
         queue.recover(Entry::Disk(disk));
     }
-    queue.recovered();
+    let raced = queue.recovered();
     let seeds = settings.seed_ips();
     let store = Rc::new(Store {
         clock: process.clock,
@@ -171,6 +171,7 @@
     monoio::spawn(store.clone().follow_stores());
     monoio::spawn(store.clone().care());
     monoio::spawn(deliver::deliver(store.clone()));
+    monoio::spawn(store.clone().accept_raced(raced));
     store.owed_callbacks();
     stopped(&process.stopping).await;
     store.leave().await;
@@ -400,9 +401,13 @@
     }
 
     /// A message is safe: it may run, unless a store that was given it before has begun with it.
-    async fn accept(self: Rc<Self>, message: Message) {
+    pub async fn accept(self: Rc<Self>, message: Message) {
         if self.ask_to_leave(&message).await {
             self.queue.borrow_mut().accept(&message.id);
+            // What was recovered or adopted may have fewer copies than it should.
+            if self.missing_copies(&message.id) > 0 {
+                self.needs_repair.set(true);
+            }
         } else {
             self.leave_to_others(vec![message.id]);
         }
@@ -457,17 +462,17 @@
     }
 
     /// Gives all that is kept of a lost store, which isn't listened to any more.
-    fn claim(&self, lost: u64) -> Option<Vec<Given>> {
+    fn claim(&self, lost: u64) -> Option<Estate> {
         if self.paused.get() {
             return None;
         }
         self.fenced.borrow_mut().insert(lost);
-        Some(self.given_of(lost))
+        Some(self.estate_of(lost))
     }
 
     fn claimed(&self, lost: u64) -> bool {
-        let ids: Vec<String> = self.given_of(lost).into_iter().map(|given| given.message.id).collect();
         let mut queue = self.queue.borrow_mut();
+        let ids: Vec<String> = queue.copies_of(lost).map(|copy| copy.message.id.clone()).collect();
         for id in ids {
             queue.drop_copy_of(lost, &id);
             self.log.note(&Entry::Dropped { owner: lost, id });
--- a/crates/node/src/store/takeover.rs
+++ b/crates/node/src/store/takeover.rs
@@ -1,6 +1,6 @@
 //! Taking over what a lost store owned: all active stores give what they keep of it, then its messages run here.
 use super::Store;
-use crate::calls::{Call, Given};
+use crate::calls::{Call, Estate, Given};
 use queue::{End, Entry, Message, Stage};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -13,23 +13,26 @@
     /// Takes over from every lost store whose heir this one is.
     pub async fn take_over(self: Rc<Self>, lost: u64) {
         let mut asked = Vec::new();
+        let mut estate = self.estate_of(lost);
         loop {
             let stores = self.known.stores();
             let others: Vec<_> = stores.active().filter(|store| store.disk != self.disk).cloned().collect();
             let next = others.iter().find(|store| !asked.contains(&store.disk)).cloned();
             let Some(next) = next else { break };
             let to = SocketAddr::new(next.ip, self.port);
-            match self.peers.call::<Call, Option<Vec<Given>>>(to, &Call::Claim { lost }, CLAIM).await {
-                Ok(Some(given)) => {
-                    log::info!("{} messages of a lost store come from {}", given.len(), next.name);
-                    self.adopt(given, None).await;
+            match self.peers.call::<Call, Option<Estate>>(to, &Call::Claim { lost }, CLAIM).await {
+                Ok(Some(part)) => {
+                    log::info!("{} messages of a lost store come from {}", part.given.len(), next.name);
+                    estate.given.extend(part.given);
+                    estate.taken.extend(part.taken);
                     asked.push(next.disk);
                 }
                 _ => monoio::time::sleep(PAUSE).await,
             }
         }
-        let own = self.given_of(lost);
-        self.adopt(own, None).await;
+        // Only now is it known which of them others have taken over already.
+        estate.given.retain(|given| !estate.taken.contains(&given.message.id));
+        self.adopt(estate.given, None).await;
         while self.lacks_copies() {
             self.needs_repair.set(true);
             monoio::time::sleep(PAUSE).await;
@@ -57,11 +60,28 @@
         live.any(|known| there(known) < enough)
     }
 
-    /// What is kept here of a store's messages.
-    pub fn given_of(&self, owner: u64) -> Vec<Given> {
+    /// What is here of a lost store's messages.
+    pub fn estate_of(&self, lost: u64) -> Estate {
         let queue = self.queue.borrow();
-        let copies = queue.copies_of(owner);
-        copies.map(|copy| Given { message: (*copy.message).clone(), attempts: copy.attempts }).collect()
+        let given = |copy: &queue::Copy| Given { message: (*copy.message).clone(), attempts: copy.attempts };
+        Estate { given: queue.copies_of(lost).map(given).collect(), taken: queue.taken_from(lost) }
+    }
+
+    /// Recovered messages that other stores were given too run here once these leave them, or don't answer.
+    pub async fn accept_raced(self: Rc<Self>, raced: Vec<Rc<Message>>) {
+        if raced.is_empty() {
+            return;
+        }
+        // Where the others are has to be known first.
+        while self.known.stores().epoch == 0 {
+            monoio::time::sleep(PAUSE).await;
+        }
+        log::info!("{} recovered messages may be at other stores too", raced.len());
+        for message in raced {
+            self.taking.set(self.taking.get() + 1);
+            monoio::spawn(self.clone().accept((*message).clone()));
+        }
+        self.needs_repair.set(true);
     }
 
     /// Owns messages from now on, and lets them run; `copy` already holds them.
@@ -84,15 +104,19 @@
         while !entries.is_empty() && !self.log.write(&entries).await {
             monoio::time::sleep(PAUSE).await;
         }
-        let mut queue = self.queue.borrow_mut();
         for id in ids {
-            if let (Some(known), Some(disk)) = (queue.owned_mut(&id), copy) {
-                known.copies.insert(disk);
-                known.sent.insert(disk);
+            let mut queue = self.queue.borrow_mut();
+            let Some(known) = queue.owned_mut(&id) else { continue };
+            known.copies.extend(copy);
+            known.sent.extend(copy);
+            let message = known.message.clone();
+            if message.also_at.is_empty() {
+                queue.accept(&id);
+            } else {
+                self.taking.set(self.taking.get() + 1);
+                monoio::spawn(self.clone().accept((*message).clone()));
             }
-            queue.accept(&id);
         }
-        drop(queue);
         self.needs_repair.set(true);
         self.work.notify();
     }
--- a/crates/queue/src/view.rs
+++ b/crates/queue/src/view.rs
@@ -103,12 +103,15 @@
         }
     }
 
-    /// After all records were folded: what is owned here may run.
-    pub fn recovered(&mut self) {
+    /// After all records were folded: what is owned here may run. What other stores were given before is told: it may
+    /// run once these leave it to this one.
+    pub fn recovered(&mut self) -> Vec<Rc<Message>> {
         let copying = self.owned.values().filter(|known| known.stage == Stage::Copying);
-        let mut ids: Vec<_> = copying.map(|k| (k.message.order, k.message.id.clone())).collect();
-        ids.sort_unstable();
-        ids.iter().for_each(|(_, id)| self.accept(id));
+        let (raced, mut own): (Vec<_>, Vec<_>) =
+            copying.map(|known| known.message.clone()).partition(|message| !message.also_at.is_empty());
+        own.sort_by_key(|message| message.order);
+        own.iter().for_each(|message| self.accept(&message.id));
+        raced
     }
 
     /// The highest place that an owned message has.
--- a/crates/queue/tests/queue.rs
+++ b/crates/queue/tests/queue.rs
@@ -221,3 +221,20 @@
     queue.recovered();
     assert_eq!(queue.owned("a").unwrap().stage, Stage::Waiting);
 }
+
+/// Both stores that were given a message lost power, and both ran it when they were back.
+#[test]
+fn a_recovered_message_that_another_store_was_given_waits_until_that_one_leaves_it() {
+    let mut queue = Queue::default();
+    queue.recover(Entry::Disk(DISK));
+    queue.recover(Entry::Message { owner: DISK, message: Message { also_at: vec![9], ..message("raced") } });
+    queue.recover(Entry::Message { owner: DISK, message: message("own") });
+    let raced = queue.recovered();
+    assert_eq!(raced.iter().map(|message| message.id.as_str()).collect::<Vec<_>>(), ["raced"]);
+    assert_eq!(next(&mut queue, 1_000).as_deref(), Some("own"));
+    queue.start("own");
+    assert_eq!(next(&mut queue, 1_000), None);
+    queue.accept("raced");
+    assert_eq!(next(&mut queue, 1_000).as_deref(), Some("raced"));
+    assert_eq!(queue.taken_from(9), ["raced"]);
+}
