--- a/crates/node/src/store/copies.rs
+++ b/crates/node/src/store/copies.rs
@@ -139,12 +139,7 @@
         let call = Call::Replicate { owner: store.disk, entries };
         let kept = store.peers.call::<Call, bool>(self.address, &call, REPLICATE).await.unwrap_or(false);
         if kept {
-            let mut queue = store.queue.borrow_mut();
-            for id in told {
-                if let Some(known) = queue.owned_mut(&id) {
-                    known.untold.remove(&self.disk);
-                }
-            }
+            store.queue.borrow_mut().told(self.disk, &told);
         } else {
             self.settled.set(false);
         }
@@ -179,10 +174,12 @@
             queue.not_held(self.disk, &held);
         }
         if !ends.is_empty() {
+            let told: Vec<String> = ends.iter().filter_map(ended_id).collect();
             let call = Call::Replicate { owner: store.disk, entries: ends };
             if !store.peers.call::<Call, bool>(self.address, &call, RECONCILE).await.unwrap_or(false) {
                 return false;
             }
+            store.queue.borrow_mut().told(self.disk, &told);
         }
         if !unknown.is_empty() {
             let call = Call::Fetch { ids: unknown };
--- a/crates/queue/src/view.rs
+++ b/crates/queue/src/view.rs
@@ -397,6 +397,15 @@
         }
     }
 
+    /// A disk has been told of the ends of these messages.
+    pub fn told(&mut self, disk: u64, ids: &[String]) {
+        for id in ids {
+            if let Some(known) = self.owned.get_mut(id) {
+                known.untold.remove(&disk);
+            }
+        }
+    }
+
     /// All messages that are owned here.
     pub fn all_owned(&self) -> impl Iterator<Item = &Known> {
         self.owned.values()
--- a/crates/queue/tests/queue.rs
+++ b/crates/queue/tests/queue.rs
@@ -238,3 +238,17 @@
     assert_eq!(next(&mut queue, 1_000).as_deref(), Some("raced"));
     assert_eq!(queue.taken_from(9), ["raced"]);
 }
+
+/// A store that was to retire waited for ever: who had been told of an end after a reconnection was not noted.
+#[test]
+fn once_all_holders_were_told_of_an_end_nobody_is_waited_for() {
+    let mut queue = Queue::new(DISK);
+    take(&mut queue, message("a"));
+    queue.owned_mut("a").unwrap().sent.extend([5, 6]);
+    queue.end(end("a"));
+    queue.told(5, &["a".to_string(), "unknown".to_string()]);
+    assert_eq!(queue.owned("a").unwrap().untold.iter().copied().collect::<Vec<_>>(), [6]);
+    queue.told(6, &["a".to_string()]);
+    queue.forget(2_001);
+    assert!(queue.owned("a").is_none());
+}
