--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -94,11 +94,6 @@
             !kept.is_empty() && known(address)
         });
     }
-
-    /// Connections that are kept.
-    pub fn idle(&self) -> usize {
-        self.idle.borrow().values().map(Vec::len).sum()
-    }
 }
 
 /// The time that a peer says it keeps an idle connection, less a fifth.
--- a/crates/node/src/store/mod.rs
+++ b/crates/node/src/store/mod.rs
@@ -430,7 +430,7 @@
                         queue.keep(owner, message.clone());
                         must_last = true;
                     }
-                    Entry::Failed { id, attempts } => queue.copy_failed(id, *attempts),
+                    Entry::Failed { id, attempts } => queue.note_attempts(id, *attempts),
                     Entry::Ended(end) => {
                         queue.end(end.clone());
                     }
--- a/crates/node/src/store/takeover.rs
+++ b/crates/node/src/store/takeover.rs
@@ -97,7 +97,7 @@
             entries.push(entry);
             if attempts > 0 {
                 entries.push(Entry::Failed { id: id.clone(), attempts });
-                self.queue.borrow_mut().copy_failed(&id, attempts);
+                self.queue.borrow_mut().note_attempts(&id, attempts);
             }
             ids.push(id);
         }
--- a/crates/queue/src/view.rs
+++ b/crates/queue/src/view.rs
@@ -271,7 +271,8 @@
         self.make_ready(id);
     }
 
-    fn note_attempts(&mut self, id: &str, attempts: u32) {
+    /// So many attempts of a message, or of a copy, have failed.
+    pub fn note_attempts(&mut self, id: &str, attempts: u32) {
         if let Some(known) = self.owned.get_mut(id) {
             known.attempts = known.attempts.max(attempts);
         } else if let Some(copy) = self.copies.get_mut(id) {
@@ -279,11 +280,6 @@
         }
     }
 
-    /// Attempts of a copy, as its owner tells.
-    pub fn copy_failed(&mut self, id: &str, attempts: u32) {
-        self.note_attempts(id, attempts);
-    }
-
     /// A message has ended. False if it had already, or isn't known.
     pub fn end(&mut self, end: End) -> bool {
         let id = end.id.clone();
@@ -470,11 +466,6 @@
             stays
         });
     }
-
-    /// Whether a record still counts: what it tells of has not been forgotten.
-    pub fn counts_still(&self, id: &str) -> bool {
-        self.owned.contains_key(id) || self.copies.contains_key(id) || self.ends.contains_key(id)
-    }
 }
 
 /// Order is kept among the messages of one key, whatever their routes.
