Ring: files in use are passed over, so that torn starts leave room to write

Cause: the next file in the row was the only one that was tried. After three starts that lost power before their first sync it was the one in use, while two were free: a control machine tried for ever, its disk sound. Change: the first free file is taken, and the order of files is that of their generations. At an opening the last file is synced: what was read from it may have been written by a process that was killed before its sync. Test: crates/ringlog/tests/ring.rs, starts that are torn one after the other.

--- a/crates/ringlog/src/writer.rs
+++ b/crates/ringlog/src/writer.rs
@@ -54,12 +54,13 @@
     pub fresh: bool,
 }
 
-/// A log on a ring of files, written in their order, round and round. Appending never overwrites a file in use.
+/// A log on a ring of files: one after the other is filled, those in use are passed over and never overwritten. Which
+/// came first is told by their generations.
 pub struct Ring {
     folder: PathBuf,
     shape: Shape,
-    /// Whether each file holds something that counts.
-    used: Vec<bool>,
+    /// The generation of each file that holds something that counts.
+    used: Vec<Option<u64>>,
     /// The file that was begun last.
     last: SegmentId,
     current: Option<(File, usize)>,
@@ -110,9 +111,14 @@
         }
         begun.sort_unstable();
         let (generation, last) = begun.last().copied().unwrap_or((0, shape.segments - 1));
-        let mut used = vec![false; shape.segments];
-        for (_, segment) in begun {
-            used[segment] = Self::visit(&path(folder, segment), segment, visit)?;
+        let mut used = vec![None; shape.segments];
+        for (generation, segment) in begun {
+            let any = Self::visit(&path(folder, segment), segment, visit)?;
+            used[segment] = any.then_some(generation);
+        }
+        // What was read may not have been synced before the process that wrote it was killed.
+        if generation > 0 {
+            File::open(path(folder, last))?.sync_data()?;
         }
         let ring = Ring { folder: folder.to_path_buf(), shape, used, last, current: None, generation };
         Ok(Opened { ring, fresh: made == shape.segments })
@@ -177,16 +183,14 @@
     }
 
     fn next_segment(&mut self) -> Result<(), RingError> {
-        let next = (self.last + 1) % self.shape.segments;
-        if self.used[next] {
-            return Err(RingError::Full);
-        }
+        let order = (1..=self.shape.segments).map(|i| (self.last + i) % self.shape.segments);
+        let next = order.into_iter().find(|segment| self.used[*segment].is_none()).ok_or(RingError::Full)?;
         self.sync()?;
         let mut file = OpenOptions::new().write(true).open(path(&self.folder, next))?;
         self.generation += 1;
         file.seek(SeekFrom::Start(0))?;
         file.write_all(&header(self.generation))?;
-        self.used[next] = true;
+        self.used[next] = Some(self.generation);
         self.last = next;
         self.current = Some((file, HEADER_BYTES));
         Ok(())
@@ -200,22 +204,22 @@
         Ok(())
     }
 
-    /// The file that comes to its turn first among those in use, if it isn't the one that is written to.
+    /// The file that was begun first among those in use, if it isn't the one that was begun last.
     pub fn oldest(&self) -> Option<SegmentId> {
-        let order = (1..self.shape.segments).map(|i| (self.last + i) % self.shape.segments);
-        order.into_iter().find(|segment| self.used[*segment])
+        let others = (0..self.shape.segments).filter(|segment| *segment != self.last);
+        others.filter(|segment| self.used[*segment].is_some()).min_by_key(|segment| self.used[*segment])
     }
 
     /// The oldest file holds nothing any more that counts: it may be used again. Files are released in their order
     /// only, so that what tells of an end stands longer than what it ended.
     pub fn release_oldest(&mut self) {
         if let Some(segment) = self.oldest() {
-            self.used[segment] = false;
+            self.used[segment] = None;
         }
     }
 
     /// Files that are free.
     pub fn free(&self) -> usize {
-        self.used.iter().filter(|used| !**used).count()
+        self.used.iter().filter(|used| used.is_none()).count()
     }
 }
--- a/crates/ringlog/tests/ring.rs
+++ b/crates/ringlog/tests/ring.rs
@@ -154,3 +154,57 @@
     file.write_all(&[0xff; 9]).unwrap();
     assert_eq!(open(&folder.0).1, (0..3).map(payload).collect::<Vec<_>>());
 }
+
+/// Begins the next file, and tears it before anything in it was synced: its header is there, or not, and no record.
+fn torn_start(path: &Path, header_is_there: bool) {
+    let (mut ring, _) = open(path);
+    let places = ring.append(&[payload(99)]).unwrap();
+    let file = path.join(format!("segment-{:03}", places[0]));
+    drop(ring);
+    let whole = std::fs::read(&file).unwrap();
+    let kept = if header_is_there { ringlog::HEADER_BYTES } else { 0 };
+    let torn = [&whole[..kept], &vec![0; whole.len() - kept][..]].concat();
+    std::fs::write(&file, torn).unwrap();
+}
+
+/// A process that lost power in three starts running, each before its first sync, found the next file of its ring in
+/// use while two were free, and could never write again.
+#[rstest]
+fn starts_that_are_torn_one_after_the_other_leave_room_and_the_last_record(
+    #[values(1, 2, 3, 4, 5, 9)] starts: usize,
+    #[values(true, false)] header_is_there: bool,
+) {
+    let folder = Folder::new(&format!("torn-{starts}-{header_is_there}"));
+    let (mut ring, _) = open(&folder.0);
+    ring.append(&[payload(1)]).unwrap();
+    ring.sync().unwrap();
+    drop(ring);
+    for _ in 0..starts {
+        torn_start(&folder.0, header_is_there);
+    }
+    let (mut ring, records) = open(&folder.0);
+    assert_eq!(records, [payload(1)]);
+    ring.append(&[payload(2)]).expect("files are free");
+    ring.sync().unwrap();
+    assert_eq!(open(&folder.0).1, [payload(1), payload(2)]);
+}
+
+/// A file in use is passed over, and what is read afterwards still comes in the order in which it was written.
+#[test]
+fn files_that_are_passed_over_keep_their_place_in_the_order() {
+    let folder = Folder::new("passed-over");
+    let (mut ring, _) = open(&folder.0);
+    ring.append(&[payload(1)]).unwrap();
+    ring.sync().unwrap();
+    drop(ring);
+    (0..3).for_each(|_| torn_start(&folder.0, true));
+    let (mut ring, _) = open(&folder.0);
+    for i in 2..9 {
+        ring.append(&[payload(i)]).unwrap();
+    }
+    ring.sync().unwrap();
+    assert_eq!(open(&folder.0).1, (1..9).map(payload).collect::<Vec<_>>());
+    assert_eq!(ring.oldest(), Some(0), "the file that was begun first is released first");
+    ring.release_oldest();
+    assert_eq!(ring.oldest(), Some(1));
+}
