--- a/crates/node/src/edge.rs
+++ b/crates/node/src/edge.rs
@@ -12,7 +12,7 @@
 use queue::{Message, Outcome};
 use settings::Route;
 use std::cell::{Cell, RefCell};
-use std::collections::HashSet;
+use std::collections::{BTreeMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -115,6 +115,8 @@
     /// Which stores don't answer.
     health: Rc<Health>,
     turn: Cell<usize>,
+    /// Disks of lost stores, and when this process heard of each.
+    losses: RefCell<BTreeMap<u64, u64>>,
 }
 
 /// Starts the role.
@@ -132,6 +134,7 @@
         leaving: Cell::new(false),
         health: Rc::new(Health::default()),
         turn: Cell::new(unique() as usize % 1_000),
+        losses: RefCell::default(),
         process,
     });
     let hello = Hello {
@@ -376,33 +379,53 @@
     }
 
     async fn state(&self, id: &str) -> Answer {
-        let found = self.find(id, false).await;
+        let (found, sure) = self.find(id, false).await;
         match (&found.end, found.known) {
             (Some(end), _) => Answer::json(200, end_json(&end.outcome, None)),
             (None, true) => Answer::json(200, r#"{"State":"queued"}"#),
-            (None, false) => Answer::text(404, "no store that answers knows this message"),
+            (None, false) if sure => Answer::text(404, "no store knows this message"),
+            (None, false) => unsure(),
         }
     }
 
     async fn body(&self, id: &str) -> Answer {
-        match self.find(id, true).await.body {
+        let (found, sure) = self.find(id, true).await;
+        let completed = found.end.is_some_and(|end| end.outcome != Outcome::DeadLetter);
+        match found.body {
             Some(body) => Answer { status: 200, headers: Vec::new(), body },
-            None => Answer::text(404, "no store that answers has this message's bytes"),
+            None if completed => Answer::text(404, "the message is completed; its bytes are not kept"),
+            None if sure && !found.known => Answer::text(404, "no store knows this message"),
+            None => unsure(),
         }
     }
 
-    /// Asks all stores. An end that any knows counts more than a copy that hasn't heard of it.
-    async fn find(&self, id: &str, body: bool) -> Found {
+    /// Whether a message that no store knows can't be one that was taken: no store was lost for as long as the state of
+    /// a message is told.
+    fn nothing_forgotten(&self) -> bool {
+        let ttl = (self.process.settings.bounds.status_ttl_s * 1_000.0) as u64;
+        let now = self.process.clock.ms();
+        let mut losses = self.losses.borrow_mut();
+        for store in self.known.stores().stores.iter().filter(|store| store.gone) {
+            losses.entry(store.disk).or_insert(now);
+        }
+        losses.values().all(|at| now >= at + ttl)
+    }
+
+    /// Asks all stores. An end that any knows counts more than a copy that hasn't heard of it. Tells too whether what
+    /// is not found isn't there: all stores have answered, and none was lost lately.
+    async fn find(&self, id: &str, body: bool) -> (Found, bool) {
         let found = Rc::new(RefCell::new(Found::default()));
         let stores = self.known.stores();
-        let waiting = Rc::new(Cell::new(0));
+        let (waiting, answered) = (Rc::new(Cell::new(0)), Rc::new(Cell::new(0)));
         for store in stores.active() {
             let to = SocketAddr::new(store.ip, self.process.settings.store_port());
             let call = Call::Find { id: id.to_string(), body };
-            let (peers, found, waiting) = (self.peers.clone(), found.clone(), waiting.clone());
+            let (peers, found) = (self.peers.clone(), found.clone());
+            let (waiting, answered) = (waiting.clone(), answered.clone());
             waiting.set(waiting.get() + 1);
             monoio::spawn(async move {
                 if let Ok(answer) = peers.call::<Call, Found>(to, &call, FIND).await {
+                    answered.set(answered.get() + 1);
                     let mut found = found.borrow_mut();
                     found.known |= answer.known;
                     found.end = found.end.take().or(answer.end);
@@ -416,11 +439,18 @@
         while waiting.get() > 0 && self.process.clock.ms() < until && !enough(&found.borrow()) {
             monoio::time::sleep(Duration::from_millis(2)).await;
         }
+        let asked = stores.active().count();
+        let sure = asked > 0 && answered.get() == asked && self.nothing_forgotten();
         let found = found.borrow().clone();
-        found
+        (found, sure)
     }
 }
 
+/// What is asked for wasn't found, and may be where nobody answers from.
+fn unsure() -> Answer {
+    later("a store that may know the message doesn't answer; ask again").with("Retry-After", "1")
+}
+
 /// A request that has not run and never will: the client may come again.
 fn later(why: &str) -> Answer {
     Answer::text(503, why)
