--- /dev/null
+++ b/crates/control/src/group/lease.rs
@@ -0,0 +1,116 @@
+//! What a primary does: it tells that it is there, and is one only as long as a majority answers.
+use super::*;
+
+pub(super) struct Primary {
+    pub(super) view: View,
+    /// When it became primary.
+    pub(super) since: Ms,
+    /// When it told last that it is there.
+    pub(super) pinged: Ms,
+    /// When the last question was sent that a machine answered, by disk. An answer proves nothing about the time since.
+    pub(super) answered: BTreeMap<u64, Ms>,
+    /// The number of the last change that each backup has.
+    pub(super) copied: BTreeMap<u64, u64>,
+    /// When the state was sent to the backups.
+    pub(super) sent: Option<Ms>,
+}
+
+impl<S: Storage> Group<S> {
+    /// The view in which this machine is primary, if a majority has answered lately.
+    pub fn leads(&self, now: Ms) -> Option<&View> {
+        match &self.role {
+            Role::Primary(primary) if primary.lease(self.settings.me.disk, now) => Some(&primary.view),
+            _ => None,
+        }
+    }
+
+    pub(super) fn ping(&mut self, now: Ms) -> Vec<Out> {
+        let peers = self.peers();
+        let Role::Primary(primary) = &mut self.role else { return Vec::new() };
+        primary.pinged = now;
+        let message = Message::Ping(primary.view.clone());
+        peers.into_iter().map(|to| Out { to, message: message.clone() }).collect()
+    }
+
+    /// Lets time pass for a primary.
+    pub(super) fn lead(&mut self, now: Ms) -> Vec<Out> {
+        let me = self.settings.me.disk;
+        let Role::Primary(primary) = &self.role else { return Vec::new() };
+        if !primary.lease(me, now) {
+            self.role = Role::Follower;
+            self.heard = now;
+            return Vec::new();
+        }
+        if self.wants_other_backups(primary, now) {
+            return self.prepare(None, now);
+        }
+        if let Some(members) = self.better_members(now) {
+            return self.prepare(Some(members), now);
+        }
+        let waits = primary.committed() < self.last();
+        let (send, ping) =
+            (waits && primary.sent.is_none_or(|at| now >= at + STEP), now >= primary.pinged + PING_EVERY);
+        let mut out = if send { self.replicate(now) } else { Vec::new() };
+        if ping {
+            out.extend(self.ping(now));
+        }
+        out
+    }
+
+    /// A backup is silent or about to stop, and there are enough others for its part.
+    fn wants_other_backups(&self, primary: &Primary, now: Ms) -> bool {
+        let silent = |disk: u64| now >= primary.silent_since(disk) + BACKUP_PATIENCE;
+        let unfit = |disk: &u64| silent(*disk) || self.leaves(*disk, now);
+        primary.view.backups.iter().any(unfit) && self.backups_to_be_had(primary, now)
+    }
+
+    /// Enough members answer, and stay, for a view with all its backups.
+    pub(super) fn backups_to_be_had(&self, primary: &Primary, now: Ms) -> bool {
+        let me = self.settings.me.disk;
+        let members = primary.view.members.iter().filter(|member| member.disk != me);
+        let fit = members.filter(|m| primary.is_fresh(m.disk, now) && !self.leaves(m.disk, now));
+        fit.count() >= self.settings.tolerance.min(primary.view.members.len().saturating_sub(1))
+    }
+
+    /// The calls that show, once a majority has answered them, that no other primary has begun.
+    pub fn confirmations(&self) -> Vec<Out> {
+        let Role::Primary(primary) = &self.role else { return Vec::new() };
+        let message = Message::Ping(primary.view.clone());
+        let others = primary.view.members.iter().filter(|m| m.disk != self.settings.me.disk);
+        others.map(|member| Out { to: member.ip, message: message.clone() }).collect()
+    }
+}
+
+impl Primary {
+    /// The number of the last change that all backups have.
+    pub(super) fn committed(&self) -> u64 {
+        let of = |disk: &u64| self.copied.get(disk).copied().unwrap_or(0);
+        self.view.backups.iter().map(of).min().unwrap_or(0)
+    }
+
+    /// A machine answered a question that was sent at a time.
+    pub(super) fn note_answer(&mut self, disk: u64, sent: Ms) {
+        let at = self.answered.entry(disk).or_default();
+        *at = (*at).max(sent);
+    }
+
+    /// Since when nothing shows that a machine is there.
+    pub(super) fn silent_since(&self, disk: u64) -> Ms {
+        self.answered.get(&disk).copied().unwrap_or(0).max(self.since)
+    }
+
+    /// A machine has answered lately.
+    pub(super) fn is_fresh(&self, disk: u64, now: Ms) -> bool {
+        now < self.answered.get(&disk).copied().unwrap_or(0) + BACKUP_PATIENCE
+    }
+
+    /// A majority has answered questions that were sent lately.
+    pub(super) fn lease(&self, me: u64, now: Ms) -> bool {
+        let fresh = self.answered.iter().filter(|(disk, at)| **disk != me && now < **at + LEASE);
+        self.view.is_majority(fresh.map(|(disk, _)| disk).chain([&me]))
+    }
+
+    pub(super) fn ip_of(&self, disk: u64) -> Option<IpAddr> {
+        self.view.members.iter().find(|member| member.disk == disk).map(|member| member.ip)
+    }
+}
--- /dev/null
+++ b/crates/control/src/group/replication.rs
@@ -0,0 +1,74 @@
+//! Changes: made by the primary, in force once its backups have them.
+use super::*;
+
+impl<S: Storage> Group<S> {
+    /// Changes the state as primary, once all before it is on two disks; nothing until then. Tells the
+    /// change, to be followed by [`Group::has_committed`].
+    pub fn propose_when_settled(
+        &mut self,
+        command: &Command,
+        now: Ms,
+    ) -> Option<Result<(Change, Vec<Out>), Rejected>> {
+        self.leads(now)?;
+        if self.committed() < self.last() {
+            return None;
+        }
+        let events = match self.durable.state.decide(command) {
+            Ok(events) => events,
+            Err(rejected) => return Some(Err(rejected)),
+        };
+        if events.is_empty() {
+            return Some(Ok((self.last_change(), Vec::new())));
+        }
+        events.iter().for_each(|event| self.durable.state.fold(event));
+        self.durable.state.at.number += 1;
+        self.save();
+        Some(Ok((self.last_change(), self.replicate(now))))
+    }
+
+    pub(super) fn last_change(&self) -> Change {
+        Change { number: self.last(), line: self.line }
+    }
+
+    /// Whether a change is on two disks; nothing as long as it may still come to that. It can't be told any more once
+    /// the state here was replaced by another primary's.
+    pub fn has_committed(&self, change: Change, now: Ms) -> Option<bool> {
+        if change.line != self.line || self.primary_elsewhere() {
+            return Some(false);
+        }
+        match &self.role {
+            // The state that a new epoch begins with is on two disks.
+            Role::Primary(primary) => {
+                (primary.committed() >= change.number && self.leads(now).is_some()).then_some(true)
+            }
+            _ => None,
+        }
+    }
+
+    /// Another machine leads, as far as is known.
+    pub fn primary_elsewhere(&self) -> bool {
+        matches!(self.role, Role::Follower) && self.primary.is_some_and(|ip| ip != self.settings.me.ip)
+    }
+
+    /// Keeps a state of the current epoch, or of one that just began. An older one of the same epoch, which was sent again
+    /// and came late, is held already: the state here has everything in it.
+    pub(super) fn keep(&mut self, state: State, now: Ms) -> bool {
+        self.note_primary(now);
+        if state.at > self.durable.state.at {
+            self.durable.state = state;
+            self.line += 1;
+            self.save();
+        }
+        true
+    }
+
+    /// Sends the state to the backups.
+    pub(super) fn replicate(&mut self, now: Ms) -> Vec<Out> {
+        let state = self.durable.state.clone();
+        let Role::Primary(primary) = &mut self.role else { return Vec::new() };
+        primary.sent = Some(now);
+        let message = Message::Replicate(primary.view.epoch, state);
+        let ips = primary.view.backups.iter().filter_map(|disk| primary.ip_of(*disk));
+        ips.map(|to| Out { to, message: message.clone() }).collect()
+    }
+}
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -15,7 +15,7 @@
 pub mod view;
 
 pub use group::{Change, Durable, Group, Message, Out, Reply, Settings, Stage, Storage};
-pub use state::{Command, Event, Rejected, State};
+pub use state::{Command, Event, Position, Rejected, State};
 pub use stores::{Store, StoreView, PARTITIONS};
 pub use view::{Member, View};
 
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -5,7 +5,7 @@
 use std::fmt;
 
 /// How many taken configurations are remembered, so that their repeats are answered as they were.
-const REMEMBERED: usize = 4_096;
+pub const REMEMBERED: usize = 4_096;
 
 /// A configuration that was taken.
 #[derive(Clone, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
@@ -17,11 +17,20 @@
     pub digest: u128,
 }
 
+/// How old a state is: of two, the one with the later position has everything that was in force in the other.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, BorshSerialize, BorshDeserialize)]
+pub struct Position {
+    /// The epoch of the primary that made it or took it over.
+    pub epoch: u64,
+    /// How many changes were made before, and this.
+    pub number: u64,
+}
+
 /// The whole state.
 #[derive(Clone, Debug, Default, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
 pub struct State {
-    /// The epoch and number of the last change.
-    pub at: (u64, u64),
+    /// The position of the last change.
+    pub at: Position,
     pub version: u64,
     /// The configuration in force, as it was sent.
     pub body: Vec<u8>,
@@ -64,6 +73,8 @@
     Invalid(Faults),
     /// Another version is in force.
     Stale { current: u64 },
+    /// It is built on a version so old that it isn't remembered whether it was taken.
+    Forgotten { base: u64 },
     /// No store has this name.
     UnknownStore,
     /// Too few stores would stay.
@@ -77,6 +88,9 @@
             Rejected::Stale { current } => {
                 write!(f, "version {current} is in force; read it, and build the change on it")
             }
+            Rejected::Forgotten { base } => {
+                write!(f, "it is not known any more what was built on version {base}; read the configuration")
+            }
             Rejected::UnknownStore => f.write_str("no store has this name; see the status for their names"),
             Rejected::TooFewStores => f.write_str("too few stores would stay; add one first"),
         }
@@ -127,6 +141,9 @@
             return Ok(Vec::new());
         }
         let configuration = Configuration::parse(body).map_err(Rejected::Invalid)?;
+        if self.taken.len() >= REMEMBERED && self.taken.first().is_some_and(|oldest| base < oldest.base) {
+            return Err(Rejected::Forgotten { base });
+        }
         if base != self.version {
             return Err(Rejected::Stale { current: self.version });
         }
--- a/crates/control/tests/network/mod.rs
+++ b/crates/control/tests/network/mod.rs
@@ -47,8 +47,8 @@
 }
 
 enum Event {
-    Arrive { to: usize, from: IpAddr, message: Message },
-    Return { to: usize, message: Message, reply: Reply },
+    Arrive { to: usize, from: IpAddr, sent: Ms, message: Message },
+    Return { to: usize, message: Message, sent: Ms, reply: Reply },
 }
 
 struct Waiting {
@@ -200,7 +200,8 @@
             }
             let delay = self.delay();
             let from = self.machines[from].ip;
-            self.schedule(delay, Event::Arrive { to, from, message });
+            let sent = self.now;
+            self.schedule(delay, Event::Arrive { to, from, sent, message });
         }
     }
 
@@ -264,17 +265,17 @@
         let now = self.now;
         let group = self.machines[to].group.as_mut().expect("works");
         match event {
-            Event::Arrive { from, message, .. } => {
+            Event::Arrive { from, sent, message, .. } => {
                 let (reply, out) = group.handle(from, message.clone(), now);
                 self.send(to, out);
                 let Some(back) = self.index(from) else { return };
                 if !self.is_cut(to, back) && !self.is_lost() {
                     let delay = self.delay();
-                    self.schedule(delay, Event::Return { to: back, message, reply });
+                    self.schedule(delay, Event::Return { to: back, message, sent, reply });
                 }
             }
-            Event::Return { message, reply, .. } => {
-                let out = group.reply(&message, reply, now);
+            Event::Return { message, sent, reply, .. } => {
+                let out = group.reply(&message, sent, reply, now);
                 self.send(to, out);
             }
         }
--- /dev/null
+++ b/crates/control/tests/replication.rs
@@ -0,0 +1,200 @@
+//! What a backup keeps, what a lease rests on, and what a member waits for before it goes.
+use control::{Durable, Group, Member, Message, Ms, Out, Position, Settings, State, Storage, View};
+use rstest::rstest;
+use std::net::{IpAddr, Ipv4Addr};
+
+#[derive(Default)]
+struct Memory;
+
+impl Storage for Memory {
+    fn save(&mut self, _: &Durable) {}
+}
+
+fn ip(i: u8) -> IpAddr {
+    IpAddr::V4(Ipv4Addr::new(10, 0, 0, i))
+}
+
+fn member(i: u8) -> Member {
+    Member { disk: u64::from(i), name: format!("m{i}"), ip: ip(i) }
+}
+
+fn machine(i: u8, founder: bool) -> Group<Memory> {
+    let founders = (1..=3).map(ip).collect();
+    let settings = Settings { me: member(i), founders, founder, tolerance: 1 };
+    let durable = Durable { disk: u64::from(i), ..Durable::default() };
+    Group::new(settings, durable, Memory, 1)
+}
+
+fn state(epoch: u64, number: u64) -> State {
+    State { at: Position { epoch, number }, version: number, ..State::default() }
+}
+
+/// A state that was sent again over a new connection arrives after a newer one that was acknowledged: the backup went
+/// back to it, and could lead with it next.
+#[rstest]
+#[case::older_of_the_same_epoch((64, 6), (64, 5), (64, 6))]
+#[case::newer_of_the_same_epoch((64, 6), (64, 7), (64, 7))]
+#[case::the_same_twice((64, 6), (64, 6), (64, 6))]
+#[case::a_new_epoch_without_a_change_that_was_not_acknowledged((64, 6), (128, 5), (128, 5))]
+fn a_backup_never_goes_back_to_an_older_state(
+    #[case] first: (u64, u64),
+    #[case] second: (u64, u64),
+    #[case] kept: (u64, u64),
+) {
+    let mut backup = machine(2, false);
+    for (epoch, number) in [first, second] {
+        let (reply, _) = backup.handle(ip(1), Message::Replicate(epoch, state(epoch, number)), 10);
+        assert!(reply.taken, "what it holds includes what it was asked to hold");
+    }
+    assert_eq!(backup.durable().state, state(kept.0, kept.1));
+}
+
+#[test]
+fn a_state_of_an_epoch_that_is_over_is_refused() {
+    let mut backup = machine(2, false);
+    backup.handle(ip(1), Message::Replicate(128, state(128, 3)), 10);
+    let (reply, _) = backup.handle(ip(3), Message::Replicate(64, state(64, 9)), 20);
+    assert!(!reply.taken);
+    assert_eq!(backup.durable().state, state(128, 3));
+}
+
+/// Three machines in memory: messages arrive at once, but for those to machines that are cut off.
+struct Trio {
+    machines: Vec<Group<Memory>>,
+    now: Ms,
+    cut: Vec<u8>,
+}
+
+impl Trio {
+    fn new(count: u8) -> Trio {
+        let machines = (1..=count).map(|i| machine(i, i <= 3)).collect();
+        Trio { machines, now: 1, cut: Vec::new() }
+    }
+
+    fn deliver(&mut self, from: u8, out: Vec<Out>) {
+        let mut queue: Vec<(u8, Out)> = out.into_iter().map(|out| (from, out)).collect();
+        while let Some((from, Out { to, message })) = queue.pop() {
+            let to = (1..=self.machines.len() as u8).find(|i| ip(*i) == to).unwrap();
+            if self.cut.contains(&from) || self.cut.contains(&to) {
+                continue;
+            }
+            let (reply, out) = self.machines[to as usize - 1].handle(ip(from), message.clone(), self.now);
+            queue.extend(out.into_iter().map(|out| (to, out)));
+            let out = self.machines[from as usize - 1].reply(&message, self.now, reply, self.now);
+            queue.extend(out.into_iter().map(|out| (from, out)));
+        }
+    }
+
+    fn pass(&mut self, span: Ms) {
+        for _ in 0..span / 10 {
+            self.now += 10;
+            for i in 1..=self.machines.len() as u8 {
+                if !self.cut.contains(&i) {
+                    let out = self.machines[i as usize - 1].tick(self.now);
+                    self.deliver(i, out);
+                }
+            }
+        }
+    }
+
+    fn leader(&self) -> u8 {
+        let leads = |i: &u8| self.machines[*i as usize - 1].leads(self.now).is_some();
+        (1..=self.machines.len() as u8).find(leads).expect("nobody leads")
+    }
+
+    fn view(&self) -> View {
+        self.machines[self.leader() as usize - 1].view().unwrap().clone()
+    }
+}
+
+/// A primary that was frozen finds answers in its sockets when it wakes: they tell of the time before.
+#[test]
+fn an_answer_renews_the_lease_from_when_its_question_was_sent() {
+    let mut trio = Trio::new(3);
+    trio.pass(1_000);
+    let leader = trio.leader();
+    let (asked, woken) = (trio.now, trio.now + 20_000);
+    let questions = trio.machines[leader as usize - 1].confirmations();
+    for Out { to, message } in questions {
+        let to = (1..=3).find(|i| ip(*i) == to).unwrap();
+        let (reply, _) = trio.machines[to as usize - 1].handle(ip(leader), message.clone(), asked);
+        trio.machines[leader as usize - 1].reply(&message, asked, reply, woken);
+    }
+    assert!(trio.machines[leader as usize - 1].leads(woken).is_none());
+}
+
+/// A planned replacement: the newcomer has the place, and another the copy, before the old member goes.
+#[rstest]
+fn a_member_that_stops_waits_until_a_newcomer_has_its_place(#[values(1, 2, 3)] which: u8) {
+    let mut group = Trio::new(4);
+    group.pass(1_500);
+    assert_eq!(group.view().members.len(), 3);
+    let mut waited = 0;
+    loop {
+        let mut waits = false;
+        for question in group.machines[which as usize - 1].leave() {
+            let is_leave = matches!(question.message, Message::Leave(_));
+            let to = (1..=4).find(|i| ip(*i) == question.to).unwrap();
+            let (reply, out) = group.machines[to as usize - 1].handle(ip(which), question.message, group.now);
+            waits |= reply.taken || !is_leave;
+            group.deliver(to, out);
+        }
+        if !waits {
+            break;
+        }
+        group.pass(100);
+        waited += 100;
+        assert!(waited < 2_000, "it waits for ever");
+    }
+    group.cut.push(which);
+    group.pass(50);
+    let view = group.view();
+    assert!(!view.has(u64::from(which)) && view.has(4), "{view:?}");
+    assert!(!view.holds_state(u64::from(which)));
+    // The next loss may come at once: any one of those that are left.
+    let lost = *[1, 2, 3, 4].iter().find(|i| **i != which).unwrap();
+    group.cut.push(lost);
+    group.pass(4_000);
+    assert!(group.view().members.len() >= 3);
+}
+
+/// Where nobody can take its place, a member that stops is away for a short time: it only sees that others hold the
+/// state.
+#[test]
+fn a_member_that_stops_without_a_newcomer_leaves_its_copy_to_another() {
+    let mut group = Trio::new(3);
+    group.pass(1_500);
+    let backup = group.view().backups[0];
+    for _ in 0..20 {
+        for question in group.machines[backup as usize - 1].leave() {
+            group.deliver(backup as u8, vec![question]);
+        }
+        group.pass(100);
+    }
+    assert!(!group.view().holds_state(backup), "{:?}", group.view());
+    assert!(group.view().has(backup), "it stays a member");
+}
+
+/// A message that was meant for a member whose place, at the same address, another disk has now.
+#[test]
+fn an_answer_counts_for_the_disk_that_gave_it() {
+    let mut group = Trio::new(3);
+    group.pass(1_500);
+    let leader = group.leader();
+    let before = group.view();
+    let wiped = *before.backups.first().unwrap() as u8;
+    let settings = Settings {
+        me: Member { disk: 77, ..member(wiped) },
+        founders: (1..=3).map(ip).collect(),
+        founder: false,
+        tolerance: 1,
+    };
+    let durable = Durable { disk: 77, ..Durable::default() };
+    let mut stranger = Group::new(settings, durable, Memory, group.now);
+    let message = Message::Replicate(before.epoch, state(before.epoch, 50));
+    let (reply, _) = stranger.handle(ip(leader), message.clone(), group.now);
+    let committed = group.machines[leader as usize - 1].committed();
+    let now = group.now;
+    group.machines[leader as usize - 1].reply(&message, now, reply, now);
+    assert_eq!(group.machines[leader as usize - 1].committed(), committed);
+}
--- a/crates/net/src/wake.rs
+++ b/crates/net/src/wake.rs
@@ -25,7 +25,10 @@
             if self.told.replace(false) {
                 return Poll::Ready(());
             }
-            self.waiting.borrow_mut().push(context.waker().clone());
+            let mut waiting = self.waiting.borrow_mut();
+            if !waiting.iter().any(|waker| waker.will_wake(context.waker())) {
+                waiting.push(context.waker().clone());
+            }
             Poll::Pending
         })
         .await
--- a/crates/node/src/calls.rs
+++ b/crates/node/src/calls.rs
@@ -25,6 +25,8 @@
     pub whole: bool,
     /// It retires, and does nothing any more that others don't know of.
     pub idle: bool,
+    /// It was told to stop, and is about to.
+    pub leaving: bool,
     /// Lost stores that it has taken over from.
     pub inherited: Vec<u64>,
 }
@@ -39,6 +41,8 @@
 /// What a watcher has already.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
 pub struct Seen {
+    /// The epoch of the control group's primary that told it.
+    pub epoch: u64,
     /// The configuration's version.
     pub version: u64,
     /// The epoch of the stores' view.
@@ -63,6 +67,8 @@
 pub struct News {
     /// The one that answers leads the control group; if not, nothing else counts but where to ask.
     pub leads: bool,
+    /// The epoch in which it leads.
+    pub epoch: u64,
     pub primary: Option<IpAddr>,
     pub group: Vec<IpAddr>,
     pub configuration: Option<(u64, Vec<u8>)>,
@@ -102,22 +108,26 @@
     pub body: Option<Vec<u8>>,
 }
 
-/// What a store has of another one's messages.
+/// A piece of what a store has of another one's messages.
 #[derive(Clone, Debug, Default, BorshSerialize, BorshDeserialize)]
 pub struct HeldFor {
-    /// Copies that it keeps.
+    /// Copies that it keeps, in the order of their ids.
     pub copies: Vec<String>,
-    /// Messages that it took because the other gave no clear answer.
+    /// There are more copies, after the last of these.
+    pub more: bool,
+    /// Messages that it took because the other gave no clear answer; told with the first piece.
     pub taken: Vec<String>,
+    /// It is about to stop, and doesn't count as a holder.
+    pub leaving: bool,
 }
 
-/// What a store has of a lost one's messages.
+/// A piece of the copies that a store kept for a lost one.
 #[derive(Clone, Debug, Default, BorshSerialize, BorshDeserialize)]
-pub struct Estate {
-    /// Copies that it kept.
+pub struct Piece {
+    /// Copies, in the order of their ids.
     pub given: Vec<Given>,
-    /// Messages that it took because the lost one gave no clear answer: they aren't the heir's.
-    pub taken: Vec<String>,
+    /// There are more, after the last of these.
+    pub more: bool,
 }
 
 /// A message as one store gives it to another.
@@ -139,16 +149,35 @@
     Status,
     /// Edge to store; answered with [`PutAnswer`].
     Put(Message),
-    /// Store to store: what happened to the sender's messages. Answered with whether it is on the disk.
-    Replicate { owner: u64, entries: Vec<Entry> },
-    /// Store to store: what do you have of this owner's messages? Answered with [`HeldFor`], if the owner is known.
-    Held { owner: u64 },
-    /// Store to store: give me these. Answered with [`Given`].
+    /// Store to store, to the disk `to`: what happened to the sender's messages. Answered with whether it is on the
+    /// disk.
+    Replicate { owner: u64, to: u64, entries: Vec<Entry> },
+    /// Store to store, to the disk `to`: what do you have of this owner's messages, from the first id after one on?
+    /// Answered with [`HeldFor`], if the owner is known.
+    Held { owner: u64, to: u64, after: String },
+    /// Store to store: give me these. Answered with [`Given`], of as many of the first as fit one answer.
     Fetch { ids: Vec<String> },
-    /// Store to store: I take over what this lost store owned. Answered with its [`Estate`].
+    /// Store to store: I take over what this lost store owned; keep nothing for it any more. Answered with the ids of
+    /// messages that the receiver took because the lost store gave no clear answer.
     Claim { lost: u64 },
+    /// Store to store, after [`Call::Claim`]: give me its copies, from the first id after one on. Answered with a
+    /// [`Piece`].
+    Inherit { lost: u64, after: String },
     /// Store to store: what was claimed is safe; copies for the lost store may go.
     Claimed { lost: u64 },
+    /// Store to store: the sender is about to stop, and its copies don't count any more. Answered with whether all
+    /// messages of the receiver are safe without it.
+    Leaving { disk: u64 },
+    /// Store to store: which of an absent owner's messages do you not hold, and of which don't you know the end?
+    /// Answered with ids.
+    Lacking { owner: u64, live: Vec<String>, ended: Vec<String> },
+    /// Store to store: keep these for an owner that is absent. Answered with whether they are on the disk.
+    Preserve { owner: u64, given: Vec<Given>, ends: Vec<End> },
+    /// Store to store: which of these do you own, or know the end of? Answered with ids.
+    Decided { ids: Vec<String> },
+    /// From a store that was given up to the heir of `owner`: messages that may be nowhere else. Answered with whether
+    /// they are safe there.
+    HandBack { owner: u64, given: Vec<Given>, anyway: bool },
     /// Store to store: I have taken this message, leave it to me. Answered with false if it has begun.
     Leave { id: String },
     /// Edge to store: do you answer?
--- a/crates/node/src/control/api.rs
+++ b/crates/node/src/control/api.rs
@@ -64,14 +64,22 @@
     match control.change(command).await {
         Changed::Done => Answer::json(200, "{}"),
         Changed::Rejected(Rejected::Invalid(faults)) => Answer::text(400, &faults.to_string()),
-        Changed::Rejected(stale) => match control.confirm().await {
-            true => Answer::text(412, &stale.to_string()),
-            false => elsewhere(control, request),
-        },
+        Changed::Rejected(Rejected::Forgotten { base }) => {
+            Answer::text(503, &Rejected::Forgotten { base }.to_string())
+        }
+        Changed::Rejected(stale) => refuse(control, request, 412, &stale).await,
         Changed::Unknown => elsewhere(control, request),
     }
 }
 
+/// Refuses an order, if a majority says from now on that this machine leads: what it refuses by may be old otherwise.
+async fn refuse(control: &Rc<Control>, request: &Request, status: u16, why: &Rejected) -> Answer {
+    match control.confirm().await {
+        true => Answer::text(status, &why.to_string()),
+        false => elsewhere(control, request),
+    }
+}
+
 async fn read(control: &Rc<Control>, request: &Request) -> Answer {
     let state = control.committed_state();
     match state {
@@ -106,8 +114,8 @@
     let others = control.process.settings.tolerance.machines as usize + 1;
     match control.change(Command::Retire { name: name.to_string(), others }).await {
         Changed::Done => Answer::json(200, "{}"),
-        Changed::Rejected(Rejected::UnknownStore) => Answer::text(404, &Rejected::UnknownStore.to_string()),
-        Changed::Rejected(rejected) => Answer::text(409, &rejected.to_string()),
+        Changed::Rejected(unknown @ Rejected::UnknownStore) => refuse(control, request, 404, &unknown).await,
+        Changed::Rejected(rejected) => refuse(control, request, 409, &rejected).await,
         Changed::Unknown => elsewhere(control, request),
     }
 }
--- a/crates/node/src/control/census.rs
+++ b/crates/node/src/control/census.rs
@@ -14,7 +14,8 @@
 const EVERY: Duration = Duration::from_millis(100);
 /// After the first store came, others are waited for so long before the keys are shared out.
 const FIRST_STORES: u64 = 1_500;
-/// A store that is silent for so long, while an empty one has come since, is lost.
+/// A store that is silent for so long is lost, if an empty one has come since, or if it said that it stops while an
+/// empty one was there: a planned replacement. A restart takes less.
 const REPLACED: u64 = 4_000;
 /// A store that is silent for so long is lost.
 const LOST: u64 = 15_000;
@@ -70,9 +71,10 @@
     /// How long a store may be silent: less if an empty one came since.
     fn patience(&self, store: &Store, view: &StoreView, now: u64) -> u64 {
         let of = |disk: u64| self.stores().find(|watcher| watcher.hello.disk == disk);
-        let Some(heard) = of(store.disk).map(|watcher| watcher.at) else { return LOST };
+        let Some(watcher) = of(store.disk) else { return LOST };
+        let (heard, left) = (watcher.at, watcher.hello.custody.leaving);
         let successor = |other: &Store| {
-            let came = of(other.disk).is_some_and(|watcher| watcher.first > heard);
+            let came = of(other.disk).is_some_and(|watcher| left || watcher.first > heard);
             came && self.silent(other.disk, now) < 2_000 && !view.owners.contains(&other.disk)
         };
         match view.active().any(successor) {
--- a/crates/node/src/control/census_tests.rs
+++ b/crates/node/src/control/census_tests.rs
@@ -21,12 +21,14 @@
     view: StoreView,
     now: u64,
     up: Vec<(u8, u64)>,
+    /// The disk of a store that says it is about to stop.
+    leaving: Option<u64>,
 }
 
 impl Play {
     fn new(machines: u8) -> Play {
         let up = (1..=machines).map(|machine| (machine, u64::from(machine))).collect();
-        Play { census: Census::default(), view: StoreView::default(), now: 1, up }
+        Play { census: Census::default(), view: StoreView::default(), now: 1, up, leaving: None }
     }
 
     /// Lets time pass; the disks that were given up.
@@ -35,7 +37,9 @@
         for _ in 0..span / 100 {
             self.now += 100;
             for (machine, disk) in &self.up {
-                self.census.heard(&hello(*machine, *disk), Seen::default(), self.now);
+                let mut hello = hello(*machine, *disk);
+                hello.custody.leaving = self.leaving == Some(*disk);
+                self.census.heard(&hello, Seen::default(), self.now);
             }
             match self.census.wanted(&self.view, self.now) {
                 Some(Command::StoreSeen(store)) => {
@@ -120,3 +124,40 @@
     assert_eq!(play.pass(10_000), Vec::<u64>::new());
     assert_eq!(play.pass(6_000), [2]);
 }
+
+/// A planned replacement: the empty store comes first, then the old one says that it stops.
+#[rstest]
+#[case::it_said_that_it_stops(true, 4_500, &[2])]
+#[case::a_restart_takes_less(true, 3_000, &[])]
+#[case::it_fell_silent(false, 4_500, &[])]
+fn one_that_stopped_after_an_empty_store_came_is_replaced_by_it(
+    #[case] said: bool,
+    #[case] down: u64,
+    #[case] lost: &[u64],
+) {
+    let mut play = Play::new(3);
+    play.pass(5_000);
+    play.up.push((5, 5));
+    play.pass(4_500);
+    play.leaving = said.then_some(2);
+    play.pass(200);
+    play.up.retain(|(machine, _)| *machine != 2);
+    assert_eq!(play.pass(down), lost);
+}
+
+/// A store that was told to stop and came back with its disk is not held to what it said before.
+#[test]
+fn a_store_that_came_back_has_its_whole_time_again() {
+    let mut play = Play::new(3);
+    play.pass(5_000);
+    play.up.push((5, 5));
+    play.leaving = Some(2);
+    play.pass(200);
+    play.up.retain(|(machine, _)| *machine != 2);
+    play.pass(2_000);
+    play.leaving = None;
+    play.up.push((2, 2));
+    play.pass(1_000);
+    play.up.retain(|(machine, _)| *machine != 2);
+    assert_eq!(play.pass(10_000), Vec::<u64>::new());
+}
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -33,8 +33,14 @@
 const GROUP_CALL: Duration = Duration::from_millis(500);
 /// How long a change is waited for.
 const COMMIT: Duration = Duration::from_millis(2_500);
-/// How long the next primary is waited for before a planned stop.
-const HAND_OVER: Duration = Duration::from_millis(1_500);
+/// How long it is waited for before a planned stop that others have what this machine has.
+const LEAVE: Duration = Duration::from_millis(3_000);
+/// How often they are asked, in that time.
+const LEAVE_EVERY: Duration = Duration::from_millis(100);
+/// Nobody to ask for so many times: the machine goes.
+const LEAVE_QUIET: u32 = 4;
+/// How long an order waits for this machine to lead, where no other is known to, in milliseconds.
+const LEAD_SOON: u64 = 700;
 
 /// What the group has committed, as it is told to watchers.
 #[derive(Default)]
@@ -109,7 +115,7 @@
     monoio::spawn(census::keep(control.clone()));
     control.clone().serve_operator(&api_address)?;
     stopped(&control.process.stopping).await;
-    control.hand_over().await;
+    control.leave().await;
     Ok(())
 }
 
@@ -161,9 +167,9 @@
 
     async fn exchange(self: &Rc<Self>, out: Out) -> Option<Reply> {
         let to = SocketAddr::new(out.to, self.process.settings.control_port());
-        let call = Call::Group(out.message.clone());
+        let (call, sent) = (Call::Group(out.message.clone()), self.now());
         let reply = self.peers.call::<Call, Reply>(to, &call, GROUP_CALL).await.ok()?;
-        let more = self.group.borrow_mut().reply(&out.message, reply.clone(), self.now());
+        let more = self.group.borrow_mut().reply(&out.message, sent, reply.clone(), self.now());
         self.publish();
         self.note_stage();
         self.send(more);
@@ -187,7 +193,7 @@
     fn committed_state(&self) -> Option<Rc<State>> {
         let published = self.published.borrow();
         let group = self.group.borrow();
-        let current = group.leads(self.now()).is_some_and(|view| published.state.at.0 >= view.epoch);
+        let current = group.leads(self.now()).is_some_and(|view| published.state.at.epoch >= view.epoch);
         current.then(|| published.state.clone())
     }
 
@@ -208,6 +214,7 @@
 
     async fn change_now(self: &Rc<Self>, command: Command, until: u64) -> Changed {
         // What the last epoch left is on two disks before anything is built on it.
+        let lead_by = self.now() + LEAD_SOON;
         let proposed = loop {
             let proposed = self.group.borrow_mut().propose_when_settled(&command, self.now());
             match proposed {
@@ -215,6 +222,9 @@
                 None if self.now() > until || self.group.borrow().primary_elsewhere() => {
                     return Changed::Unknown
                 }
+                None if self.now() > lead_by && self.group.borrow().leads(self.now()).is_none() => {
+                    return Changed::Unknown
+                }
                 None => monoio::time::sleep(Duration::from_millis(5)).await,
             }
         };
@@ -304,6 +314,7 @@
         let list = store && published.list > seen.list;
         News {
             leads: true,
+            epoch: state.at.epoch,
             primary: Some(self.process.settings.own_ip()),
             group: self.group.borrow().addresses(),
             configuration: configuration.then(|| (state.version, state.body.clone())),
@@ -326,7 +337,7 @@
             "epoch": group.view().map_or(0, |view| view.epoch),
             "members": members.iter().map(|m| m.name.clone()).collect::<Vec<_>>(),
             "version": state.version,
-            "change": state.at.1,
+            "change": state.at.number,
             "stores": stores.collect::<Vec<_>>(),
             "endpoints": self.published.borrow().endpoints.len(),
             "watchers": self.census.borrow().watchers(),
@@ -334,16 +345,22 @@
         status.to_string()
     }
 
-    async fn hand_over(self: &Rc<Self>) {
-        let out = self.group.borrow_mut().hand_over();
-        let asked = !out.is_empty();
-        self.send(out);
-        let until = self.now() + HAND_OVER.as_millis() as u64;
-        while asked && self.now() < until && !self.group.borrow().primary_elsewhere() {
-            monoio::time::sleep(Duration::from_millis(10)).await;
+    /// Before a planned stop: others take the place of this machine, as far as there are any.
+    async fn leave(self: &Rc<Self>) {
+        let until = self.now() + LEAVE.as_millis() as u64;
+        let mut quiet = 0;
+        while self.now() < until && quiet < LEAVE_QUIET {
+            let out = self.group.borrow().leave();
+            quiet = if out.is_empty() { quiet + 1 } else { 0 };
+            for question in out {
+                let waits_for_place = matches!(question.message, Message::Leave(_));
+                let reply = self.exchange(question).await;
+                if waits_for_place && reply.is_some_and(|reply| !reply.taken) {
+                    quiet = LEAVE_QUIET;
+                }
+            }
+            monoio::time::sleep(LEAVE_EVERY).await;
         }
-        // Answers that are being written go out.
-        monoio::time::sleep(Duration::from_millis(100)).await;
         log::info!("stops");
     }
 }
--- a/crates/node/src/store/copies.rs
+++ b/crates/node/src/store/copies.rs
@@ -18,6 +18,12 @@
 const LEAVE: Duration = Duration::from_millis(400);
 /// After a failure.
 const PAUSE: Duration = Duration::from_millis(100);
+/// A peer that hasn't answered for so long is away: its copies are made again elsewhere.
+pub const AWAY: Duration = Duration::from_millis(1_500);
+/// How often a peer is asked for a sign of life while there is nothing to tell it.
+const HEARTBEAT: Duration = Duration::from_millis(400);
+/// Ends that are told again at once.
+const ENDS_AT_ONCE: usize = 5_000;
 /// A peer that hasn't answered for so long isn't waited for alone.
 pub const HEDGE: Duration = Duration::from_millis(40);
 
@@ -44,6 +50,10 @@
     settled: Cell<bool>,
     /// The peer's disk is lost, or it has another address.
     ended: Cell<bool>,
+    /// The peer said that it is about to stop.
+    leaving: Cell<bool>,
+    /// When the peer answered last.
+    heard: Cell<Instant>,
     /// When the batch that is under way to it was sent.
     sent_at: Cell<Option<Instant>>,
 }
@@ -58,6 +68,8 @@
             wake: Notify::default(),
             settled: Cell::new(false),
             ended: Cell::new(false),
+            leaving: Cell::new(false),
+            heard: Cell::new(Instant::now()),
             sent_at: Cell::new(None),
         });
         monoio::spawn(copier.clone().run(store));
@@ -69,6 +81,26 @@
         self.settled.get() && !self.ended.get()
     }
 
+    /// Whether copies there don't count: the peer is about to stop, or hasn't answered for too long.
+    pub fn is_away(&self) -> bool {
+        self.leaving.get() || self.is_silent()
+    }
+
+    /// The peer hasn't answered for too long.
+    pub fn is_silent(&self) -> bool {
+        self.heard.get().elapsed() >= AWAY
+    }
+
+    /// The peer has said that it is about to stop.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.get()
+    }
+
+    /// The peer is about to stop.
+    pub fn set_leaving(&self) {
+        self.leaving.set(true);
+    }
+
     /// Everything that was to be told is told.
     pub fn is_idle(&self) -> bool {
         !self.is_settled() || (self.sent_at.get().is_none() && self.pending.borrow().is_empty())
@@ -113,11 +145,13 @@
                 continue;
             }
             let batch = std::mem::take(&mut *self.pending.borrow_mut());
-            if batch.is_empty() {
-                self.wake.notified().await;
+            if batch.is_empty() && monoio::time::timeout(HEARTBEAT, self.wake.notified()).await.is_ok() {
                 continue;
             }
-            self.sent_at.set(Some(Instant::now()));
+            // An empty batch is a heartbeat.
+            if !batch.is_empty() {
+                self.sent_at.set(Some(Instant::now()));
+            }
             self.send(&store, batch).await;
             self.sent_at.set(None);
         }
@@ -136,8 +170,7 @@
         let (entries, waiting): (Vec<Entry>, Vec<_>) =
             batch.into_iter().map(|p| (p.entry, p.waiting)).unzip();
         let told: Vec<String> = entries.iter().filter_map(ended_id).collect();
-        let call = Call::Replicate { owner: store.disk, entries };
-        let kept = store.peers.call::<Call, bool>(self.address, &call, REPLICATE).await.unwrap_or(false);
+        let kept = self.replicate(store, entries, REPLICATE).await;
         if kept {
             store.queue.borrow_mut().told(self.disk, &told);
         } else {
@@ -148,14 +181,40 @@
         }
     }
 
+    async fn replicate(&self, store: &Rc<Store>, entries: Vec<Entry>, within: Duration) -> bool {
+        let call = Call::Replicate { owner: store.disk, to: self.disk, entries };
+        let answer = store.peers.call::<Call, bool>(self.address, &call, within).await;
+        if answer.is_ok() {
+            self.heard.set(Instant::now());
+        }
+        answer.unwrap_or(false)
+    }
+
+    /// Asks for all that the peer holds of this store's messages, piece by piece.
+    async fn ask_held(&self, store: &Rc<Store>) -> Option<(HashSet<String>, Vec<String>)> {
+        let mut held = HashSet::new();
+        let mut taken = Vec::new();
+        let mut after = String::new();
+        loop {
+            let call = Call::Held { owner: store.disk, to: self.disk, after: after.clone() };
+            let piece =
+                store.peers.call::<Call, Option<HeldFor>>(self.address, &call, RECONCILE).await.ok()??;
+            self.heard.set(Instant::now());
+            self.leaving.set(piece.leaving);
+            taken.extend(piece.taken);
+            after = piece.copies.last().cloned().unwrap_or_default();
+            held.extend(piece.copies);
+            if !piece.more {
+                return Some((held, taken));
+            }
+        }
+    }
+
     /// Learns what the peer holds of this store's messages: ends that it doesn't know are told again, and what this
     /// store doesn't know is fetched.
     async fn reconcile(&self, store: &Rc<Store>) -> bool {
-        let call = Call::Held { owner: store.disk };
-        let held = store.peers.call::<Call, Option<HeldFor>>(self.address, &call, RECONCILE).await;
-        let Ok(Some(HeldFor { copies, taken })) = held else { return false };
+        let Some((held, taken)) = self.ask_held(store).await else { return false };
         store.leave_to_others(taken);
-        let held: HashSet<String> = copies.into_iter().collect();
         let mut ends = Vec::new();
         let mut unknown = Vec::new();
         {
@@ -173,23 +232,33 @@
             }
             queue.not_held(self.disk, &held);
         }
-        if !ends.is_empty() {
+        for ends in ends.chunks(ENDS_AT_ONCE) {
             let told: Vec<String> = ends.iter().filter_map(ended_id).collect();
-            let call = Call::Replicate { owner: store.disk, entries: ends };
-            if !store.peers.call::<Call, bool>(self.address, &call, RECONCILE).await.unwrap_or(false) {
+            if !self.replicate(store, ends.to_vec(), RECONCILE).await {
                 return false;
             }
             store.queue.borrow_mut().told(self.disk, &told);
         }
-        if !unknown.is_empty() {
-            let call = Call::Fetch { ids: unknown };
-            let Ok(given) = store.peers.call::<Call, Vec<Given>>(self.address, &call, RECONCILE).await else {
+        if !unknown.is_empty() && !self.fetch(store, unknown).await {
+            return false;
+        }
+        store.needs_repair.set(true);
+        true
+    }
+
+    /// Takes messages of this store that only the peer knows, piece by piece.
+    async fn fetch(&self, store: &Rc<Store>, mut ids: Vec<String>) -> bool {
+        log::info!("{} messages are only known at another store", ids.len());
+        while !ids.is_empty() {
+            let call = Call::Fetch { ids: ids.clone() };
+            let Ok((given, asked)) =
+                store.peers.call::<Call, (Vec<Given>, u64)>(self.address, &call, RECONCILE).await
+            else {
                 return false;
             };
-            log::info!("{} messages are only known at another store", given.len());
+            ids.drain(..(asked as usize).clamp(1, ids.len()));
             store.adopt(given, Some(self.disk)).await;
         }
-        store.needs_repair.set(true);
         true
     }
 
@@ -220,21 +289,22 @@
 }
 
 impl Store {
-    /// Copies a message to as many other stores as may be lost at once, and to another where one doesn't answer soon.
-    /// Returns once enough have it.
-    pub async fn copy_enough(self: &Rc<Self>, id: &str, entry: &Entry) {
+    /// Copies a message until as many other stores have it as are wanted, and to another where one doesn't answer soon.
+    pub async fn copy_enough(self: &Rc<Self>, id: &str, entry: &Entry, wanted: fn(&Store) -> usize) {
         let answers = Rc::new(Answers::default());
         let mut asked: Vec<u64> = Vec::new();
         loop {
             let seen = answers.changed.get();
-            let missing = self.missing_copies(id);
+            let missing = self.missing_copies(id, wanted(self));
             if missing == 0 {
                 return;
             }
             // Those that have not answered count as copies to come, but for one more after each hedge.
             let more = missing.saturating_sub(answers.open.get());
-            let candidates =
-                self.settled_copiers().into_iter().filter(|copier| !asked.contains(&copier.disk));
+            let candidates = self
+                .settled_copiers()
+                .into_iter()
+                .filter(|copier| !asked.contains(&copier.disk) && !self.has_copy(id, copier.disk));
             let candidates: Vec<_> = candidates.take(more).collect();
             if more > 0 && candidates.is_empty() && answers.open.get() == 0 {
                 monoio::time::sleep(PAUSE).await;
@@ -251,13 +321,29 @@
         }
     }
 
-    /// How many copies a message still needs.
-    pub fn missing_copies(&self, id: &str) -> usize {
+    /// How many copies a message needs beyond those that count.
+    pub fn missing_copies(&self, id: &str, wanted: usize) -> usize {
         let queue = self.queue.borrow();
-        let copiers = self.copiers.borrow();
         let Some(known) = queue.owned(id) else { return 0 };
-        let there = known.copies.iter().filter(|disk| copiers.contains_key(disk)).count();
-        self.copies_needed.saturating_sub(there)
+        let present = self.present();
+        wanted.saturating_sub(known.copies.intersection(&present).count())
+    }
+
+    fn has_copy(&self, id: &str, disk: u64) -> bool {
+        self.queue.borrow().owned(id).is_some_and(|known| known.copies.contains(&disk))
+    }
+
+    /// Disks of other stores whose copies count.
+    pub fn present(&self) -> BTreeSet<u64> {
+        let copiers = self.copiers.borrow();
+        copiers.values().filter(|copier| !copier.is_away()).map(|copier| copier.disk).collect()
+    }
+
+    /// Copies that each message should have at other stores: as many as may be lost at once, and one more in the place
+    /// of this store's own while it is about to go. No more than there are stores.
+    pub fn copies_wanted(&self) -> usize {
+        let wanted = self.copies_needed + usize::from(self.leaving.get());
+        wanted.min(self.present().len())
     }
 
     fn copy_to(self: &Rc<Self>, copier: &Rc<Copier>, id: &str, entry: &Entry, answers: &Rc<Answers>) {
@@ -309,7 +395,7 @@
             .is_some_and(|k| matches!(k.stage, Stage::Running | Stage::Ended(_)));
         if !began {
             self.leave_to_others(vec![id.to_string()]);
-            self.not_wanted.borrow_mut().insert(id.to_string());
+            self.not_wanted.borrow_mut().insert(id.to_string(), self.clock.ms());
         }
         !began
     }
@@ -336,7 +422,7 @@
         let copiers = self.copiers.borrow();
         let view = self.known.stores();
         let stays = |disk: u64| view.get(disk).is_some_and(|store| !store.retiring);
-        let there = copiers.values().filter(|copier| copier.is_settled() && stays(copier.disk));
+        let there = copiers.values().filter(|c| c.is_settled() && !c.leaving.get() && stays(c.disk));
         let mut settled: Vec<_> = there.cloned().collect();
         let turn = self.turn.get();
         self.turn.set(turn + 1);
@@ -352,23 +438,22 @@
         if let Some(known) = self.queue.borrow_mut().owned_mut(&id) {
             known.copies.retain(|disk| copiers.contains_key(disk));
         }
-        self.copy_enough(&id, &entry).await;
+        self.copy_enough(&id, &entry, Store::copies_wanted).await;
+        self.repairing.borrow_mut().remove(&id);
     }
 
-    /// Copies messages again that are at no other active store any more.
+    /// Copies messages again that are at too few other stores that are there.
     pub async fn repair(self: &Rc<Self>) {
-        let active: BTreeSet<u64> = self.copiers.borrow().keys().copied().collect();
-        let all_settled = self.copiers.borrow().values().all(|copier| copier.is_settled());
+        let all_settled =
+            self.copiers.borrow().values().all(|copier| copier.is_settled() || copier.is_away());
         let patient = self.clock.ms() < self.started + 3_000;
-        if active.is_empty() || (!all_settled && patient) {
+        if self.present().is_empty() || (!all_settled && patient) {
             return;
         }
         self.needs_repair.set(false);
         let lacking: Vec<(String, Entry)> = {
-            let queue = self.queue.borrow();
-            let live = queue.all_owned().filter(|k| matches!(k.stage, Stage::Waiting | Stage::Running));
-            let enough = self.copies_needed.min(active.len());
-            let lacking = live.filter(|known| known.copies.intersection(&active).count() < enough);
+            let (queue, mut repairing) = (self.queue.borrow(), self.repairing.borrow_mut());
+            let lacking = self.lacking(&queue).filter(|known| repairing.insert(known.message.id.clone()));
             let entry = |message: &Message| Entry::Message { owner: self.disk, message: message.clone() };
             lacking.map(|known| (known.message.id.clone(), entry(&known.message))).collect()
         };
@@ -379,4 +464,18 @@
             monoio::spawn(self.clone().copy_again(id, entry));
         }
     }
+
+    /// Messages that have not ended and are at too few other stores that are there.
+    fn lacking<'a>(&self, queue: &'a queue::Queue) -> impl Iterator<Item = &'a queue::Known> {
+        let (present, wanted) = (self.present(), self.copies_wanted());
+        let live = queue.all_owned().filter(|k| matches!(k.stage, Stage::Waiting | Stage::Running));
+        live.filter(move |known| known.copies.intersection(&present).count() < wanted)
+    }
+
+    /// A message that has not ended is at too few other stores.
+    pub fn lacks_copies(&self) -> bool {
+        let queue = self.queue.borrow();
+        let lacks = self.lacking(&queue).next().is_some();
+        lacks
+    }
 }
--- a/crates/node/src/store/log.rs
+++ b/crates/node/src/store/log.rs
@@ -59,7 +59,7 @@
 /// Whose record an entry is.
 fn id_of(entry: &Entry) -> &str {
     match entry {
-        Entry::Disk(_) => "",
+        Entry::Disk(_) | Entry::Fenced { .. } => "",
         Entry::Message { message, .. } => &message.id,
         Entry::Failed { id, .. } | Entry::CalledBack { id } | Entry::Dropped { id, .. } => id,
         Entry::Ended(end) => &end.id,
--- a/crates/node/src/store/mod.rs
+++ b/crates/node/src/store/mod.rs
@@ -4,6 +4,9 @@
 //! | --- | --- |
 //! | [`log`](mod@log) | records to the ring of files, by a thread of their own |
 //! | [`copies`] | the second copy of each message, and what is said to its holder |
+//! | [`preserve`] | copies of what an absent store owned are made whole by those that hold them |
+//! | [`peers`] | what other members ask |
+//! | [`leaving`] | planned stops, retirement, and the return of a store that was given up |
 //! | [`takeover`] | what a lost store owned; ends of messages |
 //! | [`endpoints`] | caps, doubts and choice of endpoints |
 //! | [`deliver`] | messages to endpoints |
@@ -12,10 +15,13 @@
 pub mod copies;
 pub mod deliver;
 pub mod endpoints;
+pub mod leaving;
 pub mod log;
+pub mod peers;
+pub mod preserve;
 pub mod takeover;
 
-use crate::calls::{Call, Custody, Estate, Found, Given, HeldFor, Hello, PutAnswer, Refusal, Role};
+use crate::calls::{Custody, Hello, PutAnswer, Refusal, Role};
 use crate::process::{self, stopped, unique, Clock, Process};
 use crate::watch::{watch, Known};
 use anyhow::Context as _;
@@ -26,8 +32,8 @@
 use queue::{Entry, Message, Queue, Stage};
 use settings::ProcessSettings;
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, BTreeSet, HashSet};
-use std::net::{IpAddr, SocketAddr};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::net::SocketAddr;
 use std::path::Path;
 use std::rc::Rc;
 use std::time::Duration;
@@ -66,6 +72,8 @@
     pub callbacks: callbacks::Callbacks,
     /// Wakes the delivery sender.
     pub work: Notify,
+    /// Wakes the care for copies before its time.
+    pub cared: Notify,
     /// Deliveries under way.
     pub running: Cell<usize>,
     /// Messages that are being taken.
@@ -78,15 +86,19 @@
     /// Lost stores that are being taken over from, and those that were.
     pub inheriting: RefCell<BTreeSet<u64>>,
     pub inherited: RefCell<BTreeSet<u64>>,
-    /// Lost stores that nothing is kept for any more.
-    fenced: RefCell<BTreeSet<u64>>,
+    /// Messages that are being copied again.
+    pub repairing: RefCell<BTreeSet<String>>,
+    /// Who is away, and whose copies are made whole because of it.
+    pub absences: RefCell<preserve::Absences>,
     /// The epoch of the stores' view by which this store acts.
     epoch: Cell<u64>,
     /// It is to be taken away; it does nothing any more that others don't know of.
     retiring: Cell<bool>,
     idle: Cell<bool>,
-    /// Messages that other stores have taken, and that may still come here.
-    not_wanted: RefCell<HashSet<String>>,
+    /// It was given up, and gives back what may be nowhere else.
+    given_up: Cell<bool>,
+    /// Messages that other stores have taken, and that may still come here; with the time at which they said so.
+    not_wanted: RefCell<HashMap<String, u64>>,
     /// Until then, or until all copies are known, messages that were recovered and may be elsewhere wait.
     pub recovered_until: Cell<u64>,
     /// About to stop: only ordered messages go on.
@@ -133,6 +145,7 @@
         client: Client::default(),
         callbacks: callbacks::Callbacks::default(),
         work: Notify::default(),
+        cared: Notify::default(),
         running: Cell::new(0),
         taking: Cell::new(0),
         turn: Cell::new(0),
@@ -140,11 +153,13 @@
         copies_needed: settings.tolerance.machines.max(1) as usize,
         inheriting: RefCell::default(),
         inherited: RefCell::default(),
-        fenced: RefCell::default(),
+        repairing: RefCell::default(),
+        absences: RefCell::default(),
         recovered_until: Cell::new(process.clock.ms() + RECOVERED_WAIT),
         epoch: Cell::new(0),
         retiring: Cell::new(false),
         idle: Cell::new(false),
+        given_up: Cell::new(false),
         not_wanted: RefCell::default(),
         leaving: Cell::new(false),
         paused: Cell::new(false),
@@ -181,8 +196,13 @@
 impl Store {
     fn hello(&self) -> Hello {
         let inherited = self.inherited.borrow().iter().copied().collect();
-        let custody =
-            Custody { epoch: self.epoch.get(), whole: self.is_whole(), idle: self.idle.get(), inherited };
+        let custody = Custody {
+            epoch: self.epoch.get(),
+            whole: self.is_whole(),
+            idle: self.idle.get(),
+            leaving: self.leaving.get() && !self.retiring.get(),
+            inherited,
+        };
         Hello {
             name: self.settings.node_name.clone(),
             ip: self.settings.own_ip(),
@@ -212,7 +232,10 @@
                     monoio::spawn(self.clone().retire());
                 }
             } else if me.is_some_and(|store| store.gone) {
-                self.start_anew();
+                if !self.given_up.replace(true) {
+                    monoio::spawn(self.clone().hand_back());
+                }
+                continue;
             }
             self.keep_copiers(&view);
             self.epoch.set(view.epoch);
@@ -244,44 +267,11 @@
         }
     }
 
-    /// The store is to be taken away: it ends what it does, and tells all that others need to know.
-    async fn retire(self: Rc<Self>) {
-        ::log::info!("retires");
-        self.leaving.set(true);
-        while self.running.get() > self.ordered_running() || self.needs_repair.get() {
-            monoio::time::sleep(Duration::from_millis(10)).await;
-        }
-        self.paused.set(true);
-        while self.running.get() > 0 || self.taking.get() > 0 || !self.is_whole() || !self.all_told() {
-            monoio::time::sleep(Duration::from_millis(10)).await;
-        }
-        self.idle.set(true);
-        ::log::info!("is idle: others may take over");
-    }
-
-    /// Every holder of a copy knows of the end of its message.
-    fn all_told(&self) -> bool {
-        let copiers = self.copiers.borrow();
-        let queue = self.queue.borrow();
-        let told = |known: &queue::Known| known.untold.iter().all(|disk| !copiers.contains_key(disk));
-        let all = queue.all_owned().all(told);
-        all && copiers.values().all(|copier| copier.is_idle())
-    }
-
-    /// Others have taken over from this disk: what is on it doesn't count any more.
-    fn start_anew(&self) -> ! {
-        ::log::error!("others have taken over from this disk; the store begins anew with an empty one");
-        if let Some(folder) = &self.settings.data_dir {
-            for entry in std::fs::read_dir(folder).into_iter().flatten().flatten() {
-                let _ = std::fs::remove_file(entry.path());
-            }
-        }
-        std::process::exit(1)
-    }
-
     async fn care(self: Rc<Self>) {
         loop {
-            monoio::time::sleep(CARE).await;
+            let _ = monoio::time::timeout(CARE, self.cared.notified()).await;
+            self.look_for_absences();
+            self.forget_not_wanted();
             if self.needs_repair.get() {
                 self.repair().await;
             }
@@ -291,6 +281,12 @@
         }
     }
 
+    fn forget_not_wanted(&self) {
+        let ttl = (self.settings.bounds.status_ttl_s * 1_000.0) as u64;
+        let now = self.clock.ms();
+        self.not_wanted.borrow_mut().retain(|_, at| now < *at + ttl);
+    }
+
     /// Writes what still counts in the oldest file of the ring anew, and frees it.
     async fn compact(&self) {
         let Some((segment, ids)) = self.log.oldest() else { return };
@@ -302,10 +298,11 @@
 
     /// The records that tell all that is known of a message.
     fn entries_of(&self, id: &str) -> Vec<Entry> {
+        let queue = self.queue.borrow();
         if id.is_empty() {
-            return vec![Entry::Disk(self.disk)];
+            let fences = queue.fenced().iter().map(|disk| Entry::Fenced { disk: *disk });
+            return [Entry::Disk(self.disk)].into_iter().chain(fences).collect();
         }
-        let queue = self.queue.borrow();
         let mut entries = Vec::new();
         if let Some(known) = queue.owned(id) {
             entries.push(Entry::Message { owner: self.disk, message: (*known.message).clone() });
@@ -327,23 +324,6 @@
         entries
     }
 
-    async fn answer(self: Rc<Self>, _from: IpAddr, bytes: Vec<u8>) -> Vec<u8> {
-        let Ok(call) = borsh::from_slice::<Call>(&bytes) else { return Vec::new() };
-        match call {
-            Call::Put(message) => encode(&self.put(message).await),
-            Call::Replicate { owner, entries } => encode(&self.keep(owner, entries).await),
-            Call::Held { owner } => encode(&self.held(owner)),
-            Call::Fetch { ids } => encode(&self.fetch(&ids)),
-            Call::Claim { lost } => encode(&self.claim(lost)),
-            Call::Claimed { lost } => encode(&self.claimed(lost)),
-            Call::Leave { id } => encode(&self.leave_one(&id)),
-            Call::Ping => encode(&true),
-            Call::Find { id, body } => encode(&self.find(&id, body)),
-            Call::Status => encode(&self.status()),
-            Call::Watch(..) | Call::Group(_) => Vec::new(),
-        }
-    }
-
     /// Why a message isn't taken.
     fn refusal(&self, message: &Message) -> Option<Refusal> {
         let key = message.key.as_ref().filter(|_| message.ordered);
@@ -354,7 +334,7 @@
         if owner.is_some_and(|owner| owner != Some(self.disk)) {
             return Some(Refusal::NotOwner);
         }
-        if self.copiers.borrow().values().filter(|copier| copier.is_settled()).count() < self.copies_needed {
+        if self.settled_copiers().len() < self.copies_needed {
             return Some(Refusal::NoCopy);
         }
         let full = self.log.lag() > DISK_LAG || self.log.free_share() < FULL_BELOW || self.is_memory_full();
@@ -378,7 +358,7 @@
         if let Some(refusal) = self.refusal(&message) {
             return PutAnswer::Refused(refusal);
         }
-        if self.not_wanted.borrow().contains(&message.id) {
+        if self.not_wanted.borrow().contains_key(&message.id) {
             return PutAnswer::Refused(Refusal::NotOwner);
         }
         let id = message.id.clone();
@@ -389,7 +369,9 @@
         }
         self.taking.set(self.taking.get() + 1);
         let (store, copy_id, copy_entry) = (self.clone(), id.clone(), entry.clone());
-        let copied = monoio::spawn(async move { store.copy_enough(&copy_id, &copy_entry).await });
+        let copied = monoio::spawn(async move {
+            store.copy_enough(&copy_id, &copy_entry, |store| store.copies_needed).await
+        });
         let written = self.log.write(std::slice::from_ref(&entry)).await;
         copied.await;
         if !written {
@@ -405,7 +387,7 @@
         if self.ask_to_leave(&message).await {
             self.queue.borrow_mut().accept(&message.id);
             // What was recovered or adopted may have fewer copies than it should.
-            if self.missing_copies(&message.id) > 0 {
+            if self.missing_copies(&message.id, self.copies_wanted()) > 0 {
                 self.needs_repair.set(true);
             }
         } else {
@@ -414,122 +396,6 @@
         self.taking.set(self.taking.get() - 1);
         self.work.notify();
     }
-
-    /// Keeps what another store says of its messages; false if that isn't a store any more.
-    async fn keep(&self, owner: u64, entries: Vec<Entry>) -> bool {
-        if self.paused.get() || self.known.store(owner).is_none() || self.fenced.borrow().contains(&owner) {
-            return false;
-        }
-        let mut kept = Vec::new();
-        let mut must_last = false;
-        {
-            let mut queue = self.queue.borrow_mut();
-            for entry in entries {
-                match &entry {
-                    Entry::Message { message, .. } => {
-                        queue.keep(owner, message.clone());
-                        must_last = true;
-                    }
-                    Entry::Failed { id, attempts } => queue.note_attempts(id, *attempts),
-                    Entry::Ended(end) => {
-                        queue.end(end.clone());
-                    }
-                    Entry::Dropped { id, .. } => queue.drop_copy_of(owner, id),
-                    _ => continue,
-                }
-                kept.push(entry);
-            }
-        }
-        if must_last {
-            return self.log.write(&kept).await;
-        }
-        kept.iter().for_each(|entry| self.log.note(entry));
-        true
-    }
-
-    /// What is here of an owner's messages; nothing if that isn't known as a store.
-    fn held(&self, owner: u64) -> Option<HeldFor> {
-        self.known.store(owner)?;
-        let queue = self.queue.borrow();
-        let copies = queue.copies_of(owner).map(|copy| copy.message.id.clone()).collect();
-        Some(HeldFor { copies, taken: queue.taken_from(owner) })
-    }
-
-    fn fetch(&self, ids: &[String]) -> Vec<Given> {
-        let queue = self.queue.borrow();
-        let copies = ids.iter().filter_map(|id| queue.copy(id));
-        copies.map(|copy| Given { message: (*copy.message).clone(), attempts: copy.attempts }).collect()
-    }
-
-    /// Gives all that is kept of a lost store, which isn't listened to any more.
-    fn claim(&self, lost: u64) -> Option<Estate> {
-        if self.paused.get() {
-            return None;
-        }
-        self.fenced.borrow_mut().insert(lost);
-        Some(self.estate_of(lost))
-    }
-
-    fn claimed(&self, lost: u64) -> bool {
-        let mut queue = self.queue.borrow_mut();
-        let ids: Vec<String> = queue.copies_of(lost).map(|copy| copy.message.id.clone()).collect();
-        for id in ids {
-            queue.drop_copy_of(lost, &id);
-            self.log.note(&Entry::Dropped { owner: lost, id });
-        }
-        true
-    }
-
-    fn find(&self, id: &str, body: bool) -> Found {
-        let queue = self.queue.borrow();
-        let message =
-            queue.owned(id).map(|known| &known.message).or(queue.copy(id).map(|copy| &copy.message));
-        let end = queue.end_of(id).cloned();
-        let completed = matches!(&end, Some(end) if end.outcome != queue::Outcome::DeadLetter);
-        let body = message.filter(|_| body && !completed).map(|message| message.body.clone());
-        Found { known: message.is_some(), end, body }
-    }
-
-    fn status(&self) -> String {
-        let (waiting, running, ended, copies) = self.queue.borrow().counts();
-        let oldest = self.queue.borrow().oldest().map(|at| process::wall_ms().saturating_sub(at));
-        let status = serde_json::json!({
-            "node": self.settings.node_name, "disk": format!("{:016x}", self.disk),
-            "version": self.known.version(), "stores": self.known.stores().epoch,
-            "waiting": waiting, "running": running, "ended": ended, "copies": copies,
-            "oldest_ms": oldest, "backlog": self.backlog(), "free_ring": self.log.free_share(),
-            "taking_over": self.inheriting.borrow().len(),
-            "endpoints": self.endpoints.borrow().show(),
-        });
-        status.to_string()
-    }
-
-    /// A planned stop: unordered messages are left to others at once, deliveries under way end, and all that happened
-    /// is on the disks here and at the copies.
-    async fn leave(self: &Rc<Self>) {
-        self.leaving.set(true);
-        let grace = Duration::from_secs_f64((self.settings.bounds.grace_s - RESERVE_S).max(0.5));
-        let until = self.clock.ms() + grace.as_millis() as u64;
-        while self.running.get() > self.ordered_running() && self.clock.ms() < until {
-            monoio::time::sleep(Duration::from_millis(5)).await;
-        }
-        self.paused.set(true);
-        while (self.running.get() > 0 || self.taking.get() > 0) && self.clock.ms() < until {
-            monoio::time::sleep(Duration::from_millis(2)).await;
-        }
-        let told = |copier: &Rc<copies::Copier>| copier.is_idle();
-        let flush = self.clock.ms() + 400;
-        while !self.copiers.borrow().values().all(told) && self.clock.ms() < flush {
-            monoio::time::sleep(Duration::from_millis(2)).await;
-        }
-        self.log.write(&[]).await;
-        ::log::info!("stops; {} deliveries under way", self.running.get());
-    }
-
-    fn ordered_running(&self) -> usize {
-        let queue = self.queue.borrow();
-        queue.all_owned().filter(|known| known.stage == Stage::Running && known.message.ordered).count()
-    }
 }
 
 fn encode<T: borsh::BorshSerialize>(answer: &T) -> Vec<u8> {
--- /dev/null
+++ b/crates/node/src/store/peers.rs
@@ -0,0 +1,190 @@
+//! What other members ask of a store. Every answer is bounded: lists and messages go out piece by piece.
+use super::{encode, Store};
+use crate::calls::{Call, Found, Given, HeldFor, Piece};
+use crate::process;
+use queue::Entry;
+use std::net::IpAddr;
+use std::rc::Rc;
+
+/// Bytes of bodies in one answer, about; one message at least.
+pub const PIECE_BYTES: usize = 512 * 1024;
+/// Ids in one answer.
+pub const IDS_AT_ONCE: usize = 10_000;
+
+/// As many of some messages as fit one answer; at least one, if there is any.
+pub fn piece(messages: impl Iterator<Item = Given>) -> Piece {
+    let mut piece = Piece::default();
+    let mut bytes = 0;
+    for given in messages {
+        if bytes >= PIECE_BYTES {
+            piece.more = true;
+            break;
+        }
+        bytes += given.message.body.len() + 256;
+        piece.given.push(given);
+    }
+    piece
+}
+
+fn given(copy: &queue::Copy) -> Given {
+    Given { message: (*copy.message).clone(), attempts: copy.attempts }
+}
+
+impl Store {
+    /// Answers one call.
+    pub(super) async fn answer(self: Rc<Self>, _from: IpAddr, bytes: Vec<u8>) -> Vec<u8> {
+        let Ok(call) = borsh::from_slice::<Call>(&bytes) else { return Vec::new() };
+        match call {
+            Call::Put(message) => encode(&self.put(message).await),
+            Call::Replicate { owner, to, entries } => {
+                encode(&(to == self.disk && self.keep(owner, entries).await))
+            }
+            Call::Held { owner, to, after } => encode(&self.held(owner, to, &after)),
+            Call::Fetch { ids } => encode(&self.fetch(&ids)),
+            Call::Claim { lost } => encode(&self.claim(lost).await),
+            Call::Inherit { lost, after } => encode(&self.inherit(lost, &after)),
+            Call::Claimed { lost } => encode(&self.claimed(lost)),
+            Call::Leaving { disk } => encode(&self.peer_leaves(disk)),
+            Call::Lacking { owner, live, ended } => encode(&self.lacking_of(owner, &live, &ended)),
+            Call::Preserve { owner, given, ends } => encode(&self.preserve_for(owner, given, ends).await),
+            Call::Decided { ids } => encode(&self.decided(ids)),
+            Call::HandBack { owner, given, anyway } => encode(&self.take_back(owner, given, anyway).await),
+            Call::Leave { id } => encode(&self.leave_one(&id)),
+            Call::Ping => encode(&true),
+            Call::Find { id, body } => encode(&self.find(&id, body)),
+            Call::Status => encode(&self.status()),
+            Call::Watch(..) | Call::Group(_) => Vec::new(),
+        }
+    }
+
+    /// Nothing is kept for it: it isn't a store any more, or was given up.
+    pub(super) fn is_refused(&self, owner: u64) -> bool {
+        self.known.store(owner).is_none() || self.queue.borrow().fenced().contains(&owner)
+    }
+
+    /// Keeps what another store says of its messages; false if that isn't a store any more, or has first to hear what
+    /// is kept here for it.
+    async fn keep(&self, owner: u64, entries: Vec<Entry>) -> bool {
+        self.absences.borrow_mut().heard(owner, self.clock.ms());
+        if self.paused.get() || self.is_refused(owner) || self.absences.borrow().must_reconcile(owner) {
+            return false;
+        }
+        let mut kept = Vec::new();
+        let mut must_last = false;
+        {
+            let mut queue = self.queue.borrow_mut();
+            for entry in entries {
+                match &entry {
+                    Entry::Message { message, .. } => {
+                        queue.keep(owner, message.clone());
+                        must_last = true;
+                    }
+                    Entry::Failed { id, attempts } => queue.note_attempts(id, *attempts),
+                    Entry::Ended(end) => {
+                        queue.end(end.clone());
+                    }
+                    Entry::Dropped { id, .. } => queue.drop_copy_of(owner, id),
+                    _ => continue,
+                }
+                kept.push(entry);
+            }
+        }
+        if must_last {
+            return self.log.write(&kept).await;
+        }
+        kept.iter().for_each(|entry| self.log.note(entry));
+        true
+    }
+
+    /// A piece of what is here of an owner's messages; nothing if that isn't known as a store.
+    fn held(&self, owner: u64, to: u64, after: &str) -> Option<HeldFor> {
+        if to != self.disk || self.is_refused(owner) {
+            return None;
+        }
+        let mut absences = self.absences.borrow_mut();
+        absences.heard(owner, self.clock.ms());
+        let queue = self.queue.borrow();
+        let mut ids = queue.copies_after(owner, after).map(|copy| copy.message.id.clone());
+        let copies: Vec<String> = ids.by_ref().take(IDS_AT_ONCE).collect();
+        let more = ids.next().is_some();
+        if !more {
+            absences.reconciled(owner);
+        }
+        let taken = if after.is_empty() { queue.taken_from(owner) } else { Vec::new() };
+        Some(HeldFor { copies, more, taken, leaving: self.leaving.get() })
+    }
+
+    /// Copies by their ids, as many of the first as fit, and how many ids that answers.
+    pub(super) fn fetch(&self, ids: &[String]) -> (Vec<Given>, u64) {
+        let queue = self.queue.borrow();
+        let piece = piece(ids.iter().filter_map(|id| queue.copy(id)).map(given));
+        let last = piece.given.last().map(|given| &given.message.id);
+        let asked = match piece.more {
+            true => ids.iter().position(|id| Some(id) == last).map_or(ids.len(), |at| at + 1),
+            false => ids.len(),
+        };
+        (piece.given, asked as u64)
+    }
+
+    /// Nothing of a lost store is kept from now on, after a restart neither. Tells which messages this store took
+    /// because the lost one gave no clear answer.
+    pub(super) async fn claim(&self, lost: u64) -> Option<Vec<String>> {
+        if self.paused.get() {
+            return None;
+        }
+        let known = self.queue.borrow().fenced().contains(&lost);
+        self.queue.borrow_mut().fence(lost);
+        let fence = [Entry::Fenced { disk: lost }];
+        if !self.log.write(if known { &[] } else { &fence }).await {
+            return None;
+        }
+        Some(self.queue.borrow().taken_from(lost))
+    }
+
+    /// A piece of the copies that are kept of a lost store, once nothing more comes from it.
+    pub(super) fn inherit(&self, lost: u64, after: &str) -> Option<Piece> {
+        let queue = self.queue.borrow();
+        queue.fenced().contains(&lost).then(|| piece(queue.copies_after(lost, after).map(given)))
+    }
+
+    fn claimed(&self, lost: u64) -> bool {
+        let mut queue = self.queue.borrow_mut();
+        let ids: Vec<String> = queue.copies_of(lost).map(|copy| copy.message.id.clone()).collect();
+        for id in ids {
+            queue.drop_copy_of(lost, &id);
+            self.log.note(&Entry::Dropped { owner: lost, id });
+        }
+        true
+    }
+
+    /// Those of some messages that are owned here, or whose end is known.
+    pub(super) fn decided(&self, mut ids: Vec<String>) -> Vec<String> {
+        let queue = self.queue.borrow();
+        ids.retain(|id| queue.owned(id).is_some() || queue.end_of(id).is_some());
+        ids
+    }
+
+    fn find(&self, id: &str, body: bool) -> Found {
+        let queue = self.queue.borrow();
+        let message =
+            queue.owned(id).map(|known| &known.message).or(queue.copy(id).map(|copy| &copy.message));
+        let end = queue.end_of(id).cloned();
+        let completed = matches!(&end, Some(end) if end.outcome != queue::Outcome::DeadLetter);
+        let body = message.filter(|_| body && !completed).map(|message| message.body.clone());
+        Found { known: message.is_some(), end, body }
+    }
+
+    fn status(&self) -> String {
+        let (waiting, running, ended, copies) = self.queue.borrow().counts();
+        let oldest = self.queue.borrow().oldest().map(|at| process::wall_ms().saturating_sub(at));
+        let status = serde_json::json!({
+            "node": self.settings.node_name, "disk": format!("{:016x}", self.disk),
+            "version": self.known.version(), "stores": self.known.stores().epoch,
+            "waiting": waiting, "running": running, "ended": ended, "copies": copies,
+            "oldest_ms": oldest, "backlog": self.backlog(), "free_ring": self.log.free_share(),
+            "taking_over": self.inheriting.borrow().len(),
+            "endpoints": self.endpoints.borrow().show(),
+        });
+        status.to_string()
+    }
+}
--- a/crates/node/src/store/takeover.rs
+++ b/crates/node/src/store/takeover.rs
@@ -1,7 +1,8 @@
 //! Taking over what a lost store owned: all active stores give what they keep of it, then its messages run here.
 use super::Store;
-use crate::calls::{Call, Estate, Given};
+use crate::calls::{Call, Given, Piece};
 use queue::{End, Entry, Message, Stage};
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -10,29 +11,32 @@
 const PAUSE: Duration = Duration::from_millis(150);
 
 impl Store {
-    /// Takes over from every lost store whose heir this one is.
+    /// Takes over from a lost store: first all others keep nothing for it any more and tell what they took in its
+    /// place, then they give what they kept, piece by piece.
     pub async fn take_over(self: Rc<Self>, lost: u64) {
-        let mut asked = Vec::new();
-        let mut estate = self.estate_of(lost);
-        loop {
-            let stores = self.known.stores();
-            let others: Vec<_> = stores.active().filter(|store| store.disk != self.disk).cloned().collect();
-            let next = others.iter().find(|store| !asked.contains(&store.disk)).cloned();
-            let Some(next) = next else { break };
+        let mut taken: BTreeSet<String> = BTreeSet::new();
+        let mut asked: Vec<u64> = vec![self.disk];
+        let own = loop {
+            match self.claim(lost).await {
+                Some(own) => break own,
+                None => monoio::time::sleep(PAUSE).await,
+            }
+        };
+        taken.extend(own);
+        while let Some(next) = self.next_active(&asked) {
             let to = SocketAddr::new(next.ip, self.port);
-            match self.peers.call::<Call, Option<Estate>>(to, &Call::Claim { lost }, CLAIM).await {
-                Ok(Some(part)) => {
-                    log::info!("{} messages of a lost store come from {}", part.given.len(), next.name);
-                    estate.given.extend(part.given);
-                    estate.taken.extend(part.taken);
+            match self.peers.call::<Call, Option<Vec<String>>>(to, &Call::Claim { lost }, CLAIM).await {
+                Ok(Some(theirs)) => {
+                    taken.extend(theirs);
                     asked.push(next.disk);
                 }
                 _ => monoio::time::sleep(PAUSE).await,
             }
         }
         // Only now is it known which of them others have taken over already.
-        estate.given.retain(|given| !estate.taken.contains(&given.message.id));
-        self.adopt(estate.given, None).await;
+        for disk in asked.clone() {
+            self.inherit_from(disk, lost, &taken).await;
+        }
         while self.lacks_copies() {
             self.needs_repair.set(true);
             monoio::time::sleep(PAUSE).await;
@@ -49,22 +53,40 @@
         log::info!("took over from a lost store");
     }
 
-    /// A message that has not ended is at too few other active stores.
-    pub fn lacks_copies(&self) -> bool {
-        let copiers = self.copiers.borrow();
-        let queue = self.queue.borrow();
-        let mut live = queue.all_owned().filter(|k| matches!(k.stage, Stage::Waiting | Stage::Running));
-        let enough = self.copies_needed.min(copiers.len());
-        let there =
-            |known: &queue::Known| known.copies.iter().filter(|disk| copiers.contains_key(disk)).count();
-        live.any(|known| there(known) < enough)
+    /// An active store that is not among these.
+    fn next_active(&self, asked: &[u64]) -> Option<control::Store> {
+        let stores = self.known.stores();
+        let next = stores.active().find(|store| !asked.contains(&store.disk)).cloned();
+        next
     }
 
-    /// What is here of a lost store's messages.
-    pub fn estate_of(&self, lost: u64) -> Estate {
-        let queue = self.queue.borrow();
-        let given = |copy: &queue::Copy| Given { message: (*copy.message).clone(), attempts: copy.attempts };
-        Estate { given: queue.copies_of(lost).map(given).collect(), taken: queue.taken_from(lost) }
+    /// Takes what a store kept of a lost one's messages, piece by piece; less if that store is lost meanwhile.
+    async fn inherit_from(self: &Rc<Self>, disk: u64, lost: u64, taken: &BTreeSet<String>) {
+        let mut after = String::new();
+        let mut count = 0;
+        loop {
+            let piece = match disk == self.disk {
+                true => self.inherit(lost, &after),
+                false => {
+                    let Some(store) = self.known.store(disk) else { break };
+                    let to = SocketAddr::new(store.ip, self.port);
+                    let call = Call::Inherit { lost, after: after.clone() };
+                    self.peers.call::<Call, Option<Piece>>(to, &call, CLAIM).await.unwrap_or(None)
+                }
+            };
+            let Some(Piece { mut given, more }) = piece else {
+                monoio::time::sleep(PAUSE).await;
+                continue;
+            };
+            count += given.len();
+            after = given.last().map_or(after, |given| given.message.id.clone());
+            given.retain(|given| !taken.contains(&given.message.id));
+            self.adopt(given, None).await;
+            if !more {
+                break;
+            }
+        }
+        log::info!("{count} messages of a lost store come from disk {disk:016x}");
     }
 
     /// Recovered messages that other stores were given too run here once these leave them, or don't answer.
--- a/crates/node/src/tools.rs
+++ b/crates/node/src/tools.rs
@@ -113,6 +113,7 @@
             Entry::Ended(_) => "end",
             Entry::CalledBack { .. } => "call-back",
             Entry::Dropped { .. } => "dropped copy",
+            Entry::Fenced { .. } => "fence",
         };
         *kinds.entry(kind).or_default() += 1;
         queue.recover(entry);
@@ -132,7 +133,7 @@
     let durable: Durable =
         borsh::from_slice(bytes).context("the last record is none of this version; update")?;
     let epoch = durable.accepted.as_ref().map_or(0, |view| view.epoch);
-    let (version, change) = (durable.state.version, durable.state.at.1);
+    let (version, change) = (durable.state.version, durable.state.at.number);
     Ok(format!(
         "control, disk {:016x}: epoch {epoch}, change {change}, configuration {version}",
         durable.disk
--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -68,9 +68,24 @@
         self.endpoints.borrow().clone()
     }
 
-    fn take(&self, news: News) {
+    /// What is had already, as a question for news tells it.
+    pub fn seen(&self) -> Seen {
+        self.seen.get()
+    }
+
+    /// Addresses of the control group, as far as they are known.
+    pub fn group(&self) -> Vec<IpAddr> {
+        self.group.borrow().clone()
+    }
+
+    /// Takes news; false if they come from the primary of an epoch that is over, of which nothing is taken.
+    pub fn take(&self, news: News) -> bool {
         let mut seen = self.seen.get();
+        if news.epoch < seen.epoch {
+            return false;
+        }
         let before = seen;
+        seen.epoch = news.epoch;
         if let Some((version, body)) = news.configuration.filter(|(version, _)| *version > seen.version) {
             match Configuration::parse(&body) {
                 Ok(configuration) => *self.configuration.borrow_mut() = Rc::new(configuration),
@@ -87,10 +102,11 @@
             seen.list = number;
             *self.endpoints.borrow_mut() = Rc::new(endpoints);
         }
-        if seen != before {
-            self.seen.set(seen);
+        self.seen.set(seen);
+        if (Seen { epoch: before.epoch, ..seen }) != before {
             self.changes.raise();
         }
+        true
     }
 
     fn take_group(&self, news: &News) {
@@ -128,12 +144,14 @@
         };
         let call = Call::Watch(hello(), known.seen.get());
         match peers.call::<Call, News>(SocketAddr::new(to, port), &call, PATIENCE).await {
-            Ok(news) if news.leads => {
+            Ok(news) if news.leads && news.epoch >= known.seen.get().epoch => {
                 known.take_group(&news);
                 known.take(news);
                 (next, failed) = (Some(to), None);
                 continue;
             }
+            // It led in an epoch that is over: another member knows better.
+            Ok(news) if news.leads => failed = Some(to),
             Ok(news) => {
                 known.take_group(&news);
                 next = news.primary.filter(|primary| *primary != to && Some(*primary) != failed);
--- a/crates/queue/src/entry.rs
+++ b/crates/queue/src/entry.rs
@@ -67,4 +67,6 @@
     CalledBack { id: String },
     /// Another store has it: this owner's message, or copy of it, isn't needed any more.
     Dropped { owner: u64, id: String },
+    /// The store with this disk was given up: nothing is kept for it any more.
+    Fenced { disk: u64 },
 }
--- a/crates/queue/src/view.rs
+++ b/crates/queue/src/view.rs
@@ -58,6 +58,14 @@
     pub attempts: u32,
 }
 
+/// The end of a message that is not owned here.
+#[derive(Clone, Debug)]
+struct OthersEnd {
+    /// Who owned it; 0 if that was never known here.
+    owner: u64,
+    end: End,
+}
+
 /// The view of one store.
 #[derive(Default)]
 pub struct Queue {
@@ -65,9 +73,11 @@
     /// Bytes of the bodies of live messages and copies.
     bytes: usize,
     owned: HashMap<String, Known>,
-    copies: HashMap<String, Copy>,
+    copies: BTreeMap<String, Copy>,
     /// Ends of messages that others own, or owned.
-    ends: HashMap<String, End>,
+    ends: HashMap<String, OthersEnd>,
+    /// Disks of stores that were given up.
+    fenced: BTreeSet<u64>,
     /// Waiting messages by route; of those with a key only the first.
     ready: BTreeMap<String, Ready>,
     /// Messages of a key in the order in which they were taken.
@@ -100,6 +110,7 @@
             Entry::Dropped { owner, id } => {
                 self.drop_copy_of(owner, &id);
             }
+            Entry::Fenced { disk } => self.fence(disk),
         }
     }
 
@@ -283,13 +294,14 @@
     /// A message has ended. False if it had already, or isn't known.
     pub fn end(&mut self, end: End) -> bool {
         let id = end.id.clone();
-        if self.drop_copy(&id) {
-            self.ends.insert(id, end);
+        if let Some(owner) = self.copies.get(&id).map(|copy| copy.owner) {
+            self.drop_copy(&id);
+            self.ends.insert(id, OthersEnd { owner, end });
             return true;
         }
         self.unready(&id);
         let Some(known) = self.owned.get_mut(&id) else {
-            self.ends.entry(id).or_insert(end);
+            self.ends.entry(id).or_insert(OthersEnd { owner: 0, end });
             return false;
         };
         if matches!(known.stage, Stage::Ended(_)) {
@@ -412,9 +424,15 @@
         self.copies.get(id)
     }
 
-    /// Copies that are kept for a store.
+    /// Copies that are kept for a store, by id.
     pub fn copies_of(&self, owner: u64) -> impl Iterator<Item = &Copy> {
-        self.copies.values().filter(move |copy| copy.owner == owner)
+        self.copies_after(owner, "")
+    }
+
+    /// The same, from the first id after one on.
+    pub fn copies_after<'a>(&'a self, owner: u64, after: &str) -> impl Iterator<Item = &'a Copy> {
+        let rest = (std::ops::Bound::Excluded(after.to_string()), std::ops::Bound::Unbounded);
+        self.copies.range(rest).map(|(_, copy)| copy).filter(move |copy| copy.owner == owner)
     }
 
     /// The end of a message that another store owns or owned.
@@ -422,10 +440,33 @@
         match self.owned.get(id).map(|known| &known.stage) {
             Some(Stage::Ended(end)) => Some(end),
             Some(_) => None,
-            None => self.ends.get(id),
+            None => self.ends.get(id).map(|others| &others.end),
+        }
+    }
+
+    /// Keeps the end of a message of another store, which is known from a third one.
+    pub fn keep_end(&mut self, owner: u64, end: End) {
+        if !self.owned.contains_key(&end.id) {
+            self.drop_copy(&end.id);
+            self.ends.insert(end.id.clone(), OthersEnd { owner, end });
         }
     }
 
+    /// Ends that are known here of another store's messages.
+    pub fn ends_of(&self, owner: u64) -> impl Iterator<Item = &End> {
+        self.ends.values().filter(move |others| others.owner == owner).map(|others| &others.end)
+    }
+
+    /// Nothing is kept any more for the store with this disk.
+    pub fn fence(&mut self, disk: u64) {
+        self.fenced.insert(disk);
+    }
+
+    /// Disks of stores for which nothing is kept any more.
+    pub fn fenced(&self) -> &BTreeSet<u64> {
+        &self.fenced
+    }
+
     /// Bytes of the bodies that are held.
     pub fn bytes(&self) -> usize {
         self.bytes
@@ -455,7 +496,7 @@
 
     /// Forgets ends older than a time, where nobody waits to be told of them.
     pub fn forget(&mut self, before: WallMs) {
-        self.ends.retain(|_, end| end.at >= before);
+        self.ends.retain(|_, others| others.end.at >= before);
         let bytes = &mut self.bytes;
         self.owned.retain(|_, known| {
             let Stage::Ended(end) = &known.stage else { return true };
--- a/crates/queue/tests/queue.rs
+++ b/crates/queue/tests/queue.rs
@@ -252,3 +252,61 @@
     queue.forget(2_001);
     assert!(queue.owned("a").is_none());
 }
+
+/// A fence that only memory knew let copies in again after a restart, from a store that was given up.
+#[test]
+fn a_fence_outlasts_a_restart() {
+    let mut queue = Queue::new(DISK);
+    queue.recover(Entry::Disk(DISK));
+    queue.recover(Entry::Message { owner: 9, message: message("kept before") });
+    queue.recover(Entry::Fenced { disk: 9 });
+    assert!(queue.fenced().contains(&9));
+    // What was written before the fence, or anew by the ring's care, is still there for the heir.
+    queue.recover(Entry::Message { owner: 9, message: message("written anew") });
+    assert_eq!(queue.copies_of(9).count(), 2);
+}
+
+#[test]
+fn copies_are_told_piece_by_piece_in_the_order_of_their_ids() {
+    let mut queue = Queue::new(DISK);
+    for id in ["c", "a", "d", "b", "e"] {
+        queue.keep(9, message(id));
+    }
+    queue.keep(8, message("bb"));
+    let ids = |after: &str| {
+        let after = queue.copies_after(9, after).take(2).map(|copy| copy.message.id.clone());
+        after.collect::<Vec<_>>()
+    };
+    assert_eq!(ids(""), ["a", "b"]);
+    assert_eq!(ids("b"), ["c", "d"]);
+    assert_eq!(ids("d"), ["e"]);
+    assert!(ids("e").is_empty());
+}
+
+#[test]
+fn the_ends_of_an_owners_messages_are_known_with_it() {
+    let mut queue = Queue::new(DISK);
+    queue.keep(9, message("a"));
+    queue.keep(8, message("b"));
+    queue.end(end("a"));
+    queue.end(end("b"));
+    queue.keep_end(9, end("from a third store"));
+    let mut ids: Vec<_> = queue.ends_of(9).map(|end| end.id.clone()).collect();
+    ids.sort();
+    assert_eq!(ids, ["a", "from a third store"]);
+    queue.forget(3_000);
+    assert_eq!(queue.ends_of(9).count(), 0);
+}
+
+/// An end that a third store tells ends a copy here, and nothing that is owned here.
+#[test]
+fn an_end_from_a_third_store_is_for_copies_alone() {
+    let mut queue = Queue::new(DISK);
+    queue.keep(9, message("copy"));
+    take(&mut queue, message("own"));
+    queue.keep_end(9, end("copy"));
+    queue.keep_end(9, end("own"));
+    assert!(queue.copy("copy").is_none() && queue.end_of("copy").is_some());
+    assert!(queue.end_of("own").is_none());
+    assert_eq!(next(&mut queue, 5_000).as_deref(), Some("own"));
+}
