--- a/crates/node/src/control/census.rs
+++ b/crates/node/src/control/census.rs
@@ -35,6 +35,8 @@
     first_store: Option<u64>,
     /// Since when this machine leads.
     since: Option<u64>,
+    /// When each lost disk was first seen to be lost; 0 for those that were when this machine began to lead.
+    losses: BTreeMap<u64, u64>,
 }
 
 impl Census {
@@ -102,8 +104,29 @@
         (inherited && view.active().all(whole)).then_some(Command::Retired(store.disk))
     }
 
-    /// What should change in the view of the stores.
-    fn wanted(&mut self, view: &StoreView, now: u64) -> Option<Command> {
+    fn note_losses(&mut self, view: &StoreView, now: u64) {
+        let at = if self.since.is_none() { 0 } else { now };
+        for store in view.stores.iter().filter(|store| store.gone && !store.emptied) {
+            self.losses.entry(store.disk).or_insert(at);
+        }
+    }
+
+    /// Whether a silent store's disk may be done without: it said that it stops, and had others keep what it kept; or no
+    /// more disks would be lost, since it was heard last, than is borne. Else it may hold the only copy of something, and
+    /// is waited for.
+    fn is_dispensable(&self, store: &Store, now: u64, tolerance: usize) -> bool {
+        let watcher = self.stores().find(|watcher| watcher.hello.disk == store.disk);
+        if watcher.is_some_and(|watcher| watcher.hello.custody.leaving) {
+            return true;
+        }
+        let heard = now - self.silent(store.disk, now).min(now);
+        let since_then = self.losses.iter().filter(|(disk, at)| **disk != store.disk && **at >= heard);
+        since_then.count() < tolerance
+    }
+
+    /// What should change in the view of the stores, where so many disks may be lost at once.
+    fn wanted(&mut self, view: &StoreView, now: u64, tolerance: usize) -> Option<Command> {
+        self.note_losses(view, now);
         let since = *self.since.get_or_insert(now);
         let unknown = self.stores().filter(|w| now < w.at + 2_000).find(|watcher| {
             let known = view.get(watcher.hello.disk);
@@ -131,19 +154,22 @@
         let alive = view.active().filter(|store| self.silent(store.disk, now) < 2_000).count();
         let lost =
             view.active().find(|store| self.silent(store.disk, now) >= self.patience(store, view, now));
-        lost.filter(|_| alive >= 2).map(|store| Command::StoreLost(store.disk))
+        let lost = lost.filter(|store| alive >= 2 && self.is_dispensable(store, now, tolerance));
+        lost.map(|store| Command::StoreLost(store.disk))
     }
 }
 
 /// Keeps the view of the stores, as long as this machine leads.
 pub async fn keep(control: Rc<Control>) {
+    let tolerance = control.process.settings.tolerance.machines.max(1) as usize;
     loop {
         monoio::time::sleep(EVERY).await;
         let Some(state) = control.committed_state() else {
-            control.census.borrow_mut().since = None;
+            let mut census = control.census.borrow_mut();
+            (census.since, census.losses) = (None, BTreeMap::new());
             continue;
         };
-        let wanted = control.census.borrow_mut().wanted(&state.stores, control.now());
+        let wanted = control.census.borrow_mut().wanted(&state.stores, control.now(), tolerance);
         if let Some(command) = wanted {
             log::info!("stores: {command:?}");
             if let Changed::Rejected(rejected) = control.change(command).await {
--- a/crates/node/src/control/census_tests.rs
+++ b/crates/node/src/control/census_tests.rs
@@ -41,7 +41,7 @@
                 hello.custody.leaving = self.leaving == Some(*disk);
                 self.census.heard(&hello, Seen::default(), self.now);
             }
-            match self.census.wanted(&self.view, self.now) {
+            match self.census.wanted(&self.view, self.now, 1) {
                 Some(Command::StoreSeen(store)) => {
                     let before = self.view.active().find(|s| s.name == store.name && s.disk != store.disk);
                     let before = before.map(|store| store.disk);
@@ -161,3 +161,20 @@
     play.up.retain(|(machine, _)| *machine != 2);
     assert_eq!(play.pass(10_000), Vec::<u64>::new());
 }
+
+/// Where one disk may be lost, and one was while another store was away, that store may hold the only copy of something.
+#[test]
+fn a_silent_store_is_not_given_up_after_the_loss_of_another_disk() {
+    let mut play = Play::new(4);
+    play.pass(5_000);
+    play.up.retain(|(machine, _)| *machine != 2);
+    play.pass(1_000);
+    play.up.retain(|(machine, _)| *machine != 3);
+    play.up.push((3, 30));
+    assert_eq!(play.pass(20_000), [3]);
+    // It comes back: from then on it may be missed again.
+    play.up.push((2, 2));
+    play.pass(1_000);
+    play.up.retain(|(machine, _)| *machine != 2);
+    assert_eq!(play.pass(16_000), [2]);
+}
--- a/crates/node/src/store/copies.rs
+++ b/crates/node/src/store/copies.rs
@@ -49,6 +49,8 @@
     wake: Notify,
     /// What the peer holds of this store is known, and it answers.
     settled: Cell<bool>,
+    /// What the peer holds has been compared, and it is being told what it lacks: what happens from then on is told next.
+    collecting: Cell<bool>,
     /// The peer's disk is lost, or it has another address.
     ended: Cell<bool>,
     /// The peer said that it is about to stop.
@@ -68,6 +70,7 @@
             pending: RefCell::default(),
             wake: Notify::default(),
             settled: Cell::new(false),
+            collecting: Cell::new(false),
             ended: Cell::new(false),
             leaving: Cell::new(false),
             heard: Cell::new(Instant::now()),
@@ -127,7 +130,7 @@
 
     /// Sends a record.
     pub fn tell(&self, entry: Entry) {
-        if self.settled.get() {
+        if self.settled.get() || self.collecting.get() {
             self.pending.borrow_mut().push(Pending { entry, waiting: None });
             self.wake.notify();
         }
@@ -138,6 +141,7 @@
             if !self.settled.get() {
                 let settled = self.reconcile(&store).await;
                 self.settled.set(settled);
+                self.collecting.set(false);
                 store.all_settled();
                 if !settled {
                     self.drop_pending();
@@ -218,6 +222,7 @@
         store.leave_to_others(taken);
         let Reconciled { ends, unknown } =
             custody::reconcile(&mut store.queue.borrow_mut(), self.disk, &held);
+        self.collecting.set(true);
         for ends in ends.chunks(ENDS_AT_ONCE) {
             let told: Vec<String> = ends.iter().filter_map(ended_id).collect();
             if !self.replicate(store, ends.to_vec(), RECONCILE).await {
--- /dev/null
+++ b/tests/rig/mod.rs
@@ -0,0 +1,415 @@
+//! A whole system as real processes on loopback, with stand-ins on threads: the platform's list, endpoints, operators and
+//! clients. Processes are killed, stood still, told to stop and robbed of their disks.
+use std::collections::BTreeMap;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU16, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_mallowstep");
+const MACHINES: usize = 3;
+const ENDPOINTS: usize = 3;
+const CALL: Duration = Duration::from_millis(1_500);
+const SOON: Duration = Duration::from_secs(25);
+
+static RIGS: AtomicU16 = AtomicU16::new(0);
+
+/// A part of the system.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Role {
+    Control,
+    Store,
+    Edge,
+}
+
+impl Role {
+    fn name(self) -> &'static str {
+        match self {
+            Role::Control => "control",
+            Role::Store => "store",
+            Role::Edge => "edge",
+        }
+    }
+
+    /// The part of the address that tells the roles apart.
+    fn kind(self) -> u8 {
+        self as u8 + 1
+    }
+}
+
+/// An answer to a call over HTTP.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Answer {
+    pub status: u16,
+    pub head: String,
+    pub body: String,
+}
+
+/// How the endpoints behave.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Endpoints {
+    /// One answer to each request.
+    Plain,
+    /// Each answer comes twice on its connection.
+    AnswerTwice,
+    /// The first request for each message is read, run, and gets no answer: the connection closes.
+    LoseFirstAnswer,
+}
+
+/// How often each message was run.
+type Runs = Arc<Mutex<BTreeMap<String, usize>>>;
+
+struct Running {
+    role: Role,
+    machine: usize,
+    child: Option<Child>,
+}
+
+/// The system; it ends with this.
+pub struct Rig {
+    folder: PathBuf,
+    port: u16,
+    running: Vec<Running>,
+    pub runs: Runs,
+}
+
+impl Drop for Rig {
+    fn drop(&mut self) {
+        for running in &mut self.running {
+            if let Some(child) = &mut running.child {
+                let _ = child.kill();
+                let _ = child.wait();
+            }
+        }
+        if std::thread::panicking() {
+            self.show_logs();
+        }
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+impl Rig {
+    /// Three machines for control, three for stores, one edge, and the first configuration in force.
+    pub fn start(endpoints: Endpoints) -> Rig {
+        let number = RIGS.fetch_add(1, Ordering::Relaxed);
+        let id = std::process::id();
+        let folder = std::env::temp_dir().join(format!("mallowstep-rig-{id}-{number}"));
+        std::fs::create_dir_all(&folder).unwrap();
+        let port = 24_000 + (id % 700) as u16 * 50 + number % 5 * 10;
+        let mut rig = Rig { folder, port, running: Vec::new(), runs: Runs::default() };
+        rig.serve_list();
+        (0..ENDPOINTS).for_each(|i| rig.serve_endpoint(i, endpoints));
+        (0..MACHINES).for_each(|i| rig.add(Role::Control, i));
+        (0..MACHINES).for_each(|i| rig.add(Role::Store, i));
+        rig.add(Role::Edge, 0);
+        let until = Instant::now() + SOON;
+        while rig.order_anywhere(0, &configuration(1, 1_000)).is_none_or(|status| status != 200) {
+            assert!(Instant::now() < until, "the first configuration was not taken");
+        }
+        rig
+    }
+
+    fn address(&self, kind: u8, machine: usize, port: u16) -> SocketAddr {
+        SocketAddr::from(([127, 21, kind, machine as u8 + 1], self.port + port))
+    }
+
+    /// Where a control machine serves operators.
+    pub fn operator(&self, machine: usize) -> SocketAddr {
+        self.address(Role::Control.kind(), machine, 3)
+    }
+
+    fn edge(&self) -> SocketAddr {
+        self.address(Role::Edge.kind(), 0, 4)
+    }
+
+    fn data(&self, role: Role, machine: usize) -> PathBuf {
+        self.folder.join(format!("{}-{machine}", role.name()))
+    }
+
+    fn settings(&self, role: Role, machine: usize, bootstrap: bool) -> PathBuf {
+        let name = format!("{}-{machine}", role.name());
+        let seeds: Vec<String> = (0..MACHINES).map(|i| format!("\"{}\"", self.operator(i))).collect();
+        let text = format!(
+            "NodeName: {name}\nIp: {}\nZone: z{}\nPortRange: [{}, {}]\nSeeds: [{}]\nBootstrap: {bootstrap}\n\
+             ListenAddresses: {{ Http: \"{}\", Readiness: \"{}\", Control: \"{}\" }}\n\
+             Limits: {{ MemoryMb: 256, MaxFds: 1024, DiskMb: 64 }}\nDataDir: {}\n\
+             CloudApi: {{ Address: \"{}\", RatePerS: 40 }}\n",
+            self.address(role.kind(), machine, 0).ip(),
+            machine % MACHINES,
+            self.port,
+            self.port + 2,
+            seeds.join(", "),
+            self.edge(),
+            self.address(Role::Edge.kind(), machine, 5),
+            self.operator(machine),
+            self.data(role, machine).display(),
+            self.address(4, 0, 7),
+        );
+        let path = self.folder.join(format!("{name}.yaml"));
+        std::fs::write(&path, text).unwrap();
+        path
+    }
+
+    fn spawn(&self, role: Role, machine: usize, bootstrap: bool) -> Child {
+        let settings = self.settings(role, machine, bootstrap);
+        let log = settings.with_extension("log");
+        let log = std::fs::OpenOptions::new().create(true).append(true).open(log).unwrap();
+        Command::new(PROGRAM)
+            .arg(role.name())
+            .env("MALLOWSTEP_CONFIG", &settings)
+            .stdout(log.try_clone().unwrap())
+            .stderr(log)
+            .stdin(Stdio::null())
+            .spawn()
+            .unwrap()
+    }
+
+    /// Starts one more machine; those of the beginning found the system.
+    pub fn add(&mut self, role: Role, machine: usize) {
+        let child = self.spawn(role, machine, machine < MACHINES);
+        self.running.push(Running { role, machine, child: Some(child) });
+    }
+
+    fn running(&mut self, role: Role, machine: usize) -> &mut Running {
+        let found = self.running.iter_mut().find(|r| r.role == role && r.machine == machine);
+        found.expect("it was started")
+    }
+
+    fn signal(&mut self, role: Role, machine: usize, signal: &str) {
+        let pid = self.running(role, machine).child.as_ref().expect("it runs").id().to_string();
+        assert!(Command::new("kill").args([signal, &pid]).status().unwrap().success());
+    }
+
+    /// The process stands still.
+    pub fn freeze(&mut self, role: Role, machine: usize) {
+        self.signal(role, machine, "-STOP");
+    }
+
+    /// It goes on.
+    pub fn thaw(&mut self, role: Role, machine: usize) {
+        self.signal(role, machine, "-CONT");
+    }
+
+    /// The process is killed.
+    pub fn kill(&mut self, role: Role, machine: usize) {
+        let mut child = self.running(role, machine).child.take().expect("it runs");
+        child.kill().unwrap();
+        child.wait().unwrap();
+    }
+
+    /// The process is told to stop; how long it took.
+    pub fn stop(&mut self, role: Role, machine: usize) -> Duration {
+        let begun = Instant::now();
+        self.signal(role, machine, "-TERM");
+        let mut child = self.running(role, machine).child.take().expect("it runs");
+        child.wait().unwrap();
+        begun.elapsed()
+    }
+
+    /// A killed process starts again, with its disk or with an empty one.
+    pub fn start_again(&mut self, role: Role, machine: usize, wiped: bool) {
+        if wiped {
+            let _ = std::fs::remove_dir_all(self.data(role, machine));
+        }
+        let child = self.spawn(role, machine, false);
+        self.running(role, machine).child = Some(child);
+    }
+
+    /// Calls a control machine once, without following it elsewhere.
+    pub fn ask_control(&self, machine: usize, method: &str, target: &str) -> Option<Answer> {
+        call(self.operator(machine), method, target, &[], "")
+    }
+
+    /// Sends an order to one machine once.
+    pub fn order_at(&self, machine: usize, base: u64, body: &str) -> Option<Answer> {
+        let base = base.to_string();
+        call(self.operator(machine), "POST", "/v1/config/replace", &[("X-Base-Version", &base)], body)
+    }
+
+    /// Sends an order to one machine after the other until it has an answer that says something.
+    pub fn order_anywhere(&self, base: u64, body: &str) -> Option<u16> {
+        let until = Instant::now() + SOON;
+        for turn in 0.. {
+            let answer = self.order_at(turn % MACHINES, base, body);
+            match answer.map(|answer| answer.status) {
+                Some(status) if status != 503 && status != 307 => return Some(status),
+                _ if Instant::now() > until => return None,
+                _ => pause(50),
+            }
+        }
+        None
+    }
+
+    /// The version that a machine reads back, if it says one.
+    pub fn read_at(&self, machine: usize) -> Option<u64> {
+        let answer = self.ask_control(machine, "GET", "/v1/config/read")?;
+        let body: serde_json::Value = serde_json::from_str(&answer.body).ok()?;
+        body["Version"].as_u64().filter(|_| answer.status == 200)
+    }
+
+    /// The control machine that leads.
+    pub fn primary(&self) -> usize {
+        let until = Instant::now() + SOON;
+        loop {
+            let leads = |machine: &usize| {
+                let answer = self.ask_control(*machine, "GET", "/v1/status");
+                answer.is_some_and(|answer| answer.body.contains(r#""leads":true"#))
+            };
+            if let Some(machine) = (0..MACHINES).find(leads) {
+                return machine;
+            }
+            assert!(Instant::now() < until, "nobody leads");
+            pause(50);
+        }
+    }
+
+    /// Hands in a message until it is taken, each try under an id of its own; the id.
+    pub fn send(&self, name: &str, delay_ms: u64) -> String {
+        let until = Instant::now() + SOON;
+        let delay = delay_ms.to_string();
+        for turn in 0.. {
+            let id = format!("{name}-{turn}");
+            let headers = [("X-Request-Id", id.as_str()), ("X-Deadline-Ms", "1500"), ("X-Delay-Ms", &delay)];
+            let answer = call(self.edge(), "POST", "/free/x", &headers, "a message");
+            if answer.is_some_and(|answer| answer.status == 202) {
+                return id;
+            }
+            assert!(Instant::now() < until, "{name} was not taken");
+            pause(30);
+        }
+        unreachable!("the loop ends by itself")
+    }
+
+    /// What the edge says of a message.
+    pub fn state(&self, id: &str) -> Option<Answer> {
+        call(self.edge(), "GET", &format!("/v1/message/{id}"), &[], "")
+    }
+
+    /// Waits until a message is completed; its signature.
+    pub fn completed(&self, id: &str) -> String {
+        let until = Instant::now() + SOON;
+        loop {
+            let answer = self.state(id);
+            if let Some(answer) = &answer {
+                assert!(answer.status != 404, "{id} was taken and is denied");
+                let body: serde_json::Value = serde_json::from_str(&answer.body).unwrap_or_default();
+                if body["State"] == "completed" {
+                    return body["Signature"].as_str().unwrap_or_default().to_string();
+                }
+            }
+            assert!(Instant::now() < until, "{id} was taken and is not completed: {answer:?}");
+            pause(50);
+        }
+    }
+
+    fn serve_list(&self) {
+        let entry = |i| {
+            serde_json::json!({"Id": format!("i-{i}"), "Backend": "work", "State": "ready",
+                "Address": self.address(5, i, 6).to_string(), "Zone": format!("z{i}"), "Capacity": 8})
+        };
+        let entries: Vec<_> = (0..ENDPOINTS).map(entry).collect();
+        let list = serde_json::json!({"Instances": entries, "NextPageToken": null}).to_string();
+        let list = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{list}", list.len());
+        serve(self.address(4, 0, 7), move |_, stream| stream.write_all(list.as_bytes()).is_ok());
+    }
+
+    fn serve_endpoint(&self, i: usize, endpoints: Endpoints) {
+        let runs = self.runs.clone();
+        serve(self.address(5, i, 6), move |request, stream| {
+            let id = header(request, "X-Request-Id").to_string();
+            let count = {
+                let mut runs = runs.lock().unwrap();
+                let count = runs.entry(id.clone()).or_default();
+                *count += 1;
+                *count
+            };
+            if endpoints == Endpoints::LoseFirstAnswer && count == 1 {
+                return false;
+            }
+            let head = format!("X-Server-Signature: done-{id}\r\nX-Request-Id: {id}\r\nContent-Length: 0");
+            let answer = format!("HTTP/1.1 200 OK\r\n{head}\r\n\r\n");
+            let times = if endpoints == Endpoints::AnswerTwice { 2 } else { 1 };
+            stream.write_all(answer.repeat(times).as_bytes()).is_ok()
+        });
+    }
+
+    fn show_logs(&self) {
+        for entry in std::fs::read_dir(&self.folder).into_iter().flatten().flatten() {
+            if entry.path().extension().is_some_and(|extension| extension == "log") {
+                let text = std::fs::read_to_string(entry.path()).unwrap_or_default();
+                eprintln!("== {}\n{text}", entry.path().display());
+            }
+        }
+    }
+}
+
+/// Real processes need real time to get on.
+pub fn pause(ms: u64) {
+    std::thread::sleep(Duration::from_millis(ms));
+}
+
+/// A configuration with one route; the time-out tells two of one number apart.
+pub fn configuration(version: u64, timeout_ms: u64) -> String {
+    serde_json::json!({"Version": version,
+        "Routes": [{"Name": "free", "Host": "rig.example", "PathPrefix": "/free/", "Type": "async",
+            "TimeoutMs": timeout_ms, "TargetLatencyMs": 100, "TargetStartMs": 1000, "Priority": 1, "Backend": "work",
+            "MaxAttempts": 4, "Ordered": false, "RetentionS": 90.0, "CallbackUrl": false}],
+        "Backends": [{"Name": "work", "HealthPath": "/health", "MaxConnections": 64, "Idempotent": false}]})
+    .to_string()
+}
+
+fn header<'a>(head: &'a str, name: &str) -> &'a str {
+    let line = head.lines().find_map(|line| line.strip_prefix(name)?.strip_prefix(": "));
+    line.unwrap_or_default()
+}
+
+/// Reads a head and as much of a body as it says.
+fn read_message(stream: &mut TcpStream) -> Option<(String, String)> {
+    let mut bytes = Vec::new();
+    let mut byte = [0];
+    while !bytes.ends_with(b"\r\n\r\n") {
+        if stream.read(&mut byte).ok()? == 0 {
+            return None;
+        }
+        bytes.push(byte[0]);
+    }
+    let head = String::from_utf8(bytes).ok()?;
+    let mut body = vec![0; header(&head, "Content-Length").parse().unwrap_or(0)];
+    stream.read_exact(&mut body).ok()?;
+    Some((head, String::from_utf8(body).ok()?))
+}
+
+/// Answers requests on an address for good, until the handler ends their connection.
+fn serve(address: SocketAddr, handle: impl Fn(&str, &mut TcpStream) -> bool + Send + Sync + 'static) {
+    let listener = TcpListener::bind(address).unwrap();
+    let handle = Arc::new(handle);
+    std::thread::spawn(move || {
+        for stream in listener.incoming() {
+            let (Ok(mut stream), handle) = (stream, handle.clone()) else { return };
+            std::thread::spawn(move || {
+                while let Some((head, _)) = read_message(&mut stream) {
+                    if !handle(&head, &mut stream) {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+}
+
+fn call(to: SocketAddr, method: &str, target: &str, headers: &[(&str, &str)], body: &str) -> Option<Answer> {
+    let mut stream = TcpStream::connect_timeout(&to, CALL).ok()?;
+    stream.set_read_timeout(Some(CALL)).ok()?;
+    let more: String = headers.iter().map(|(name, value)| format!("{name}: {value}\r\n")).collect();
+    let length = body.len();
+    let request = format!(
+        "{method} {target} HTTP/1.1\r\nHost: rig.example\r\nContent-Length: {length}\r\n{more}\r\n{body}"
+    );
+    stream.write_all(request.as_bytes()).ok()?;
+    let (head, body) = read_message(&mut stream)?;
+    let status = head.split(' ').nth(1)?.parse().ok()?;
+    Some(Answer { status, head, body })
+}
