A store is not given up while an heir may still need it; ordered messages wait until a store knows its part

Change: a silent store is waited for as long as no more disks may be done without, for two minutes at most, unless it said that it stops. By reading: ordered messages could start between the news of a view and what follows from it.

--- a/crates/node/src/control/census.rs
+++ b/crates/node/src/control/census.rs
@@ -19,6 +19,9 @@
 const REPLACED: u64 = 4_000;
 /// A store that is silent for so long is lost.
 const LOST: u64 = 15_000;
+/// The same where it may hold the only copy of something: a store that nobody brings back must not stop the system for
+/// good.
+const LOST_ANYWAY: u64 = 120_000;
 
 struct Watcher {
     hello: Hello,
@@ -112,16 +115,22 @@
     }
 
     /// Whether a silent store's disk may be done without: it said that it stops, and had others keep what it kept; or no
-    /// more disks would be lost, since it was heard last, than is borne. Else it may hold the only copy of something, and
-    /// is waited for.
-    fn is_dispensable(&self, store: &Store, now: u64, tolerance: usize) -> bool {
-        let watcher = self.stores().find(|watcher| watcher.hello.disk == store.disk);
-        if watcher.is_some_and(|watcher| watcher.hello.custody.leaving) {
+    /// more disks than are borne are lost with it, of those that were lost since it was heard last and those that their
+    /// heirs haven't taken over from yet. Else it may hold the only copy of something, and is waited for.
+    fn is_dispensable(&self, store: &Store, view: &StoreView, now: u64, tolerance: usize) -> bool {
+        let of = |disk: u64| self.stores().find(|watcher| watcher.hello.disk == disk);
+        if of(store.disk).is_some_and(|watcher| watcher.hello.custody.leaving) {
             return true;
         }
-        let heard = now - self.silent(store.disk, now).min(now);
-        let since_then = self.losses.iter().filter(|(disk, at)| **disk != store.disk && **at >= heard);
-        since_then.count() < tolerance
+        let silent = self.silent(store.disk, now);
+        let since_then = |lost: &Store| self.losses.get(&lost.disk).is_some_and(|at| at + silent >= now);
+        let taken_over = |lost: &Store| {
+            let heir = view.final_heir(lost.disk).and_then(of);
+            heir.is_some_and(|heir| heir.hello.custody.inherited.contains(&lost.disk))
+        };
+        let lost = view.stores.iter().filter(|lost| lost.gone && !lost.emptied);
+        let open = lost.filter(|lost| since_then(lost) || !taken_over(lost)).count();
+        open < tolerance || silent >= LOST_ANYWAY
     }
 
     /// What should change in the view of the stores, where so many disks may be lost at once.
@@ -154,7 +163,7 @@
         let alive = view.active().filter(|store| self.silent(store.disk, now) < 2_000).count();
         let lost =
             view.active().find(|store| self.silent(store.disk, now) >= self.patience(store, view, now));
-        let lost = lost.filter(|store| alive >= 2 && self.is_dispensable(store, now, tolerance));
+        let lost = lost.filter(|store| alive >= 2 && self.is_dispensable(store, view, now, tolerance));
         lost.map(|store| Command::StoreLost(store.disk))
     }
 }
--- a/crates/node/src/store/deliver.rs
+++ b/crates/node/src/store/deliver.rs
@@ -168,7 +168,7 @@
 
     fn may_run(&self, message: &Message) -> bool {
         match message.ordered {
-            true => self.inheriting.borrow().is_empty(),
+            true => self.knows_its_part() && self.inheriting.borrow().is_empty(),
             false => !self.leaving.get() && self.clock.ms() >= self.recovered_until.get(),
         }
     }
--- a/crates/node/src/store/mod.rs
+++ b/crates/node/src/store/mod.rs
@@ -248,6 +248,12 @@
         }
     }
 
+    /// Whether this store acts by the newest view that it has heard of: what it has to take over is known.
+    pub fn knows_its_part(&self) -> bool {
+        let epoch = self.known.stores().epoch;
+        epoch > 0 && self.epoch.get() == epoch
+    }
+
     fn keep_copiers(self: &Rc<Self>, view: &control::StoreView) {
         let mut copiers = self.copiers.borrow_mut();
         copiers.retain(|disk, copier| {
