--- a/crates/node/src/calls.rs
+++ b/crates/node/src/calls.rs
@@ -184,13 +184,11 @@
     fn repeat(&self) -> Repeat {
         match self {
             // Questions, and words that hold or not whoever says them how often.
-            Call::Watch(..)
-            | Call::Status
-            | Call::Held { .. }
-            | Call::Fetch { .. }
-            | Call::Inherit { .. } => Repeat::Freely,
+            Call::Status | Call::Held { .. } | Call::Fetch { .. } | Call::Inherit { .. } => Repeat::Freely,
             Call::Lacking { .. } | Call::Decided { .. } | Call::Ping | Call::Find { .. } => Repeat::Freely,
             Call::Claim { .. } | Call::Claimed { .. } | Call::Leaving { .. } => Repeat::Freely,
+            // What the caller says of itself may have changed meanwhile: it asks anew.
+            Call::Watch(..) => Repeat::SameIdentity,
             // Known by the epoch, by the message's id, or by the owner with the id.
             Call::Group(_) | Call::Put(_) | Call::Replicate { .. } | Call::Preserve { .. } => {
                 Repeat::SameIdentity
--- a/crates/node/src/control/census.rs
+++ b/crates/node/src/control/census.rs
@@ -38,7 +38,7 @@
     first_store: Option<u64>,
     /// Since when this machine leads.
     since: Option<u64>,
-    /// When each lost disk was first seen to be lost; 0 for those that were when this machine began to lead.
+    /// When each lost disk was heard last; 0 for those that were when this machine began to lead.
     losses: BTreeMap<u64, u64>,
 }
 
@@ -108,8 +108,9 @@
     }
 
     fn note_losses(&mut self, view: &StoreView, now: u64) {
-        let at = if self.since.is_none() { 0 } else { now };
         for store in view.stores.iter().filter(|store| store.gone && !store.emptied) {
+            // What it had was made whole from when it fell silent on, not from when it was given up.
+            let at = if self.since.is_none() { 0 } else { now.saturating_sub(self.silent(store.disk, now)) };
             self.losses.entry(store.disk).or_insert(at);
         }
     }
--- a/crates/node/src/control/census_tests.rs
+++ b/crates/node/src/control/census_tests.rs
@@ -205,3 +205,19 @@
     play.heirs_are_slow = false;
     assert_eq!(play.pass(1_000), [2]);
 }
+
+/// Two stores are lost for good one after the other, each with an empty one that comes after it. That the first is given up
+/// only after the second fell silent is no reason to wait for the second.
+#[test]
+fn a_store_that_fell_silent_long_before_another_does_not_hold_up_that_ones_replacement() {
+    let mut play = Play::new(3);
+    play.pass(5_000);
+    play.up.push((4, 4));
+    play.pass(1_000);
+    play.up.retain(|(machine, _)| *machine != 1);
+    play.pass(13_500);
+    play.up.retain(|(machine, _)| *machine != 2);
+    play.pass(1_000);
+    play.up.push((5, 5));
+    assert_eq!(play.pass(4_500), [1, 2]);
+}
--- a/crates/node/src/store/leaving.rs
+++ b/crates/node/src/store/leaving.rs
@@ -3,6 +3,7 @@
 use super::peers::piece;
 use super::{Store, RESERVE_S};
 use crate::calls::Call;
+use crate::watch::HOLD;
 use net::rpc::RpcError;
 use queue::{custody, Given, Stage};
 use std::cell::Cell;
@@ -60,14 +61,15 @@
         log::info!("stops; {} deliveries under way, needed: {}", self.running.get(), needed());
     }
 
-    /// Says to the control group at once that this store is about to stop.
+    /// Says to the control group at once that this store is about to stop. The answer may be held back for as long as that
+    /// of any question for news; a shorter patience would break the connection under the one that waits there.
     fn tell_control(self: &Rc<Self>) {
         for member in self.known.group() {
             let store = self.clone();
             monoio::spawn(async move {
                 let to = SocketAddr::new(member, store.settings.control_port());
                 let call = Call::Watch(store.hello(), store.known.seen());
-                let _ = store.peers.call::<Call, crate::calls::News>(to, &call, FAREWELL).await;
+                let _ = store.peers.call::<Call, crate::calls::News>(to, &call, HOLD * 2).await;
             });
         }
     }
