One look-up of a store's watcher, one way from a copy to what is given of it, one way to wait

The same lines stood three times in the census, in peers, custody and the stores' model, and twice in wake.

--- a/crates/control/tests/network/mod.rs
+++ b/crates/control/tests/network/mod.rs
@@ -115,7 +115,6 @@
     troubles: Troubles,
     /// Who led each epoch.
     leaders: BTreeMap<u64, u64>,
-    /// The newest state that each backup was sent, for a planted mistake.
     seen: Seen,
 }
 
--- a/crates/net/src/wake.rs
+++ b/crates/net/src/wake.rs
@@ -1,7 +1,16 @@
 //! Waking tasks of one thread.
 use std::cell::{Cell, RefCell};
 use std::future::poll_fn;
-use std::task::{Poll, Waker};
+use std::task::{Context, Poll, Waker};
+
+/// Has a task wait among others; once, however often it looks.
+fn wait(waiting: &RefCell<Vec<Waker>>, context: &Context<'_>) -> Poll<()> {
+    let mut waiting = waiting.borrow_mut();
+    if !waiting.iter().any(|waker| waker.will_wake(context.waker())) {
+        waiting.push(context.waker().clone());
+    }
+    Poll::Pending
+}
 
 /// Wakes the tasks that wait; a wake with nobody waiting is kept for the next who does.
 #[derive(Default)]
@@ -25,11 +34,7 @@
             if self.told.replace(false) {
                 return Poll::Ready(());
             }
-            let mut waiting = self.waiting.borrow_mut();
-            if !waiting.iter().any(|waker| waker.will_wake(context.waker())) {
-                waiting.push(context.waker().clone());
-            }
-            Poll::Pending
+            wait(&self.waiting, context)
         })
         .await
     }
@@ -62,11 +67,7 @@
             if self.version.get() != seen {
                 return Poll::Ready(());
             }
-            let mut waiting = self.waiting.borrow_mut();
-            if !waiting.iter().any(|waker| waker.will_wake(context.waker())) {
-                waiting.push(context.waker().clone());
-            }
-            Poll::Pending
+            wait(&self.waiting, context)
         })
         .await
     }
--- a/crates/node/src/control/census.rs
+++ b/crates/node/src/control/census.rs
@@ -67,6 +67,11 @@
         self.watchers.values().filter(|watcher| watcher.hello.role == Role::Store)
     }
 
+    /// What is known of the store with this disk.
+    fn store(&self, disk: u64) -> Option<&Watcher> {
+        self.stores().find(|watcher| watcher.hello.disk == disk)
+    }
+
     fn silent(&self, disk: u64, now: u64) -> u64 {
         let heard =
             self.stores().filter(|watcher| watcher.hello.disk == disk).map(|watcher| watcher.at).max();
@@ -75,11 +80,10 @@
 
     /// How long a store may be silent: less if an empty one came since.
     fn patience(&self, store: &Store, view: &StoreView, now: u64) -> u64 {
-        let of = |disk: u64| self.stores().find(|watcher| watcher.hello.disk == disk);
-        let Some(watcher) = of(store.disk) else { return LOST };
+        let Some(watcher) = self.store(store.disk) else { return LOST };
         let (heard, left) = (watcher.at, watcher.hello.custody.leaving);
         let successor = |other: &Store| {
-            let came = of(other.disk).is_some_and(|watcher| left || watcher.first > heard);
+            let came = self.store(other.disk).is_some_and(|watcher| left || watcher.first > heard);
             came && self.silent(other.disk, now) < 2_000 && !view.owners.contains(&other.disk)
         };
         match view.active().any(successor) {
@@ -91,8 +95,7 @@
     /// The next step of a store's retirement: others take over once it is idle, and it may go once all are whole.
     fn retirement(&self, view: &StoreView, now: u64) -> Option<Command> {
         let custody = |disk: u64| {
-            let watcher = self.stores().find(|watcher| watcher.hello.disk == disk);
-            watcher.filter(|watcher| now < watcher.at + 2_500).map(|watcher| &watcher.hello.custody)
+            self.store(disk).filter(|watcher| now < watcher.at + 2_500).map(|watcher| &watcher.hello.custody)
         };
         let mut retiring = view.stores.iter().filter(|store| store.retiring && !store.emptied);
         let store = retiring.next()?;
@@ -119,14 +122,13 @@
     /// more disks than are borne are lost with it, of those that were lost since it was heard last and those that their
     /// heirs haven't taken over from yet. Else it may hold the only copy of something, and is waited for.
     fn is_dispensable(&self, store: &Store, view: &StoreView, now: u64, tolerance: usize) -> bool {
-        let of = |disk: u64| self.stores().find(|watcher| watcher.hello.disk == disk);
-        if of(store.disk).is_some_and(|watcher| watcher.hello.custody.leaving) {
+        if self.store(store.disk).is_some_and(|watcher| watcher.hello.custody.leaving) {
             return true;
         }
         let silent = self.silent(store.disk, now);
         let since_then = |lost: &Store| self.losses.get(&lost.disk).is_some_and(|at| at + silent >= now);
         let taken_over = |lost: &Store| {
-            let heir = view.final_heir(lost.disk).and_then(of);
+            let heir = view.final_heir(lost.disk).and_then(|heir| self.store(heir));
             heir.is_some_and(|heir| heir.hello.custody.inherited.contains(&lost.disk))
         };
         let lost = view.stores.iter().filter(|lost| lost.gone && !lost.emptied);
--- a/crates/node/src/store/peers.rs
+++ b/crates/node/src/store/peers.rs
@@ -27,10 +27,6 @@
     piece
 }
 
-fn given(copy: &queue::Copy) -> Given {
-    Given { message: (*copy.message).clone(), attempts: copy.attempts }
-}
-
 impl Store {
     /// Answers one call.
     pub(super) async fn answer(self: Rc<Self>, _from: IpAddr, bytes: Vec<u8>) -> Vec<u8> {
@@ -101,7 +97,7 @@
     /// Copies by their ids, as many of the first as fit, and how many ids that answers.
     pub(super) fn fetch(&self, ids: &[String]) -> (Vec<Given>, u64) {
         let queue = self.queue.borrow();
-        let piece = piece(ids.iter().filter_map(|id| queue.copy(id)).map(given));
+        let piece = piece(ids.iter().filter_map(|id| queue.copy(id)).map(Given::from));
         let last = piece.given.last().map(|given| &given.message.id);
         let asked = match piece.more {
             true => ids.iter().position(|id| Some(id) == last).map_or(ids.len(), |at| at + 1),
@@ -128,7 +124,7 @@
     /// A piece of the copies that are kept of a lost store, once nothing more comes from it.
     pub(super) fn inherit(&self, lost: u64, after: &str) -> Option<Piece> {
         let queue = self.queue.borrow();
-        queue.fenced().contains(&lost).then(|| piece(queue.copies_after(lost, after).map(given)))
+        queue.fenced().contains(&lost).then(|| piece(queue.copies_after(lost, after).map(Given::from)))
     }
 
     fn claimed(&self, lost: u64) -> bool {
--- a/crates/node/tests/model/store.rs
+++ b/crates/node/tests/model/store.rs
@@ -545,9 +545,7 @@
             }
             Call::Fetch { ids } => {
                 let copies = ids.iter().filter_map(|id| self.queue.copy(id));
-                let given =
-                    |copy: &queue::Copy| Given { message: (*copy.message).clone(), attempts: copy.attempts };
-                Answer::Given(copies.map(given).collect())
+                Answer::Given(copies.map(Given::from).collect())
             }
             Call::Claim { lost } => {
                 if self.paused {
@@ -669,9 +667,7 @@
             Then::Lacking { owner, peer, among, round } => match answer {
                 Some(Answer::Ids(ids)) if !ids.is_empty() => {
                     let copies = ids.iter().filter_map(|id| self.queue.copy(id));
-                    let given =
-                        |c: &queue::Copy| Given { message: (*c.message).clone(), attempts: c.attempts };
-                    let given = copies.map(given).collect();
+                    let given = copies.map(Given::from).collect();
                     let ends = ids.iter().filter_map(|id| self.queue.end_of(id).cloned()).collect();
                     let call = Call::Preserve { owner, given, ends };
                     calls.push((peer, call, Then::Preserved { owner, among, round }));
--- a/crates/queue/src/custody.rs
+++ b/crates/queue/src/custody.rs
@@ -3,7 +3,7 @@
 //! Every message is to be on as many other disks as may be lost at once. What follows when a store falls silent, returns
 //! or is given up is decided here from what the queue knows; calls, disks and clocks are the caller's.
 use crate::entry::{End, Entry, Message};
-use crate::view::{Known, Queue, Stage};
+use crate::view::{Copy, Known, Queue, Stage};
 use borsh::{BorshDeserialize, BorshSerialize};
 use std::collections::{BTreeMap, BTreeSet, HashSet};
 
@@ -15,6 +15,12 @@
     pub attempts: u32,
 }
 
+impl From<&Copy> for Given {
+    fn from(copy: &Copy) -> Given {
+        Given { message: (*copy.message).clone(), attempts: copy.attempts }
+    }
+}
+
 /// Ids of messages that have not ended, and of those that have.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Ids {
@@ -238,9 +244,7 @@
         let given = |known: &Known| Given { message: (*known.message).clone(), attempts: known.attempts };
         return live.map(given).collect();
     }
-    let given =
-        |copy: &crate::view::Copy| Given { message: (*copy.message).clone(), attempts: copy.attempts };
-    queue.copies_of(owner).map(given).collect()
+    queue.copies_of(owner).map(Given::from).collect()
 }
 
 /// Those of some messages that are owned here, or whose end is known.
