Stores log copies that go out after their message's end, and ends that are untold at a stop

Sight for the incident TWICE: by these lines the hypotheses of docs/incidents/twice.md are told apart. No change of logic.

--- a/crates/node/src/store/copies.rs
+++ b/crates/node/src/store/copies.rs
@@ -340,6 +340,9 @@
     fn copy_to(self: &Rc<Self>, copier: &Rc<Copier>, id: &str, entry: &Entry, answers: &Rc<Answers>) {
         if let Some(known) = self.queue.borrow_mut().owned_mut(id) {
             known.sent.insert(copier.disk);
+            if matches!(known.stage, Stage::Ended(_)) {
+                log::warn!("{id}: a copy goes to disk {:016x} after its end", copier.disk);
+            }
         }
         answers.open.set(answers.open.get() + 1);
         let copied = copier.copy(entry.clone());
--- a/crates/node/src/store/leaving.rs
+++ b/crates/node/src/store/leaving.rs
@@ -59,6 +59,16 @@
         }
         self.log.write(&[]).await;
         log::info!("stops; {} deliveries under way, needed: {}", self.running.get(), needed());
+        self.log_untold();
+    }
+
+    /// Which ends other stores hold copies of and haven't been told of: they would be run again by an heir.
+    fn log_untold(&self) {
+        let queue = self.queue.borrow();
+        for known in queue.all_owned().filter(|known| !known.untold.is_empty()) {
+            let disks: Vec<String> = known.untold.iter().map(|disk| format!("{disk:016x}")).collect();
+            log::warn!("{}: its end isn't told to disks {}", known.message.id, disks.join(", "));
+        }
     }
 
     /// Says to the control group at once that this store is about to stop. The answer may be held back for as long as that
