--- a/crates/control/tests/network/mod.rs
+++ b/crates/control/tests/network/mod.rs
@@ -6,7 +6,7 @@
 mod troubles;
 
 use control::{Command, Durable, Group, Leave, Member, Message, Ms, Out, Reply, Settings};
-use disk::{Memory, Stored};
+use disk::{ControlDisk as _, Memory, Stored};
 use operators::Operators;
 use rand::{RngExt as _, SeedableRng as _};
 use rand_pcg::Pcg64Mcg;
@@ -159,7 +159,7 @@
         let ip = IpAddr::V4(Ipv4Addr::new(10, 0, 0, i as u8 + 1));
         self.machines.push(Machine {
             ip,
-            disk: Memory::default(),
+            disk: Memory::empty(),
             group: None,
             down_until: 0,
             frozen_until: 0,
--- a/crates/control/tests/network/troubles.rs
+++ b/crates/control/tests/network/troubles.rs
@@ -246,7 +246,7 @@
     fn forget(&mut self, i: usize) {
         let disk = &self.machines[i].disk;
         let mut durable = match self.bug {
-            Bug::ForgetsState | Bug::ForgetsView | Bug::ForgetsPromise | Bug::ForgetsOrders => disk.read(),
+            Bug::ForgetsState | Bug::ForgetsView | Bug::ForgetsPromise | Bug::ForgetsOrders => disk.state(),
             _ => return,
         };
         match self.bug {
@@ -259,7 +259,7 @@
     }
 
     pub(super) fn wipe(&mut self, i: usize, span: Ms) {
-        let before = self.machines[i].disk.read();
+        let before = self.machines[i].disk.state();
         self.machines[i].group = None;
         self.machines[i].down_until = self.machines[i].down_until.max(self.now + span);
         self.machines[i].disk.wipe();
--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -1,13 +1,17 @@
 //! Calls over HTTP/1.1, one at a time on each connection; connections are kept.
 use crate::http::{Bounds, Kind, Message, Reader, Response};
 use crate::repeat::Repeat;
+use crate::runtime::{self, elapsed};
 use crate::socket::{connect, has_bytes_or_ended};
 use bytes::BytesMut;
 use monoio::io::{AsyncReadRent, AsyncWriteRentExt};
 use monoio::net::TcpStream;
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::future::Future;
 use std::net::SocketAddr;
+use std::pin::Pin;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 const READ_BYTES: usize = 4 * 1024;
@@ -40,13 +44,28 @@
     until: Instant,
 }
 
+/// What answers calls instead of servers, where a test puts it in their place.
+pub trait Service {
+    /// Sends a request once and waits for its answer.
+    fn call(&self, to: SocketAddr, request: Vec<u8>, within: Duration) -> Exchange;
+}
+
+/// A call that is under way.
+pub type Exchange = Pin<Box<dyn Future<Output = Result<Response, CallError>>>>;
+
 /// Connections to peers, kept from one call to the next.
 #[derive(Default)]
 pub struct Client {
     idle: RefCell<HashMap<SocketAddr, Vec<Kept>>>,
+    simulated: Option<Rc<dyn Service>>,
 }
 
 impl Client {
+    /// Calls go to a service of a test's own.
+    pub fn on(service: Rc<dyn Service>) -> Client {
+        Client { simulated: Some(service), ..Client::default() }
+    }
+
     /// Sends a request and reads its whole answer within a time. It is sent once; only where it may be repeated freely, it
     /// is sent once more if a connection that was kept turns out to have been closed. `identity` is the request's id:
     /// an answer that names another one is another request's, and is passed over.
@@ -58,12 +77,12 @@
         identity: &str,
         repeat: Repeat,
     ) -> Result<Response, CallError> {
-        let started = Instant::now();
+        let started = runtime::now();
         let again = repeat.after_break().then(|| bytes.clone());
         let answer = self.send(to, bytes, within, identity).await;
         match (answer, again) {
             (Err(CallError::KeptBroke), Some(bytes)) => {
-                let left = within.saturating_sub(started.elapsed());
+                let left = within.saturating_sub(elapsed(started));
                 self.idle.borrow_mut().remove(&to);
                 self.send(to, bytes, left, identity).await
             }
@@ -78,15 +97,18 @@
         within: Duration,
         identity: &str,
     ) -> Result<Response, CallError> {
-        let started = Instant::now();
+        if let Some(service) = &self.simulated {
+            return service.call(to, bytes, within).await;
+        }
+        let started = runtime::now();
         let kept = self.take(to);
         let was_kept = kept.is_some();
         let mut stream = match kept {
             Some(stream) => stream,
             None => connect(to, within.min(CONNECT), SILENCE).await.map_err(|_| CallError::NotSent)?,
         };
-        let left = within.saturating_sub(started.elapsed());
-        let answered = monoio::time::timeout(left, exchange(&mut stream, bytes, identity)).await;
+        let left = within.saturating_sub(elapsed(started));
+        let answered = runtime::timeout(left, exchange(&mut stream, bytes, identity)).await;
         let response = match answered.unwrap_or(Err(CallError::TimedOut)) {
             Err(CallError::KeptBroke) if !was_kept => return Err(CallError::Broke),
             answered => answered?,
@@ -101,7 +123,7 @@
     fn take(&self, to: SocketAddr) -> Option<TcpStream> {
         let mut idle = self.idle.borrow_mut();
         let kept = idle.get_mut(&to)?;
-        let now = Instant::now();
+        let now = runtime::now();
         while let Some(connection) = kept.pop() {
             let in_time = now < connection.until && now.duration_since(connection.used) < KEEP;
             if in_time && !has_bytes_or_ended(&connection.stream) {
@@ -112,14 +134,14 @@
     }
 
     fn keep(&self, to: SocketAddr, stream: TcpStream, response: &Response) {
-        let used = Instant::now();
+        let used = runtime::now();
         let until = used + keep_alive_time(response.header("keep-alive"));
         self.idle.borrow_mut().entry(to).or_default().push(Kept { stream, used, until });
     }
 
     /// Drops connections that have been idle for too long, and those to peers that `known` doesn't name.
     pub fn sweep(&self, known: impl Fn(&SocketAddr) -> bool) {
-        let now = Instant::now();
+        let now = runtime::now();
         self.idle.borrow_mut().retain(|address, kept| {
             kept.retain(|c| now < c.until && now.duration_since(c.used) < KEEP);
             !kept.is_empty() && known(address)
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -8,11 +8,13 @@
 //! | [`repeat`] | whether a call may be sent again |
 //! | [`rpc`] | calls between members: numbered frames of `borsh` on one connection a pair |
 //! | [`socket`] | options of sockets |
+//! | [`runtime`] | tasks, timers and clocks, which a simulation may stand in for |
 //! | [`wake`] | waking tasks of one thread |
 pub mod client;
 pub mod http;
 pub mod repeat;
 pub mod rpc;
+pub mod runtime;
 pub mod server;
 pub mod socket;
 pub mod wake;
--- a/crates/net/src/rpc.rs
+++ b/crates/net/src/rpc.rs
@@ -1,5 +1,6 @@
 //! Calls between members: one connection a pair and direction, frames of length, number and `borsh`.
 use crate::repeat::Repeatable;
+use crate::runtime::{self, elapsed};
 use crate::socket::{connect, tune};
 use crate::wake::Notify;
 use borsh::{BorshDeserialize, BorshSerialize};
@@ -56,14 +57,29 @@
     }
 }
 
+/// What calls travel on instead of connections, where a test puts it in their place.
+pub trait Transport {
+    /// Sends a call once and waits for its answer.
+    fn send(&self, to: SocketAddr, payload: Vec<u8>, within: Duration) -> Exchange;
+}
+
+/// A call that is under way.
+pub type Exchange = Pin<Box<dyn Future<Output = Result<Vec<u8>, RpcError>>>>;
+
 /// Connections to other members, made when they are first called.
 #[derive(Default)]
 pub struct Peers {
     links: RefCell<HashMap<SocketAddr, Rc<Link>>>,
     next: Cell<u64>,
+    simulated: Option<Rc<dyn Transport>>,
 }
 
 impl Peers {
+    /// Calls travel on a transport of a test's own.
+    pub fn on(transport: Rc<dyn Transport>) -> Peers {
+        Peers { simulated: Some(transport), ..Peers::default() }
+    }
+
     /// Calls a member and waits for its answer. The call is sent once; only where it may be repeated freely, it is sent
     /// once more over a new connection if the first one broke.
     pub async fn call<Q: BorshSerialize + Repeatable, A: BorshDeserialize>(
@@ -73,9 +89,9 @@
         within: Duration,
     ) -> Result<A, RpcError> {
         let payload = borsh::to_vec(request).expect("writing to memory");
-        let begun = Instant::now();
+        let begun = runtime::now();
         let answer = self.send(to, &payload, within).await;
-        let left = within.saturating_sub(begun.elapsed());
+        let left = within.saturating_sub(elapsed(begun));
         let bytes = match answer {
             Err(RpcError::Broke) if request.repeat().after_break() && !left.is_zero() => {
                 self.send(to, &payload, left).await?
@@ -87,6 +103,9 @@
 
     /// Sends a call once. Its answer is known by the connection and the number that it has there.
     async fn send(&self, to: SocketAddr, payload: &[u8], within: Duration) -> Result<Vec<u8>, RpcError> {
+        if let Some(transport) = &self.simulated {
+            return transport.send(to, payload.to_vec(), within).await;
+        }
         let link = self.link(to);
         let number = self.next.get();
         self.next.set(number + 1);
@@ -94,8 +113,8 @@
         link.pending.borrow_mut().insert(number, sender);
         push_frame(&mut link.outbox.borrow_mut(), number, payload);
         link.wake.notify();
-        let sent = Instant::now();
-        let answer = monoio::time::timeout(within, receiver).await;
+        let sent = runtime::now();
+        let answer = runtime::timeout(within, receiver).await;
         link.pending.borrow_mut().remove(&number);
         match answer {
             Ok(Ok(answer)) => answer,
@@ -120,10 +139,10 @@
             pending: RefCell::default(),
             wake: Notify::default(),
             broken: Cell::new(false),
-            heard: Cell::new(Instant::now()),
+            heard: Cell::new(runtime::now()),
         });
         links.insert(to, link.clone());
-        monoio::spawn(run_link(to, link.clone()));
+        runtime::spawn(run_link(to, link.clone()));
         link
     }
 }
@@ -132,9 +151,9 @@
     let Ok(stream) = connect(to, CONNECT, SILENCE).await else {
         return link.fail(RpcError::Unreachable);
     };
-    link.heard.set(Instant::now());
+    link.heard.set(runtime::now());
     let (reader, mut writer) = stream.into_split();
-    monoio::spawn(read_answers(reader, link.clone()));
+    runtime::spawn(read_answers(reader, link.clone()));
     while !link.broken.get() {
         let out = std::mem::take(&mut *link.outbox.borrow_mut());
         if out.is_empty() {
@@ -151,7 +170,7 @@
     let mut frames = Frames::default();
     while !link.broken.get() {
         let Some(received) = frames.read(&mut reader).await else { break };
-        link.heard.set(Instant::now());
+        link.heard.set(runtime::now());
         for (number, payload) in received {
             if let Some(waiting) = link.pending.borrow_mut().remove(&number) {
                 let _ = waiting.send(Ok(payload));
@@ -219,10 +238,10 @@
         match listener.accept().await {
             Ok((stream, from)) => {
                 if tune(&stream, SILENCE).is_ok() {
-                    monoio::spawn(serve_peer(stream, from.ip(), handler.clone()));
+                    runtime::spawn(serve_peer(stream, from.ip(), handler.clone()));
                 }
             }
-            Err(_) => monoio::time::sleep(Duration::from_millis(20)).await,
+            Err(_) => runtime::sleep(Duration::from_millis(20)).await,
         }
     }
 }
@@ -237,11 +256,11 @@
     let answers =
         Rc::new(Answers { outbox: RefCell::default(), wake: Notify::default(), closed: Cell::new(false) });
     let (mut reader, writer) = stream.into_split();
-    monoio::spawn(write_answers(writer, answers.clone()));
+    runtime::spawn(write_answers(writer, answers.clone()));
     let mut frames = Frames::default();
     while let Some(received) = frames.read(&mut reader).await {
         for (number, payload) in received {
-            monoio::spawn(answer(number, handler(from, payload), answers.clone()));
+            runtime::spawn(answer(number, handler(from, payload), answers.clone()));
         }
     }
     answers.closed.set(true);
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -1,5 +1,6 @@
 //! Serves HTTP/1.1: one request after the other on each connection.
 use crate::http::{Answer, Bounds, Kind, Message, Reader, Request};
+use crate::runtime;
 use bytes::BytesMut;
 use monoio::io::{AsyncReadRent, AsyncWriteRent, AsyncWriteRentExt};
 use monoio::net::{TcpListener, TcpStream};
@@ -45,11 +46,11 @@
     pub async fn serve(self: Rc<Self>, listener: TcpListener, handler: Handler) {
         loop {
             let Ok((stream, _)) = listener.accept().await else {
-                monoio::time::sleep(Duration::from_millis(20)).await;
+                runtime::sleep(Duration::from_millis(20)).await;
                 continue;
             };
             if crate::socket::tune(&stream, SILENCE).is_ok() {
-                monoio::spawn(self.clone().connection(stream, handler.clone()));
+                runtime::spawn(self.clone().connection(stream, handler.clone()));
             }
         }
     }
@@ -98,7 +99,7 @@
             let bounds = self.bounds.get();
             let idle = bytes.is_empty() && !reader.in_body();
             let wait = if idle { bounds.idle_timeout } else { bounds.head_timeout };
-            let Ok((read, returned)) = monoio::time::timeout(wait, stream.read(buffer)).await else {
+            let Ok((read, returned)) = runtime::timeout(wait, stream.read(buffer)).await else {
                 return if idle { Ok(None) } else { Err(Answer::empty(408)) };
             };
             buffer = returned;
@@ -129,5 +130,5 @@
             }
         }
     };
-    let _ = monoio::time::timeout(LINGER, drain).await;
+    let _ = runtime::timeout(LINGER, drain).await;
 }
--- a/crates/net/src/socket.rs
+++ b/crates/net/src/socket.rs
@@ -1,4 +1,5 @@
 //! Connecting, and options of sockets.
+use crate::runtime;
 use monoio::net::TcpStream;
 use std::io;
 use std::mem::MaybeUninit;
@@ -9,7 +10,7 @@
 /// Connects within a time. What the other side doesn't acknowledge for `silence` breaks the connection, so that a
 /// machine without power is noticed.
 pub async fn connect(address: SocketAddr, within: Duration, silence: Duration) -> io::Result<TcpStream> {
-    let connected = monoio::time::timeout(within, TcpStream::connect_addr(address)).await;
+    let connected = runtime::timeout(within, TcpStream::connect_addr(address)).await;
     let stream = connected.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))?;
     tune(&stream, silence)?;
     Ok(stream)
--- a/crates/node/src/control/census.rs
+++ b/crates/node/src/control/census.rs
@@ -2,6 +2,7 @@
 use super::{Changed, Control};
 use crate::calls::{Hello, Role, Seen};
 use control::{Command, Store, StoreView};
+use net::runtime;
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
@@ -137,7 +138,7 @@
     }
 
     /// What should change in the view of the stores, where so many disks may be lost at once.
-    fn wanted(&mut self, view: &StoreView, now: u64, tolerance: usize) -> Option<Command> {
+    pub fn wanted(&mut self, view: &StoreView, now: u64, tolerance: usize) -> Option<Command> {
         self.note_losses(view, now);
         let since = *self.since.get_or_insert(now);
         let unknown = self.stores().filter(|w| now < w.at + 2_000).find(|watcher| {
@@ -175,7 +176,7 @@
 pub async fn keep(control: Rc<Control>) {
     let tolerance = control.process.settings.tolerance.machines.max(1) as usize;
     loop {
-        monoio::time::sleep(EVERY).await;
+        runtime::sleep(EVERY).await;
         let Some(state) = control.committed_state() else {
             let mut census = control.census.borrow_mut();
             (census.since, census.losses) = (None, BTreeMap::new());
--- a/crates/node/src/control/listing.rs
+++ b/crates/node/src/control/listing.rs
@@ -4,6 +4,7 @@
 use net::client::Client;
 use net::http::encode_request;
 use net::repeat::Repeat;
+use net::runtime;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -26,16 +27,16 @@
     loop {
         let epoch = control.group.borrow().leads(control.now()).map(|view| view.epoch);
         let Some(epoch) = epoch else {
-            monoio::time::sleep(Duration::from_millis(50)).await;
+            runtime::sleep(Duration::from_millis(50)).await;
             continue;
         };
         let Some(endpoints) = read_all(&client, address, pause).await else {
-            monoio::time::sleep(AGAIN).await;
+            runtime::sleep(AGAIN).await;
             continue;
         };
         number += 1;
         control.publish_list((epoch, number), endpoints);
-        monoio::time::sleep(EVERY).await;
+        runtime::sleep(EVERY).await;
     }
 }
 
@@ -73,7 +74,7 @@
         if token.is_none() {
             return Some(endpoints);
         }
-        monoio::time::sleep(pause).await;
+        runtime::sleep(pause).await;
     }
     None
 }
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -12,7 +12,7 @@
 pub mod listing;
 
 use crate::calls::{Call, Endpoint, Hello, News, Role, Seen};
-use crate::process::{self, stopped, unique, Process};
+use crate::process::{self, stopped, Process};
 use crate::watch::HOLD;
 use anyhow::Context as _;
 use control::disk::Disk;
@@ -20,6 +20,7 @@
 use monoio::net::TcpListener;
 use net::http::Bounds;
 use net::rpc::{serve, Peers};
+use net::runtime;
 use net::server::{Server, ServerBounds};
 use net::wake::Watched;
 use ringlog::Folder;
@@ -80,7 +81,7 @@
     let (mut durable, disk) = disk::open(Path::new(&folder))?;
     let fresh = durable.disk == 0;
     if fresh {
-        durable.disk = unique();
+        durable.disk = runtime::unique();
     }
     let settings = &process.settings;
     let me = Member { disk: durable.disk, name: settings.node_name.clone(), ip: settings.own_ip() };
@@ -106,13 +107,13 @@
     });
     let listener = TcpListener::bind(member_address).context("the members' port is taken; free it")?;
     let answering = control.clone();
-    monoio::spawn(serve(
+    runtime::spawn(serve(
         listener,
         Rc::new(move |from, bytes| Box::pin(answering.clone().answer(from, bytes))),
     ));
-    monoio::spawn(control.clone().pass_time());
-    monoio::spawn(listing::read_list(control.clone()));
-    monoio::spawn(census::keep(control.clone()));
+    runtime::spawn(control.clone().pass_time());
+    runtime::spawn(listing::read_list(control.clone()));
+    runtime::spawn(census::keep(control.clone()));
     control.clone().serve_operator(&api_address)?;
     stopped(&control.process.stopping).await;
     control.leave().await;
@@ -132,7 +133,7 @@
             idle_timeout: Duration::from_secs(30),
         };
         let server = Server::new(bounds);
-        monoio::spawn(
+        runtime::spawn(
             server.serve(listener, Rc::new(move |request| Box::pin(api::answer(self.clone(), request)))),
         );
         Ok(())
@@ -140,7 +141,7 @@
 
     async fn pass_time(self: Rc<Self>) {
         loop {
-            monoio::time::sleep(TICK).await;
+            runtime::sleep(TICK).await;
             let out = self.group.borrow_mut().tick(self.now());
             self.send(out);
             self.publish();
@@ -159,7 +160,7 @@
     fn send(self: &Rc<Self>, out: Vec<Out>) {
         for message in out {
             let control = self.clone();
-            monoio::spawn(async move {
+            runtime::spawn(async move {
                 control.exchange(message).await;
             });
         }
@@ -204,7 +205,7 @@
             if self.now() > until {
                 return Changed::Unknown;
             }
-            monoio::time::sleep(Duration::from_millis(2)).await;
+            runtime::sleep(Duration::from_millis(2)).await;
         }
         self.changing.set(true);
         let changed = self.change_now(command, until).await;
@@ -225,7 +226,7 @@
                 None if self.now() > lead_by && self.group.borrow().leads(self.now()).is_none() => {
                     return Changed::Unknown
                 }
-                None => monoio::time::sleep(Duration::from_millis(5)).await,
+                None => runtime::sleep(Duration::from_millis(5)).await,
             }
         };
         let (change, out) = match proposed {
@@ -239,7 +240,7 @@
                 Some(true) => break,
                 Some(false) => return Changed::Unknown,
                 None if self.now() > until => return Changed::Unknown,
-                None => monoio::time::sleep(Duration::from_millis(2)).await,
+                None => runtime::sleep(Duration::from_millis(2)).await,
             }
         }
         self.publish();
@@ -254,7 +255,7 @@
         let answers = Rc::new(Watched::default());
         for question in questions {
             let (control, confirmation, answers) = (self.clone(), confirmation.clone(), answers.clone());
-            monoio::spawn(async move {
+            runtime::spawn(async move {
                 if let Some(reply) = control.exchange(question).await {
                     confirmation.borrow_mut().note(&reply);
                     answers.raise();
@@ -271,7 +272,7 @@
             if left == 0 {
                 return false;
             }
-            let _ = monoio::time::timeout(Duration::from_millis(left), answers.changed(seen)).await;
+            let _ = runtime::timeout(Duration::from_millis(left), answers.changed(seen)).await;
         }
     }
 
@@ -310,7 +311,7 @@
             let before = self.changes.get();
             // A primary that loses its place says so soon, and watchers go to the next.
             let wait = Duration::from_millis(left.min(250));
-            let _ = monoio::time::timeout(wait, self.changes.changed(before)).await;
+            let _ = runtime::timeout(wait, self.changes.changed(before)).await;
         }
     }
 
@@ -367,7 +368,7 @@
             if answer.is_some_and(|answer| !answer.taken) {
                 break;
             }
-            monoio::time::sleep(LEAVE_EVERY).await;
+            runtime::sleep(LEAVE_EVERY).await;
         }
         log::info!("stops");
     }
--- a/crates/node/src/edge.rs
+++ b/crates/node/src/edge.rs
@@ -1,18 +1,19 @@
 //! The edge role: takes messages from clients, hands each to a store, and answers 202 once it is on two disks.
 use crate::calls::{Call, Custody, Found, Hello, PutAnswer, Refusal, Role};
-use crate::process::{self, stopped, unique, wall_ms, Process};
+use crate::process::{self, stopped, wall_ms, Process};
 use crate::watch::{watch, Known};
 use anyhow::Context as _;
 use control::{Store, StoreView};
 use monoio::net::TcpListener;
 use net::http::{Answer, Bounds, Request};
 use net::rpc::{Peers, RpcError};
+use net::runtime;
 use net::server::{Server, ServerBounds};
 use net::wake::Watched;
 use queue::{Message, Outcome};
 use settings::Route;
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -36,7 +37,7 @@
 /// Stores that don't answer, by address. They are asked until they do.
 #[derive(Default)]
 struct Health {
-    suspects: RefCell<HashSet<SocketAddr>>,
+    suspects: RefCell<BTreeSet<SocketAddr>>,
 }
 
 impl Health {
@@ -50,11 +51,11 @@
 
     async fn ask_suspects(self: Rc<Self>, peers: Rc<Peers>) {
         loop {
-            monoio::time::sleep(PING_EVERY).await;
+            runtime::sleep(PING_EVERY).await;
             let suspects: Vec<SocketAddr> = self.suspects.borrow().iter().copied().collect();
             for store in suspects {
                 let (health, peers) = (self.clone(), peers.clone());
-                monoio::spawn(async move {
+                runtime::spawn(async move {
                     if peers.call::<Call, bool>(store, &Call::Ping, PING).await.is_ok() {
                         health.suspects.borrow_mut().remove(&store);
                     }
@@ -106,7 +107,8 @@
     }
 }
 
-struct Edge {
+/// One edge process.
+pub struct Edge {
     process: Process,
     known: Rc<Known>,
     peers: Rc<Peers>,
@@ -125,37 +127,10 @@
 }
 
 async fn run(process: Process) -> anyhow::Result<()> {
-    let settings = process.settings.clone();
-    let seeds = settings.seed_ips();
-    let edge = Rc::new(Edge {
-        known: Known::new(seeds.clone()),
-        peers: Rc::new(Peers::default()),
-        server: Server::new(bounds(&settings::Limits::default())),
-        leaving: Cell::new(false),
-        health: Rc::new(Health::default()),
-        turn: Cell::new(unique() as usize % 1_000),
-        losses: RefCell::default(),
-        process,
-    });
-    let hello = Hello {
-        name: settings.node_name.clone(),
-        ip: settings.own_ip(),
-        zone: settings.zone.clone(),
-        role: Role::Edge,
-        disk: 0,
-        custody: Custody::default(),
-    };
-    monoio::spawn(watch(
-        edge.known.clone(),
-        edge.peers.clone(),
-        move || hello.clone(),
-        settings.control_port(),
-        seeds,
-    ));
-    monoio::spawn(edge.clone().follow_limits());
-    monoio::spawn(edge.health.clone().ask_suspects(edge.peers.clone()));
-    edge.clone().serve_readiness(settings.listen.readiness.as_deref())?;
-    edge.clone().serve_clients(settings.listen.http.as_deref())?;
+    let edge = Edge::new(process, Peers::default());
+    edge.clone().follow_control();
+    edge.clone().serve_readiness(edge.process.settings.listen.readiness.as_deref())?;
+    edge.clone().serve_clients(edge.process.settings.listen.http.as_deref())?;
     stopped(&edge.process.stopping).await;
     edge.leave().await;
     Ok(())
@@ -173,6 +148,42 @@
 }
 
 impl Edge {
+    /// An edge that knows nothing yet.
+    pub fn new(process: Process, peers: Peers) -> Rc<Edge> {
+        Rc::new(Edge {
+            known: Known::new(process.settings.seed_ips()),
+            peers: Rc::new(peers),
+            server: Server::new(bounds(&settings::Limits::default())),
+            leaving: Cell::new(false),
+            health: Rc::new(Health::default()),
+            turn: Cell::new(runtime::unique() as usize % 1_000),
+            losses: RefCell::default(),
+            process,
+        })
+    }
+
+    /// Learns for good what control and stores tell.
+    pub fn follow_control(self: Rc<Self>) {
+        let settings = &self.process.settings;
+        let hello = Hello {
+            name: settings.node_name.clone(),
+            ip: settings.own_ip(),
+            zone: settings.zone.clone(),
+            role: Role::Edge,
+            disk: 0,
+            custody: Custody::default(),
+        };
+        runtime::spawn(watch(
+            self.known.clone(),
+            self.peers.clone(),
+            move || hello.clone(),
+            settings.control_port(),
+            settings.seed_ips(),
+        ));
+        runtime::spawn(self.health.clone().ask_suspects(self.peers.clone()));
+        runtime::spawn(self.follow_limits());
+    }
+
     async fn follow_limits(self: Rc<Self>) {
         let mut seen = 0;
         loop {
@@ -191,7 +202,7 @@
             let answer = async move { Answer::empty(if ready { 200 } else { 503 }) };
             Box::pin(answer) as std::pin::Pin<Box<dyn std::future::Future<Output = Answer>>>
         };
-        monoio::spawn(server.serve(listener, Rc::new(answer)));
+        runtime::spawn(server.serve(listener, Rc::new(answer)));
         Ok(())
     }
 
@@ -199,7 +210,9 @@
         let address = address.context("ListenAddresses.Http is missing; add it")?;
         let listener = TcpListener::bind(address).context("the clients' port is taken; free it")?;
         let server = self.server.clone();
-        monoio::spawn(server.serve(listener, Rc::new(move |request| Box::pin(self.clone().answer(request)))));
+        runtime::spawn(
+            server.serve(listener, Rc::new(move |request| Box::pin(self.clone().answer(request)))),
+        );
         Ok(())
     }
 
@@ -210,19 +223,20 @@
     /// Says that it isn't ready, serves on until the platform has noticed, and answers what was begun.
     async fn leave(&self) {
         self.leaving.set(true);
-        monoio::time::sleep(LEAVING).await;
+        runtime::sleep(LEAVING).await;
         self.server.closing.set(true);
         let grace = Duration::from_secs_f64((self.process.settings.bounds.grace_s - RESERVE_S).max(0.0));
         let until = self.process.clock.ms() + grace.saturating_sub(LEAVING).as_millis() as u64;
         let mut quiet = 0;
         while self.process.clock.ms() < until && quiet < 5 {
-            monoio::time::sleep(Duration::from_millis(20)).await;
+            runtime::sleep(Duration::from_millis(20)).await;
             quiet = if self.server.busy.get() == 0 { quiet + 1 } else { 0 };
         }
         log::info!("stops");
     }
 
-    async fn answer(self: Rc<Self>, request: Request) -> Answer {
+    /// Answers one request of a client.
+    pub async fn answer(self: Rc<Self>, request: Request) -> Answer {
         if self.known.version() == 0 {
             return later("no configuration is known here yet; ask again").with("Retry-After", "0");
         }
@@ -264,7 +278,7 @@
     fn message(&self, request: &Request, route: &Route, host: &str) -> Message {
         let now = wall_ms();
         let id = match request.header("x-request-id") {
-            "" => format!("m-{:016x}", unique()),
+            "" => format!("m-{:016x}", runtime::unique()),
             id => id.to_string(),
         };
         let delay = request.header("x-delay-ms").parse().unwrap_or(0_u64);
@@ -321,7 +335,7 @@
                 if put.open == 0 {
                     break;
                 }
-                if monoio::time::timeout(wait, race.changed.changed(seen)).await.is_err() {
+                if runtime::timeout(wait, race.changed.changed(seen)).await.is_err() {
                     break;
                 }
             }
@@ -342,13 +356,13 @@
         let (peers, race, health, disk) = (self.peers.clone(), race.clone(), self.health.clone(), store.disk);
         let answered = Rc::new(Cell::new(false));
         let (late, suspected) = (answered.clone(), self.health.clone());
-        monoio::spawn(async move {
-            monoio::time::sleep(SWITCH).await;
+        runtime::spawn(async move {
+            runtime::sleep(SWITCH).await;
             if !late.get() {
                 suspected.suspect(to);
             }
         });
-        monoio::spawn(async move {
+        runtime::spawn(async move {
             let answer = peers.call::<Call, PutAnswer>(to, &call, patience).await;
             answered.set(true);
             if answer.is_err() {
@@ -423,7 +437,7 @@
             let (peers, found) = (self.peers.clone(), found.clone());
             let (waiting, answered) = (waiting.clone(), answered.clone());
             waiting.set(waiting.get() + 1);
-            monoio::spawn(async move {
+            runtime::spawn(async move {
                 if let Ok(answer) = peers.call::<Call, Found>(to, &call, FIND).await {
                     answered.set(answered.get() + 1);
                     let mut found = found.borrow_mut();
@@ -437,7 +451,7 @@
         let until = self.process.clock.ms() + FIND.as_millis() as u64;
         let enough = |found: &Found| if body { found.body.is_some() } else { found.end.is_some() };
         while waiting.get() > 0 && self.process.clock.ms() < until && !enough(&found.borrow()) {
-            monoio::time::sleep(Duration::from_millis(2)).await;
+            runtime::sleep(Duration::from_millis(2)).await;
         }
         let asked = stores.active().count();
         let sure = asked > 0 && answered.get() == asked && self.nothing_forgotten();
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -1,5 +1,6 @@
 //! What every role's process has: settings, logs, times, signals.
 use anyhow::Context as _;
+use net::runtime;
 use settings::ProcessSettings;
 use signal_hook::consts::{SIGHUP, SIGTERM};
 use std::cell::Cell;
@@ -7,7 +8,7 @@
 use std::rc::Rc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant, UNIX_EPOCH};
 
 /// How often it is looked whether a signal came.
 const SIGNALS_EVERY: Duration = Duration::from_millis(50);
@@ -16,7 +17,7 @@
 
 /// Milliseconds of the wall clock, since 1970.
 pub fn wall_ms() -> u64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_millis() as u64)
+    runtime::wall_clock().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_millis() as u64)
 }
 
 /// A clock that only rises, in milliseconds from the start of the process.
@@ -25,29 +26,20 @@
 
 impl Clock {
     pub fn start() -> Clock {
-        Clock(Instant::now())
+        Clock(runtime::now())
     }
 
     /// Milliseconds since the start; never 0.
     pub fn ms(&self) -> u64 {
-        self.0.elapsed().as_millis() as u64 + 1
+        runtime::elapsed(self.0).as_millis() as u64 + 1
     }
 
     /// Nanoseconds since the start.
     pub fn ns(&self) -> i64 {
-        self.0.elapsed().as_nanos() as i64
+        runtime::elapsed(self.0).as_nanos() as i64
     }
 }
 
-/// A number that no other process or disk has.
-pub fn unique() -> u64 {
-    use std::hash::{BuildHasher, Hasher};
-    let mut hasher = std::collections::hash_map::RandomState::new().build_hasher();
-    hasher.write_u128(SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_nanos()));
-    hasher.write_u32(std::process::id());
-    hasher.finish()
-}
-
 /// What a role is started with.
 pub struct Process {
     pub settings: ProcessSettings,
@@ -71,7 +63,7 @@
     log::info!("{} starts", settings.node_name);
     let process = Process { settings, clock: Clock::start(), stopping: stopping.clone() };
     runtime.block_on(async move {
-        monoio::spawn(watch_signals(terminated, reload, stopping));
+        runtime::spawn(watch_signals(terminated, reload, stopping));
         role(process).await
     })
 }
@@ -86,7 +78,7 @@
 async fn watch_signals(terminated: Arc<AtomicBool>, reload: Arc<AtomicBool>, stopping: Rc<Cell<bool>>) {
     let mut rounds = 0_u32;
     loop {
-        monoio::time::sleep(SIGNALS_EVERY).await;
+        runtime::sleep(SIGNALS_EVERY).await;
         rounds += 1;
         if terminated.load(Ordering::Relaxed) && !stopping.replace(true) {
             log::info!("told to stop");
@@ -107,6 +99,6 @@
 /// Waits until the process is told to stop.
 pub async fn stopped(stopping: &Cell<bool>) {
     while !stopping.get() {
-        monoio::time::sleep(SIGNALS_EVERY).await;
+        runtime::sleep(SIGNALS_EVERY).await;
     }
 }
--- a/crates/node/src/store/callbacks.rs
+++ b/crates/node/src/store/callbacks.rs
@@ -4,6 +4,7 @@
 use net::client::Client;
 use net::http::encode_request;
 use net::repeat::Repeat;
+use net::runtime;
 use queue::{Entry, Outcome};
 use std::cell::RefCell;
 use std::collections::{HashMap, VecDeque};
@@ -34,7 +35,6 @@
 }
 
 /// Call-backs that are owed.
-#[derive(Default)]
 pub struct Callbacks {
     client: Client,
     receivers: RefCell<HashMap<SocketAddr, Receiver>>,
@@ -49,6 +49,11 @@
 }
 
 impl Callbacks {
+    /// None are owed; they will go out by this client.
+    pub fn new(client: Client) -> Callbacks {
+        Callbacks { client, receivers: RefCell::default() }
+    }
+
     /// Owes a call-back.
     pub fn push(&self, store: Rc<Store>, url: &str, id: &str, outcome: &Outcome) {
         let Some((address, target)) = parse(url) else {
@@ -62,7 +67,7 @@
         let stores = store.known.stores().active().count().max(1);
         if receiver.lanes < (ALL_LANES / stores).clamp(1, LANES) {
             receiver.lanes += 1;
-            monoio::spawn(run_lane(store, address));
+            runtime::spawn(run_lane(store, address));
         }
     }
 
@@ -99,7 +104,7 @@
         if let Some(receiver) = store.callbacks.receivers.borrow_mut().get_mut(&address) {
             receiver.jobs.push_back(job);
         }
-        monoio::time::sleep(pause).await;
+        runtime::sleep(pause).await;
         pause = (pause * 2).min(LONGEST_PAUSE);
     }
 }
--- a/crates/node/src/store/copies.rs
+++ b/crates/node/src/store/copies.rs
@@ -2,11 +2,12 @@
 use super::Store;
 use crate::calls::{Call, HeldFor};
 use futures_channel::oneshot;
+use net::runtime;
 use net::wake::{Notify, Watched};
 use queue::custody::{self, Reconciled};
 use queue::{Entry, Given, Message, Stage};
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeSet, HashSet};
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -73,10 +74,10 @@
             collecting: Cell::new(false),
             ended: Cell::new(false),
             leaving: Cell::new(false),
-            heard: Cell::new(Instant::now()),
+            heard: Cell::new(runtime::now()),
             sent_at: Cell::new(None),
         });
-        monoio::spawn(copier.clone().run(store));
+        runtime::spawn(copier.clone().run(store));
         copier
     }
 
@@ -145,17 +146,17 @@
                 store.all_settled();
                 if !settled {
                     self.drop_pending();
-                    monoio::time::sleep(PAUSE).await;
+                    runtime::sleep(PAUSE).await;
                 }
                 continue;
             }
             let batch = std::mem::take(&mut *self.pending.borrow_mut());
-            if batch.is_empty() && monoio::time::timeout(HEARTBEAT, self.wake.notified()).await.is_ok() {
+            if batch.is_empty() && runtime::timeout(HEARTBEAT, self.wake.notified()).await.is_ok() {
                 continue;
             }
             // An empty batch is a heartbeat.
             if !batch.is_empty() {
-                self.sent_at.set(Some(Instant::now()));
+                self.sent_at.set(Some(runtime::now()));
             }
             self.send(&store, batch).await;
             self.sent_at.set(None);
@@ -190,21 +191,21 @@
         let call = Call::Replicate { owner: store.disk, to: self.disk, entries };
         let answer = store.peers.call::<Call, bool>(self.address, &call, within).await;
         if answer.is_ok() {
-            self.heard.set(Instant::now());
+            self.heard.set(runtime::now());
         }
         answer.unwrap_or(false)
     }
 
     /// Asks for all that the peer holds of this store's messages, piece by piece.
-    async fn ask_held(&self, store: &Rc<Store>) -> Option<(HashSet<String>, Vec<String>)> {
-        let mut held = HashSet::new();
+    async fn ask_held(&self, store: &Rc<Store>) -> Option<(BTreeSet<String>, Vec<String>)> {
+        let mut held = BTreeSet::new();
         let mut taken = Vec::new();
         let mut after = String::new();
         loop {
             let call = Call::Held { owner: store.disk, to: self.disk, after: after.clone() };
             let piece =
                 store.peers.call::<Call, Option<HeldFor>>(self.address, &call, RECONCILE).await.ok()??;
-            self.heard.set(Instant::now());
+            self.heard.set(runtime::now());
             self.leaving.set(piece.leaving);
             taken.extend(piece.taken);
             after = piece.copies.last().cloned().unwrap_or_default();
@@ -239,7 +240,7 @@
 
     /// Takes messages of this store that only the peer knows, piece by piece.
     async fn fetch(&self, store: &Rc<Store>, mut ids: Vec<String>) -> bool {
-        log::info!("{} messages are only known at another store", ids.len());
+        log::info!("only known at disk {:016x}: {}", self.disk, some_of(&ids));
         while !ids.is_empty() {
             let call = Call::Fetch { ids: ids.clone() };
             let Ok((given, asked)) =
@@ -255,7 +256,7 @@
 
     /// The batch under way takes longer than it should.
     fn is_late(&self) -> bool {
-        self.sent_at.get().is_some_and(|at| at.elapsed() > HEDGE)
+        self.sent_at.get().is_some_and(|at| runtime::elapsed(at) > HEDGE)
     }
 }
 
@@ -272,6 +273,14 @@
     stores.sort_by_cached_key(|store| (late(store), !wanted(store)));
 }
 
+/// How many ids, and the first of them, for the log.
+pub fn some_of(ids: &[String]) -> String {
+    const SHOWN: usize = 5;
+    let first = ids.iter().take(SHOWN).map(String::as_str).collect::<Vec<_>>().join(", ");
+    let more = if ids.len() > SHOWN { ", ..." } else { "" };
+    format!("{} messages ({first}{more})", ids.len())
+}
+
 fn ended_id(entry: &Entry) -> Option<String> {
     match entry {
         Entry::Ended(end) => Some(end.id.clone()),
@@ -298,7 +307,7 @@
                 .filter(|copier| !asked.contains(&copier.disk) && !self.has_copy(id, copier.disk));
             let candidates: Vec<_> = candidates.take(more).collect();
             if more > 0 && candidates.is_empty() && answers.open.get() == 0 {
-                monoio::time::sleep(PAUSE).await;
+                runtime::sleep(PAUSE).await;
                 asked.clear();
                 continue;
             }
@@ -306,7 +315,7 @@
                 asked.push(copier.disk);
                 self.copy_to(&copier, id, entry, &answers);
             }
-            if monoio::time::timeout(HEDGE, answers.changed.changed(seen)).await.is_err() {
+            if runtime::timeout(HEDGE, answers.changed.changed(seen)).await.is_err() {
                 answers.open.set(answers.open.get().saturating_sub(1));
             }
         }
@@ -326,7 +335,7 @@
 
     /// Disks of other stores whose copies count.
     pub fn present(&self) -> BTreeSet<u64> {
-        let (copiers, now) = (self.copiers.borrow(), Instant::now());
+        let (copiers, now) = (self.copiers.borrow(), runtime::now());
         copiers.values().filter(|copier| !copier.is_away(now)).map(|copier| copier.disk).collect()
     }
 
@@ -347,7 +356,7 @@
         answers.open.set(answers.open.get() + 1);
         let copied = copier.copy(entry.clone());
         let (store, id, disk, answers) = (self.clone(), id.to_string(), copier.disk, answers.clone());
-        monoio::spawn(async move {
+        runtime::spawn(async move {
             if copied.await.unwrap_or(false) {
                 if let Some(known) = store.queue.borrow_mut().owned_mut(&id) {
                     known.copies.insert(disk);
@@ -396,18 +405,18 @@
 
     /// Messages that others took, because this store gave no clear answer, and that haven't begun here.
     pub fn leave_to_others(&self, taken: Vec<String>) {
-        let mut left = 0;
+        let mut left: Vec<String> = Vec::new();
         for id in taken {
             let entry = Entry::Dropped { owner: self.disk, id: id.clone() };
             let holders = self.holders(&id);
             if self.queue.borrow_mut().leave(&id) {
                 self.log.note(&entry);
                 self.tell(&holders, &entry);
-                left += 1;
+                left.push(id);
             }
         }
-        if left > 0 {
-            log::info!("{left} messages are left to stores that took them meanwhile");
+        if !left.is_empty() {
+            log::info!("left to stores that took them meanwhile: {}", some_of(&left));
         }
     }
 
@@ -438,7 +447,7 @@
 
     /// Copies messages again that are at too few other stores that are there.
     pub async fn repair(self: &Rc<Self>) {
-        let now = Instant::now();
+        let now = runtime::now();
         let all_settled = self.copiers.borrow().values().all(|c| c.is_settled() || c.is_away(now));
         let patient = self.clock.ms() < self.started + 3_000;
         if !all_settled && patient {
@@ -457,7 +466,7 @@
             log::info!("{} messages are copied again", lacking.len());
         }
         for (id, entry) in lacking {
-            monoio::spawn(self.clone().copy_again(id, entry));
+            runtime::spawn(self.clone().copy_again(id, entry));
         }
     }
 
--- a/crates/node/src/store/deliver.rs
+++ b/crates/node/src/store/deliver.rs
@@ -5,6 +5,7 @@
 use net::client::CallError;
 use net::http::{encode_request, Response};
 use net::repeat::Repeat;
+use net::runtime;
 use policy::api::Outcome as Told;
 use queue::{End, Entry, Message, Outcome};
 use settings::{Configuration, Route};
@@ -94,18 +95,18 @@
 
 /// Delivers for good.
 pub async fn deliver(store: Rc<Store>) {
-    monoio::spawn(choose_caps(store.clone()));
-    monoio::spawn(follow(store.clone()));
+    runtime::spawn(choose_caps(store.clone()));
+    runtime::spawn(follow(store.clone()));
     loop {
         let next = store.start_due();
         let wait = Duration::from_millis(next.saturating_sub(wall_ms()).clamp(1, IDLE));
-        let _ = monoio::time::timeout(wait, store.work.notified()).await;
+        let _ = runtime::timeout(wait, store.work.notified()).await;
     }
 }
 
 async fn choose_caps(store: Rc<Store>) {
     loop {
-        monoio::time::sleep(CONTROL).await;
+        runtime::sleep(CONTROL).await;
         store.endpoints.borrow_mut().choose_caps(store.clock.ns());
     }
 }
@@ -115,7 +116,7 @@
     let mut seen = 0;
     loop {
         let changes = store.known.changes.changed(seen);
-        let _ = monoio::time::timeout(Duration::from_millis(1_000), changes).await;
+        let _ = runtime::timeout(Duration::from_millis(1_000), changes).await;
         if seen != store.known.changes.get() {
             seen = store.known.changes.get();
             let configuration = store.known.configuration();
@@ -222,7 +223,7 @@
         let classes = endpoints.deadlines(configuration, &route.service);
         let call = Call { service: route.service.clone(), address, instance, class, classes, level, began };
         self.running.set(self.running.get() + 1);
-        monoio::spawn(self.clone().run_one(message, call, route.timeout_ms, route.max_attempts as u32));
+        runtime::spawn(self.clone().run_one(message, call, route.timeout_ms, route.max_attempts as u32));
     }
 
     async fn run_one(self: Rc<Self>, message: Rc<Message>, call: Call, timeout_ms: u64, most: u32) {
--- a/crates/node/src/store/leaving.rs
+++ b/crates/node/src/store/leaving.rs
@@ -5,6 +5,7 @@
 use crate::calls::Call;
 use crate::watch::HOLD;
 use net::rpc::RpcError;
+use net::runtime;
 use queue::{custody, Given, Stage};
 use std::cell::Cell;
 use std::collections::BTreeSet;
@@ -45,17 +46,17 @@
         let dispensable = self.say_farewell(until);
         self.repair().await;
         while self.running.get() > self.ordered_running() && self.clock.ms() < until {
-            monoio::time::sleep(Duration::from_millis(5)).await;
+            runtime::sleep(Duration::from_millis(5)).await;
         }
         self.paused.set(true);
         let busy = || self.running.get() > 0 || self.taking.get() > 0;
         let needed = || dispensable.get() > 0 || self.needs_repair.get() || self.lacks_copies();
         while (busy() || needed()) && self.clock.ms() < until {
-            monoio::time::sleep(Duration::from_millis(5)).await;
+            runtime::sleep(Duration::from_millis(5)).await;
         }
         let flush = self.clock.ms() + FLUSH;
         while !self.copiers.borrow().values().all(|copier| copier.is_idle()) && self.clock.ms() < flush {
-            monoio::time::sleep(Duration::from_millis(2)).await;
+            runtime::sleep(Duration::from_millis(2)).await;
         }
         self.log.write(&[]).await;
         log::info!("stops; {} deliveries under way, needed: {}", self.running.get(), needed());
@@ -76,7 +77,7 @@
     fn tell_control(self: &Rc<Self>) {
         for member in self.known.group() {
             let store = self.clone();
-            monoio::spawn(async move {
+            runtime::spawn(async move {
                 let to = SocketAddr::new(member, store.settings.control_port());
                 let call = Call::Watch(store.hello(), store.known.seen());
                 let _ = store.peers.call::<Call, crate::calls::News>(to, &call, HOLD * 2).await;
@@ -90,7 +91,7 @@
         for copier in self.copiers.borrow().values() {
             needing.set(needing.get() + 1);
             let (store, needing, to) = (self.clone(), needing.clone(), copier.address());
-            monoio::spawn(async move {
+            runtime::spawn(async move {
                 let mut failures = 0;
                 while store.clock.ms() < until && failures < FAREWELL_FAILURES {
                     match store
@@ -102,7 +103,7 @@
                         Ok(false) => {}
                         Err(_) => failures += 1,
                     }
-                    monoio::time::sleep(FAREWELL_PAUSE).await;
+                    runtime::sleep(FAREWELL_PAUSE).await;
                 }
                 needing.set(needing.get() - 1);
             });
@@ -127,11 +128,11 @@
         self.leaving.set(true);
         self.needs_repair.set(true);
         while self.running.get() > self.ordered_running() || self.needs_repair.get() {
-            monoio::time::sleep(Duration::from_millis(10)).await;
+            runtime::sleep(Duration::from_millis(10)).await;
         }
         self.paused.set(true);
         while self.running.get() > 0 || self.taking.get() > 0 || !self.is_whole() || !self.all_told() {
-            monoio::time::sleep(Duration::from_millis(10)).await;
+            runtime::sleep(Duration::from_millis(10)).await;
         }
         self.idle.set(true);
         log::info!("is idle: others may take over");
@@ -159,12 +160,12 @@
         self.paused.set(true);
         let begun = self.clock.ms();
         while self.running.get() > 0 && self.clock.ms() < begun + RUN_OUT {
-            monoio::time::sleep(Duration::from_millis(5)).await;
+            runtime::sleep(Duration::from_millis(5)).await;
         }
         while !self.hand_back_all(self.clock.ms() > begun + HAND_BACK_PATIENCE).await {
-            monoio::time::sleep(HAND_BACK_PAUSE).await;
+            runtime::sleep(HAND_BACK_PAUSE).await;
         }
-        self.start_anew();
+        self.start_anew().await;
     }
 
     /// Hands back this store's own messages and the copies of others that were given up; false if some aren't safe.
@@ -240,19 +241,19 @@
         let until = self.clock.ms() + SAFE_WITHIN;
         let is_safe = |id: &String| self.missing_copies(id, self.copies_wanted()) == 0;
         while !ids.iter().all(is_safe) && self.clock.ms() < until {
-            monoio::time::sleep(Duration::from_millis(20)).await;
+            runtime::sleep(Duration::from_millis(20)).await;
         }
         ids.iter().all(is_safe)
     }
 
     /// What is on this disk doesn't count any more: the store begins anew with an empty one.
-    fn start_anew(&self) -> ! {
+    async fn start_anew(&self) {
         log::error!("the store begins anew with an empty disk");
         if let Some(folder) = &self.settings.data_dir {
             for entry in std::fs::read_dir(folder).into_iter().flatten().flatten() {
                 let _ = std::fs::remove_file(entry.path());
             }
         }
-        std::process::exit(1)
+        runtime::exit().await;
     }
 }
--- a/crates/node/src/store/log.rs
+++ b/crates/node/src/store/log.rs
@@ -1,10 +1,11 @@
 //! The store's log: records go to the ring of files in batches, by a thread that may wait for the disk.
 use futures_channel::oneshot;
+use net::runtime;
 use net::wake::Notify;
 use queue::Entry;
-use ringlog::{Record, Ring, RingError, SegmentId, Shape};
+use ringlog::{Files, Folder, Record, Ring, RingError, SegmentId, Shape};
 use std::cell::{Cell, RefCell};
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet};
 use std::path::Path;
 use std::rc::Rc;
 use std::sync::mpsc;
@@ -19,17 +20,42 @@
 /// After a failure of the disk.
 const PAUSE: Duration = Duration::from_millis(200);
 
-enum Job {
+/// What a log asks of its disk.
+pub enum Job {
+    /// Append records, and tell when they last.
     Append(Vec<Vec<u8>>, oneshot::Sender<Result<Done, RingError>>),
+    /// Nothing in the oldest file counts any more.
     ReleaseOldest,
 }
 
-struct Done {
+/// Records were appended, and last.
+pub struct Done {
+    /// In which file each stands.
     places: Vec<SegmentId>,
     free: usize,
     oldest: Option<SegmentId>,
 }
 
+/// What carries out the jobs of a log, one after the other.
+pub trait Disk {
+    fn submit(&self, job: Job);
+}
+
+impl Disk for mpsc::Sender<Job> {
+    fn submit(&self, job: Job) {
+        // If the thread is gone, nobody answers: the log takes that for a failure.
+        let _ = self.send(job);
+    }
+}
+
+/// What was found on a disk at an opening.
+pub struct Found {
+    places: BTreeMap<SegmentId, BTreeSet<String>>,
+    segments: usize,
+    free: usize,
+    oldest: Option<SegmentId>,
+}
+
 struct Pending {
     id: String,
     payload: Vec<u8>,
@@ -40,9 +66,9 @@
     pending: RefCell<Vec<Pending>>,
     waiting: RefCell<Vec<oneshot::Sender<bool>>>,
     wake: Notify,
-    jobs: mpsc::Sender<Job>,
+    disk: Rc<dyn Disk>,
     /// Whose records stand in which file.
-    places: RefCell<HashMap<SegmentId, HashSet<String>>>,
+    places: RefCell<BTreeMap<SegmentId, BTreeSet<String>>>,
     segments: usize,
     free: Cell<usize>,
     oldest: Cell<Option<SegmentId>>,
@@ -66,33 +92,48 @@
     }
 }
 
+/// Opens the ring in its files; `visit` is given each record, oldest first.
+pub fn read<F: Files>(
+    files: F,
+    shape: Shape,
+    visit: &mut dyn FnMut(Entry),
+) -> Result<(Ring<F>, Found), RingError> {
+    let mut places: BTreeMap<SegmentId, BTreeSet<String>> = BTreeMap::new();
+    let mut read = |segment: SegmentId, record: Record| {
+        if let Ok(entry) = borsh::from_slice::<Entry>(&record.payload) {
+            places.entry(segment).or_default().insert(id_of(&entry).to_string());
+            visit(entry);
+        }
+    };
+    let ring = Ring::open_in(files, shape, &mut read)?.ring;
+    let found = Found { places, segments: shape.segments, free: ring.free(), oldest: ring.oldest() };
+    Ok((ring, found))
+}
+
 impl Log {
-    /// Opens the log; `visit` is given each record, oldest first.
+    /// Opens the log in a folder, with a thread of its own that writes; `visit` is given each record, oldest first.
     pub fn open(folder: &Path, shape: Shape, visit: &mut dyn FnMut(Entry)) -> anyhow::Result<Rc<Log>> {
-        let mut places: HashMap<SegmentId, HashSet<String>> = HashMap::new();
-        let mut read = |segment: SegmentId, record: Record| {
-            if let Ok(entry) = borsh::from_slice::<Entry>(&record.payload) {
-                places.entry(segment).or_default().insert(id_of(&entry).to_string());
-                visit(entry);
-            }
-        };
-        let ring = Ring::open(folder, shape, &mut read)?.ring;
-        let (free, oldest) = (ring.free(), ring.oldest());
+        let (ring, found) = read(Folder::new(folder), shape, visit)?;
         let (jobs, taken) = mpsc::channel();
         std::thread::Builder::new().name("disk".to_string()).spawn(move || work(ring, taken))?;
+        Ok(Log::on(Rc::new(jobs), found))
+    }
+
+    /// The log on a disk that was read.
+    pub fn on(disk: Rc<dyn Disk>, found: Found) -> Rc<Log> {
         let log = Rc::new(Log {
             pending: RefCell::default(),
             waiting: RefCell::default(),
             wake: Notify::default(),
-            jobs,
-            places: RefCell::new(places),
-            segments: shape.segments,
-            free: Cell::new(free),
-            oldest: Cell::new(oldest),
+            disk,
+            places: RefCell::new(found.places),
+            segments: found.segments,
+            free: Cell::new(found.free),
+            oldest: Cell::new(found.oldest),
             writing_since: Cell::new(None),
         });
-        monoio::spawn(log.clone().write_batches());
-        Ok(log)
+        runtime::spawn(log.clone().write_batches());
+        log
     }
 
     /// Appends records, and waits until they last; false if the disk failed.
@@ -117,7 +158,7 @@
 
     /// How long the disk has been at work on one batch.
     pub fn lag(&self) -> Duration {
-        self.writing_since.get().map_or(Duration::ZERO, |since| since.elapsed())
+        self.writing_since.get().map_or(Duration::ZERO, runtime::elapsed)
     }
 
     /// The share of the ring's files that are free.
@@ -135,7 +176,7 @@
     /// Nothing that counts stands in the oldest file any more.
     pub fn release(&self, segment: SegmentId) {
         self.places.borrow_mut().remove(&segment);
-        let _ = self.jobs.send(Job::ReleaseOldest);
+        self.disk.submit(Job::ReleaseOldest);
     }
 
     async fn write_batches(self: Rc<Self>) {
@@ -152,19 +193,19 @@
                 let _ = waiter.send(written);
             }
             if !written {
-                monoio::time::sleep(PAUSE).await;
+                runtime::sleep(PAUSE).await;
             }
         }
     }
 
     async fn write_batch(&self, ids: Vec<String>, payloads: Vec<Vec<u8>>) -> bool {
         let (sender, receiver) = oneshot::channel();
-        self.writing_since.set(Some(Instant::now()));
-        let sent = self.jobs.send(Job::Append(payloads, sender)).is_ok();
+        self.writing_since.set(Some(runtime::now()));
+        self.disk.submit(Job::Append(payloads, sender));
         let done = receiver.await;
         self.writing_since.set(None);
         match done {
-            Ok(Ok(done)) if sent => {
+            Ok(Ok(done)) => {
                 let mut places = self.places.borrow_mut();
                 for (id, segment) in ids.into_iter().zip(done.places) {
                     places.entry(segment).or_default().insert(id);
@@ -177,7 +218,7 @@
                 log::error!("the log cannot be written: {error}");
                 false
             }
-            _ => false,
+            Err(_) => false,
         }
     }
 }
@@ -185,13 +226,18 @@
 /// The disk's thread.
 fn work(mut ring: Ring, jobs: mpsc::Receiver<Job>) {
     while let Ok(job) = jobs.recv() {
-        match job {
-            Job::Append(payloads, done) => {
-                let written = ring.append(&payloads).and_then(|places| ring.sync().map(|()| places));
-                let (free, oldest) = (ring.free(), ring.oldest());
-                let _ = done.send(written.map(|places| Done { places, free, oldest }));
-            }
-            Job::ReleaseOldest => ring.release_oldest(),
+        carry_out(&mut ring, job);
+    }
+}
+
+/// Carries out one job on a ring.
+pub fn carry_out<F: Files>(ring: &mut Ring<F>, job: Job) {
+    match job {
+        Job::Append(payloads, done) => {
+            let written = ring.append(&payloads).and_then(|places| ring.sync().map(|()| places));
+            let (free, oldest) = (ring.free(), ring.oldest());
+            let _ = done.send(written.map(|places| Done { places, free, oldest }));
         }
+        Job::ReleaseOldest => ring.release_oldest(),
     }
 }
--- a/crates/node/src/store/mod.rs
+++ b/crates/node/src/store/mod.rs
@@ -22,12 +22,14 @@
 pub mod takeover;
 
 use crate::calls::{Custody, Hello, PutAnswer, Refusal, Role};
-use crate::process::{self, stopped, unique, Clock, Process};
+use crate::process::{self, stopped, Clock, Process};
 use crate::watch::{watch, Known};
 use anyhow::Context as _;
+use futures_channel::oneshot;
 use monoio::net::TcpListener;
 use net::client::Client;
 use net::rpc::{serve, Peers};
+use net::runtime;
 use net::wake::Notify;
 use queue::{Entry, Message, Queue, Stage};
 use settings::ProcessSettings;
@@ -65,6 +67,8 @@
     pub peers: Rc<Peers>,
     pub log: Rc<log::Log>,
     pub queue: RefCell<Queue>,
+    /// Recovered messages that other stores were given too, until they are looked after.
+    raced: RefCell<Vec<Rc<Message>>>,
     pub copiers: RefCell<BTreeMap<u64, Rc<copies::Copier>>>,
     pub endpoints: RefCell<endpoints::Endpoints>,
     pub buckets: RefCell<BTreeMap<String, deliver::Bucket>>,
@@ -114,86 +118,112 @@
 }
 
 async fn run(process: Process) -> anyhow::Result<()> {
-    let settings = process.settings.clone();
-    let folder = settings.data_dir.clone().context("DataDir is missing; give the store a disk")?;
+    let folder = process.settings.data_dir.clone().context("DataDir is missing; give the store a disk")?;
     let mut queue = Queue::default();
-    let shape = log::shape(settings.limits.disk_mb);
+    let shape = log::shape(process.settings.limits.disk_mb);
     let log = log::Log::open(Path::new(&folder), shape, &mut |entry| queue.recover(entry))?;
-    if queue.disk() == 0 {
-        let disk = unique();
-        anyhow::ensure!(
-            log.write(&[Entry::Disk(disk)]).await,
-            "the disk can't be written; check its space and health"
-        );
-        queue.recover(Entry::Disk(disk));
-    }
-    let raced = queue.recovered();
-    let seeds = settings.seed_ips();
-    let store = Rc::new(Store {
-        clock: process.clock,
-        started: process.clock.ms(),
-        disk: queue.disk(),
-        port: settings.store_port(),
-        known: Known::new(seeds.clone()),
-        peers: Rc::new(Peers::default()),
-        log,
-        last_order: Cell::new(queue.highest_order()),
-        queue: RefCell::new(queue),
-        copiers: RefCell::default(),
-        endpoints: RefCell::default(),
-        buckets: RefCell::default(),
-        client: Client::default(),
-        callbacks: callbacks::Callbacks::default(),
-        work: Notify::default(),
-        cared: Notify::default(),
-        running: Cell::new(0),
-        taking: Cell::new(0),
-        turn: Cell::new(0),
-        needs_repair: Cell::new(true),
-        copies_needed: settings.tolerance.machines.max(1) as usize,
-        inheriting: RefCell::default(),
-        inherited: RefCell::default(),
-        repairing: RefCell::default(),
-        absences: RefCell::default(),
-        recovered_until: Cell::new(process.clock.ms() + RECOVERED_WAIT),
-        epoch: Cell::new(0),
-        retiring: Cell::new(false),
-        idle: Cell::new(false),
-        given_up: Cell::new(false),
-        not_wanted: RefCell::default(),
-        leaving: Cell::new(false),
-        paused: Cell::new(false),
-        settings,
-    });
-    let (waiting, _, ended, copies) = store.queue.borrow().counts();
-    ::log::info!("disk {:016x}: {waiting} messages waiting, {ended} ended, {copies} copies", store.disk);
+    let surroundings =
+        Surroundings { peers: Peers::default(), endpoints: Client::default(), receivers: Client::default() };
+    let store = Store::open(&process, queue, log, surroundings).await?;
     let listener = TcpListener::bind(SocketAddr::new(store.settings.own_ip(), store.port))
         .context("the members' port is taken; free it")?;
     let answering = store.clone();
-    monoio::spawn(serve(
+    runtime::spawn(serve(
         listener,
         Rc::new(move |from, bytes| Box::pin(answering.clone().answer(from, bytes))),
     ));
-    let telling = store.clone();
-    let hello = move || telling.hello();
-    monoio::spawn(watch(
-        store.known.clone(),
-        store.peers.clone(),
-        hello,
-        store.settings.control_port(),
-        seeds,
-    ));
-    monoio::spawn(store.clone().follow_stores());
-    monoio::spawn(store.clone().care());
-    monoio::spawn(deliver::deliver(store.clone()));
-    monoio::spawn(store.clone().accept_raced(raced));
-    store.owed_callbacks();
-    stopped(&process.stopping).await;
-    store.leave().await;
+    store.serve(&process.stopping).await;
     Ok(())
 }
 
+/// How a store reaches what is around it.
+pub struct Surroundings {
+    /// Other members.
+    pub peers: Peers,
+    /// Endpoints, and receivers of call-backs.
+    pub endpoints: Client,
+    pub receivers: Client,
+}
+
 impl Store {
+    /// A store that begins with what is on its disk: the queue as it was folded from the log.
+    pub async fn open(
+        process: &Process,
+        mut queue: Queue,
+        log: Rc<log::Log>,
+        surroundings: Surroundings,
+    ) -> anyhow::Result<Rc<Store>> {
+        if queue.disk() == 0 {
+            let disk = runtime::unique();
+            anyhow::ensure!(
+                log.write(&[Entry::Disk(disk)]).await,
+                "the disk can't be written; check its space and health"
+            );
+            queue.recover(Entry::Disk(disk));
+        }
+        let raced = queue.recovered();
+        let settings = process.settings.clone();
+        let store = Rc::new(Store {
+            clock: process.clock,
+            started: process.clock.ms(),
+            disk: queue.disk(),
+            port: settings.store_port(),
+            known: Known::new(settings.seed_ips()),
+            peers: Rc::new(surroundings.peers),
+            log,
+            last_order: Cell::new(queue.highest_order()),
+            queue: RefCell::new(queue),
+            raced: RefCell::new(raced),
+            copiers: RefCell::default(),
+            endpoints: RefCell::default(),
+            buckets: RefCell::default(),
+            client: surroundings.endpoints,
+            callbacks: callbacks::Callbacks::new(surroundings.receivers),
+            work: Notify::default(),
+            cared: Notify::default(),
+            running: Cell::new(0),
+            taking: Cell::new(0),
+            turn: Cell::new(0),
+            needs_repair: Cell::new(true),
+            copies_needed: settings.tolerance.machines.max(1) as usize,
+            inheriting: RefCell::default(),
+            inherited: RefCell::default(),
+            repairing: RefCell::default(),
+            absences: RefCell::default(),
+            recovered_until: Cell::new(process.clock.ms() + RECOVERED_WAIT),
+            epoch: Cell::new(0),
+            retiring: Cell::new(false),
+            idle: Cell::new(false),
+            given_up: Cell::new(false),
+            not_wanted: RefCell::default(),
+            leaving: Cell::new(false),
+            paused: Cell::new(false),
+            settings,
+        });
+        let (waiting, _, ended, copies) = store.queue.borrow().counts();
+        ::log::info!("disk {:016x}: {waiting} messages waiting, {ended} ended, {copies} copies", store.disk);
+        Ok(store)
+    }
+
+    /// Runs until the process is told to stop, and has stopped.
+    pub async fn serve(self: Rc<Self>, stopping: &Cell<bool>) {
+        let telling = self.clone();
+        runtime::spawn(watch(
+            self.known.clone(),
+            self.peers.clone(),
+            move || telling.hello(),
+            self.settings.control_port(),
+            self.settings.seed_ips(),
+        ));
+        runtime::spawn(self.clone().follow_stores());
+        runtime::spawn(self.clone().care());
+        runtime::spawn(deliver::deliver(self.clone()));
+        runtime::spawn(self.clone().accept_raced(self.raced.take()));
+        self.owed_callbacks();
+        stopped(stopping).await;
+        self.leave().await;
+    }
+
     fn hello(&self) -> Hello {
         let inherited = self.inherited.borrow().iter().copied().collect();
         let custody = Custody {
@@ -229,11 +259,11 @@
             let me = view.get(self.disk);
             if me.is_some_and(|store| store.retiring) {
                 if !self.retiring.replace(true) {
-                    monoio::spawn(self.clone().retire());
+                    runtime::spawn(self.clone().retire());
                 }
             } else if me.is_some_and(|store| store.gone) {
                 if !self.given_up.replace(true) {
-                    monoio::spawn(self.clone().hand_back());
+                    runtime::spawn(self.clone().hand_back());
                 }
                 continue;
             }
@@ -242,7 +272,7 @@
             for lost in view.inherited_by(self.disk) {
                 let known = self.inherited.borrow().contains(&lost);
                 if !known && self.inheriting.borrow_mut().insert(lost) {
-                    monoio::spawn(self.clone().take_over(lost));
+                    runtime::spawn(self.clone().take_over(lost));
                 }
             }
         }
@@ -275,7 +305,7 @@
 
     async fn care(self: Rc<Self>) {
         loop {
-            let _ = monoio::time::timeout(CARE, self.cared.notified()).await;
+            let _ = runtime::timeout(CARE, self.cared.notified()).await;
             self.look_for_absences();
             self.forget_not_wanted();
             if self.needs_repair.get() {
@@ -375,16 +405,18 @@
         }
         self.taking.set(self.taking.get() + 1);
         let (store, copy_id, copy_entry) = (self.clone(), id.clone(), entry.clone());
-        let copied = monoio::spawn(async move {
-            store.copy_enough(&copy_id, &copy_entry, |store| store.copies_needed).await
+        let (done, copied) = oneshot::channel();
+        runtime::spawn(async move {
+            store.copy_enough(&copy_id, &copy_entry, |store| store.copies_needed).await;
+            let _ = done.send(());
         });
         let written = self.log.write(std::slice::from_ref(&entry)).await;
-        copied.await;
+        let _ = copied.await;
         if !written {
             self.taking.set(self.taking.get() - 1);
             return PutAnswer::Unclear;
         }
-        monoio::spawn(self.clone().accept(message));
+        runtime::spawn(self.clone().accept(message));
         PutAnswer::Taken
     }
 
--- a/crates/node/src/store/peers.rs
+++ b/crates/node/src/store/peers.rs
@@ -29,7 +29,7 @@
 
 impl Store {
     /// Answers one call.
-    pub(super) async fn answer(self: Rc<Self>, _from: IpAddr, bytes: Vec<u8>) -> Vec<u8> {
+    pub async fn answer(self: Rc<Self>, _from: IpAddr, bytes: Vec<u8>) -> Vec<u8> {
         let Ok(call) = borsh::from_slice::<Call>(&bytes) else { return Vec::new() };
         match call {
             Call::Put(message) => encode(&self.put(message).await),
--- a/crates/node/src/store/preserve.rs
+++ b/crates/node/src/store/preserve.rs
@@ -8,12 +8,13 @@
 use super::peers::IDS_AT_ONCE;
 use super::Store;
 use crate::calls::Call;
+use net::runtime;
 use queue::custody::{self, Ids};
 use queue::{End, Given};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// How long another store may take to say what it lacks, or to keep it.
 const PRESERVE: Duration = Duration::from_millis(2_000);
@@ -24,7 +25,7 @@
     /// Looks which stores are away, and has made whole again what they held or owned.
     pub(super) fn look_for_absences(self: &Rc<Self>) {
         let view = self.known.stores();
-        let (present, now) = (self.present(), Instant::now());
+        let (present, now) = (self.present(), runtime::now());
         let silent = self.copiers.borrow().values().filter(|c| c.is_silent(now)).map(|c| c.disk).collect();
         let gone = view.stores.iter().filter(|store| store.gone).map(|store| store.disk).collect();
         let mut absent: BTreeSet<u64> = BTreeSet::union(&silent, &gone).copied().collect();
@@ -34,7 +35,7 @@
             self.needs_repair.set(true);
         }
         for owner in due {
-            monoio::spawn(self.clone().preserve(owner, present.clone()));
+            runtime::spawn(self.clone().preserve(owner, present.clone()));
         }
     }
 
@@ -119,7 +120,7 @@
 
     /// Whether an owner is away for this store too.
     fn is_absent(&self, owner: u64) -> bool {
-        let silent = self.copiers.borrow().get(&owner).is_some_and(|copier| copier.is_silent(Instant::now()));
+        let silent = self.copiers.borrow().get(&owner).is_some_and(|copier| copier.is_silent(runtime::now()));
         silent && self.absences.borrow().is_silent(owner, AWAY.as_millis() as u64, self.clock.ms())
     }
 
--- a/crates/node/src/store/takeover.rs
+++ b/crates/node/src/store/takeover.rs
@@ -1,6 +1,7 @@
 //! Taking over what a lost store owned: all active stores give what they keep of it, then its messages run here.
 use super::Store;
 use crate::calls::{Call, Piece};
+use net::runtime;
 use queue::{custody, End, Entry, Given, Message, Stage};
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -19,7 +20,7 @@
         let own = loop {
             match self.claim(lost).await {
                 Some(own) => break own,
-                None => monoio::time::sleep(PAUSE).await,
+                None => runtime::sleep(PAUSE).await,
             }
         };
         taken.extend(own);
@@ -30,7 +31,7 @@
                     taken.extend(theirs);
                     asked.push(next.disk);
                 }
-                _ => monoio::time::sleep(PAUSE).await,
+                _ => runtime::sleep(PAUSE).await,
             }
         }
         // Only now is it known which of them others have taken over already.
@@ -39,7 +40,7 @@
         }
         while self.lacks_copies() {
             self.needs_repair.set(true);
-            monoio::time::sleep(PAUSE).await;
+            runtime::sleep(PAUSE).await;
         }
         for disk in asked {
             if let Some(store) = self.known.store(disk) {
@@ -75,7 +76,7 @@
                 }
             };
             let Some(Piece { mut given, more }) = piece else {
-                monoio::time::sleep(PAUSE).await;
+                runtime::sleep(PAUSE).await;
                 continue;
             };
             count += given.len();
@@ -96,12 +97,12 @@
         }
         // Where the others are has to be known first.
         while self.known.stores().epoch == 0 {
-            monoio::time::sleep(PAUSE).await;
+            runtime::sleep(PAUSE).await;
         }
         log::info!("{} recovered messages may be at other stores too", raced.len());
         for message in raced {
             self.taking.set(self.taking.get() + 1);
-            monoio::spawn(self.clone().accept((*message).clone()));
+            runtime::spawn(self.clone().accept((*message).clone()));
         }
         self.needs_repair.set(true);
     }
@@ -110,7 +111,7 @@
     pub async fn adopt(self: &Rc<Self>, given: Vec<Given>, copy: Option<u64>) {
         let (entries, ids) = custody::adopt(&mut self.queue.borrow_mut(), given);
         while !entries.is_empty() && !self.log.write(&entries).await {
-            monoio::time::sleep(PAUSE).await;
+            runtime::sleep(PAUSE).await;
         }
         for id in ids {
             let mut queue = self.queue.borrow_mut();
@@ -122,7 +123,7 @@
                 queue.accept(&id);
             } else {
                 self.taking.set(self.taking.get() + 1);
-                monoio::spawn(self.clone().accept((*message).clone()));
+                runtime::spawn(self.clone().accept((*message).clone()));
             }
         }
         self.needs_repair.set(true);
@@ -141,9 +142,9 @@
         match owes {
             Some(message) => {
                 let store = self.clone();
-                monoio::spawn(async move {
+                runtime::spawn(async move {
                     while !store.log.write(&[Entry::Ended(end.clone())]).await {
-                        monoio::time::sleep(PAUSE).await;
+                        runtime::sleep(PAUSE).await;
                     }
                     store.call_back(&message, &end);
                 });
--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -5,6 +5,7 @@
 use crate::calls::{Call, Endpoint, Hello, News, Seen};
 use control::{Store, StoreView};
 use net::rpc::Peers;
+use net::runtime;
 use net::wake::Watched;
 use settings::Configuration;
 use std::cell::{Cell, RefCell};
@@ -139,7 +140,7 @@
         let to = next.take().or_else(|| known.in_turn(turn, &seeds));
         turn += 1;
         let Some(to) = to else {
-            monoio::time::sleep(PAUSE).await;
+            runtime::sleep(PAUSE).await;
             continue;
         };
         let call = Call::Watch(hello(), known.seen.get());
@@ -159,7 +160,7 @@
             Err(_) => failed = Some(to),
         }
         if next.is_none() {
-            monoio::time::sleep(PAUSE).await;
+            runtime::sleep(PAUSE).await;
         }
     }
 }
--- /dev/null
+++ b/crates/node/tests/model/control.rs
@@ -0,0 +1,124 @@
+//! The control group as stores and edges see it: one machine that is always there. Who is there and who is lost is
+//! decided by the program's own census and state.
+use super::{ip_of_control, PORT};
+use control::{Command, State};
+use net::runtime::{sleep, timeout};
+use net::wake::Watched;
+use node::calls::{Call, Endpoint, News, Seen};
+use node::control::census::Census;
+use simulation::Simulation;
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+
+const HOLD: Duration = Duration::from_millis(1_000);
+const EVERY: Duration = Duration::from_millis(100);
+const ENDPOINTS: u16 = 4;
+
+/// The control group.
+pub struct Control {
+    simulation: Simulation,
+    census: RefCell<Census>,
+    pub state: RefCell<State>,
+    changes: Watched,
+    tolerance: usize,
+    /// The planted mistake: what was retired may go before its heir has all.
+    pub retires_at_once: Cell<bool>,
+}
+
+impl Control {
+    pub fn new(simulation: &Simulation, tolerance: usize) -> Rc<Control> {
+        let control = Rc::new(Control {
+            simulation: simulation.clone(),
+            census: RefCell::default(),
+            state: RefCell::default(),
+            changes: Watched::default(),
+            tolerance,
+            retires_at_once: Cell::new(false),
+        });
+        control.change(Command::Configure { base: 0, body: configuration() });
+        control
+    }
+
+    /// Carries out a command, if it changes anything.
+    pub fn change(&self, command: Command) {
+        let Ok(events) = self.state.borrow().decide(&command) else { return };
+        for event in &events {
+            self.state.borrow_mut().fold(event);
+        }
+        if !events.is_empty() {
+            self.changes.raise();
+        }
+    }
+
+    /// Asks for a store to be emptied.
+    pub fn retire(&self, name: &str) {
+        self.change(Command::Retire { name: name.to_string(), others: self.tolerance + 1 });
+    }
+
+    /// Follows who is there, for good.
+    pub async fn keep(self: Rc<Self>) {
+        loop {
+            sleep(EVERY).await;
+            let stores = self.state.borrow().stores.clone();
+            let wanted = self.census.borrow_mut().wanted(&stores, self.simulation.ms(), self.tolerance);
+            wanted.into_iter().for_each(|command| self.change(command));
+            if self.retires_at_once.get() {
+                let gone = stores.stores.iter().filter(|s| s.retiring && s.gone && !s.emptied);
+                gone.for_each(|store| self.change(Command::Retired(store.disk)));
+            }
+        }
+    }
+
+    /// Answers a member.
+    pub async fn answer(self: Rc<Self>, bytes: Vec<u8>) -> Vec<u8> {
+        let Ok(Call::Watch(hello, seen)) = borsh::from_slice::<Call>(&bytes) else { return Vec::new() };
+        self.census.borrow_mut().heard(&hello, seen, self.simulation.ms());
+        let before = self.changes.get();
+        if !self.has_news(seen) {
+            let _ = timeout(HOLD, self.changes.changed(before)).await;
+        }
+        borsh::to_vec(&self.news(seen)).unwrap()
+    }
+
+    fn has_news(&self, seen: Seen) -> bool {
+        let state = self.state.borrow();
+        state.version > seen.version || state.stores.epoch > seen.stores || seen.list < (1, 1)
+    }
+
+    fn news(&self, seen: Seen) -> News {
+        let state = self.state.borrow();
+        News {
+            leads: true,
+            epoch: 1,
+            primary: Some(ip_of_control()),
+            group: vec![ip_of_control()],
+            configuration: (state.version > seen.version).then(|| (state.version, state.body.clone())),
+            stores: (state.stores.epoch > seen.stores).then(|| state.stores.clone()),
+            list: (seen.list < (1, 1)).then(|| ((1, 1), endpoints())),
+        }
+    }
+}
+
+fn endpoints() -> Vec<Endpoint> {
+    let endpoint = |i: u16| Endpoint {
+        id: format!("i-{i}"),
+        service: "work".to_string(),
+        address: format!("10.0.9.{}:{PORT}", i + 1),
+        zone: "z".to_string(),
+        capacity: 40,
+        draining: false,
+    };
+    (0..ENDPOINTS).map(endpoint).collect()
+}
+
+fn configuration() -> Vec<u8> {
+    let route = |name: &str, ordered: bool| {
+        serde_json::json!({"Name": name, "Host": "h", "PathPrefix": format!("/{name}/"), "Type": "async",
+            "TimeoutMs": 1500, "TargetLatencyMs": 100, "TargetStartMs": 1000, "Priority": 1, "Backend": "work",
+            "MaxAttempts": 50, "Ordered": ordered, "RetentionS": 600.0, "CallbackUrl": false})
+    };
+    let routes = [route("free", false), route("ordered", true)];
+    let service = serde_json::json!({"Name": "work", "HealthPath": "/health", "MaxConnections": 400, "Idempotent": false});
+    serde_json::json!({"Version": 1, "Routes": routes, "Backends": [service]}).to_string().into_bytes()
+}
--- a/crates/node/tests/stores.rs
+++ b/crates/node/tests/stores.rs
@@ -1,23 +1,32 @@
-//! Stores under seeded schedules: what got a 202 is kept and runs, messages of a key run in their order, nothing that is
-//! known to have ended runs again in calm, and neither a stop, a replacement nor a retirement takes the only copy of
-//! anything, whatever is lost next. Planted mistakes are found.
-//!
-//! What the model leaves out: messages that an edge gave to two stores, call-backs, the pace of deliveries, pieces.
+//! Stores under seeded schedules: the program's own stores and edges in simulated time. What got a 202 is kept and runs,
+//! what was refused never does, messages of a key run in their order, nothing that is known to have ended runs again in
+//! calm, and neither a stop, a replacement nor a retirement takes the only copy of anything, whatever is lost next.
+//! Planted mistakes are found.
 mod model;
 
-use model::{Bug, Regime, Seen, World};
+use borsh::BorshDeserialize as _;
+use model::{Mistake, Regime, Seen, World};
+use node::calls::Call;
+use queue::Entry;
 use rstest::rstest;
+use simulation::network::Tamper;
+use std::rc::Rc;
+use std::time::Duration;
 
-const TROUBLES: u64 = 40_000;
+const TROUBLES: u64 = 44_000;
 
 fn play(seeds: std::ops::Range<u64>, count: usize, tolerance: usize, regime: Regime) -> Seen {
     let mut all = Seen::default();
     for seed in seeds {
-        let seen = World::new(seed, count, tolerance, Bug::None, regime).play(TROUBLES);
+        let seen = World::new(seed, count, tolerance, Mistake::None, regime).play(TROUBLES);
         assert_eq!(seen.broken, None, "seed {seed}, {count} stores, {regime:?}");
-        all.taken += seen.taken;
-        all.runs += seen.runs;
+        all.counts.taken += seen.counts.taken;
+        all.counts.refused += seen.counts.refused;
+        all.counts.unclear += seen.counts.unclear;
+        all.counts.runs += seen.counts.runs;
+        all.counts.repeats += seen.counts.repeats;
         all.wiped += seen.wiped;
+        all.rolled += seen.rolled;
         all.replaced += seen.replaced;
         all.retired += seen.retired;
         all.given_up += seen.given_up;
@@ -27,53 +36,98 @@
     all
 }
 
+/// Planned work alone, losses one after the other, of two at once, and more than is borne.
 #[test]
-fn three_stores_bear_the_loss_of_one_after_the_other() {
-    let seen = play(0..60, 3, 1, Regime::Tolerated);
-    assert!(seen.taken > 20_000 && seen.wiped > 40, "too few to tell: {seen:?}");
-    assert!(seen.replaced > 8 && seen.given_up > 50, "too few to tell: {seen:?}");
+fn no_schedule_breaks_a_rule() {
+    let planned = play(0..40, 5, 1, Regime::Planned);
+    assert!(planned.retired > 20 && planned.rolled > 40, "too few to tell: {planned:?}");
+    let three = play(0..40, 3, 1, Regime::Tolerated);
+    assert!(three.counts.taken > 10_000 && three.wiped > 20, "too few to tell: {three:?}");
+    play(1_000..1_040, 4, 1, Regime::Tolerated);
+    play(2_000..2_030, 6, 2, Regime::Tolerated);
+    play(3_000..3_030, 4, 1, Regime::BeyondTolerated);
 }
 
-#[test]
-fn four_stores_replace_and_retire_one_after_the_other() {
-    let seen = play(1_000..1_050, 4, 1, Regime::Tolerated);
-    assert!(seen.retired > 7, "too few to tell: {seen:?}");
+/// Copies that a store sends to others take longer than it waits before it asks another one too.
+struct SlowCopies;
+
+impl Tamper for SlowCopies {
+    fn delay(&self, call: &[u8]) -> Duration {
+        let is_message = |entry: &Entry| matches!(entry, Entry::Message { .. });
+        match Call::try_from_slice(call) {
+            Ok(Call::Replicate { entries, .. }) if entries.iter().any(is_message) => {
+                Duration::from_millis(90)
+            }
+            _ => Duration::ZERO,
+        }
+    }
 }
 
+/// A store is retired while it runs a message: the copy that is made for that is late, another store is asked for one as
+/// well, and in between the run ends.
 #[test]
-fn six_stores_bear_the_loss_of_two() {
-    play(2_000..2_030, 6, 2, Regime::Tolerated);
+fn a_retirement_around_the_end_of_a_run_runs_nothing_twice() {
+    let again: Vec<_> = (200..600).step_by(10).map(retired_around_the_end).filter(|b| b.len() > 1).collect();
+    assert!(again.is_empty(), "ran again: {again:?}");
 }
 
-#[test]
-fn nothing_is_lost_while_more_stores_are_away_than_is_borne() {
-    let seen = play(3_000..3_040, 4, 1, Regime::BeyondTolerated);
-    assert!(seen.handed_back > 0, "too few to tell: {seen:?}");
+/// Each begin of a message whose store is retired 0.2 s after it was sent.
+fn retired_around_the_end(run_takes: u64) -> Vec<(u64, String)> {
+    let mut world = World::new(1, 5, 1, Mistake::None, Regime::Planned);
+    world.advance(5_000);
+    world.send_one("m", run_takes);
+    world.advance(200);
+    world.set_tamper(Rc::new(SlowCopies));
+    let first = world.begins("m");
+    assert_eq!(first.len(), 1, "it runs: {first:?}");
+    world.retire(&first[0].1);
+    world.advance(8_000);
+    world.begins("m")
 }
 
-/// Four more mistakes that the model can play were not found by the seeds that were played: waiting for the view before
-/// anything is copied, an owner that doesn't hear of copies, a retirement before the copy, a returning store that drops
-/// what it has (docs/CONTROL.md).
 #[rstest]
-#[case(Bug::ForgetsFences)]
-#[case(Bug::LeavesBeforeTheCopy)]
-#[case(Bug::AsksOneStore)]
-#[case(Bug::EarlyAcknowledgement)]
-fn planted_mistakes_are_found(#[case] bug: Bug) {
+#[case(Mistake::ForgetsFences)]
+#[case(Mistake::LeavesBeforeTheCopy)]
+#[case(Mistake::WaitsForTheView)]
+#[case(Mistake::ForgetsToReconcile)]
+#[case(Mistake::AsksOneStore)]
+#[case(Mistake::EarlyAcknowledgement)]
+#[case(Mistake::RetiresBeforeTheCopy)]
+#[case(Mistake::DropsWhatItHas)]
+fn planted_mistakes_are_found(#[case] mistake: Mistake) {
     let found = (0..60).find_map(|seed| {
         let regime = if seed % 2 == 0 { Regime::Tolerated } else { Regime::BeyondTolerated };
-        let broken = World::new(seed, 4, 1, bug, regime).play(TROUBLES).broken?;
+        let broken = World::new(seed, 4, 1, mistake, regime).play(TROUBLES).broken?;
         Some((seed, broken))
     });
-    println!("{bug:?}: found by seed {found:?}");
-    assert!(found.is_some(), "{bug:?} was not found in 60 seeds");
+    println!("{mistake:?}: found by seed {found:?}");
+    assert!(found.is_some(), "{mistake:?} was not found in 60 seeds");
 }
 
-/// The seeds by which the planted mistakes are found break nothing without them.
+/// Plays seeds from the environment and tells what each broke, with the stores' logs if `LOGS` is set:
+/// `SEED=7 SEEDS=1 STORES=5 TOLERANCE=1 REGIME=0 LOGS=1 cargo test -p node --test stores seeds_by_hand -- --ignored --nocapture`.
 #[test]
-fn without_mistakes_the_same_seeds_hold() {
-    for seed in 0..12 {
-        let regime = if seed % 2 == 0 { Regime::Tolerated } else { Regime::BeyondTolerated };
-        assert_eq!(World::new(seed, 4, 1, Bug::None, regime).play(TROUBLES).broken, None, "seed {seed}");
+#[ignore = "for tracing and long hunts by hand"]
+fn seeds_by_hand() {
+    let number = |name: &str, other: u64| std::env::var(name).map_or(other, |text| text.parse().unwrap());
+    let regime = match number("REGIME", 0) {
+        0 => Regime::Planned,
+        1 => Regime::Tolerated,
+        _ => Regime::BeyondTolerated,
+    };
+    if number("LOGS", 0) > 0 {
+        simulation::logs::print();
+    }
+    let (count, tolerance) = (number("STORES", 5) as usize, number("TOLERANCE", 1) as usize);
+    let first = number("SEED", 0);
+    let mut broken = 0;
+    for seed in first..first + number("SEEDS", 1) {
+        let seen = World::new(seed, count, tolerance, Mistake::None, regime).play(TROUBLES);
+        if let Some(what) = &seen.broken {
+            broken += 1;
+            println!("seed {seed}: {what}");
+        }
+        println!("seed {seed}: {seen:?}");
     }
+    println!("{broken} broken");
 }
--- a/crates/queue/src/custody.rs
+++ b/crates/queue/src/custody.rs
@@ -5,7 +5,7 @@
 use crate::entry::{End, Entry, Message};
 use crate::view::{Copy, Known, Queue, Stage};
 use borsh::{BorshDeserialize, BorshSerialize};
-use std::collections::{BTreeMap, BTreeSet, HashSet};
+use std::collections::{BTreeMap, BTreeSet};
 
 /// A message as one store gives it to another.
 #[derive(Clone, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
@@ -141,7 +141,7 @@
 }
 
 /// Another store has told which copies of this store's messages it holds.
-pub fn reconcile(queue: &mut Queue, holder: u64, held: &HashSet<String>) -> Reconciled {
+pub fn reconcile(queue: &mut Queue, holder: u64, held: &BTreeSet<String>) -> Reconciled {
     let mut reconciled = Reconciled::default();
     for id in held {
         if let Some(end) = queue.end_of(id).cloned() {
--- a/crates/queue/src/view.rs
+++ b/crates/queue/src/view.rs
@@ -2,7 +2,7 @@
 use crate::entry::{End, Entry, Message, Outcome};
 use crate::ready::{Place, Ready};
 use crate::WallMs;
-use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::rc::Rc;
 
 /// How far a line of a key is looked through for a message that may still run in its aim.
@@ -72,16 +72,16 @@
     disk: u64,
     /// Bytes of the bodies of live messages and copies.
     bytes: usize,
-    owned: HashMap<String, Known>,
+    owned: BTreeMap<String, Known>,
     copies: BTreeMap<String, Copy>,
     /// Ends of messages that others own, or owned.
-    ends: HashMap<String, OthersEnd>,
+    ends: BTreeMap<String, OthersEnd>,
     /// Disks of stores that were given up.
     fenced: BTreeSet<u64>,
     /// Waiting messages by route; of those with a key only the first.
     ready: BTreeMap<String, Ready>,
     /// Messages of a key in the order in which they were taken.
-    keys: HashMap<String, VecDeque<String>>,
+    keys: BTreeMap<String, VecDeque<String>>,
 }
 
 impl Queue {
@@ -398,7 +398,7 @@
     }
 
     /// A disk holds only these of what is owned here: it has no copy of others, and needn't be told of their ends.
-    pub fn not_held(&mut self, disk: u64, held: &std::collections::HashSet<String>) {
+    pub fn not_held(&mut self, disk: u64, held: &BTreeSet<String>) {
         for known in self.owned.values_mut().filter(|known| !held.contains(&known.message.id)) {
             known.copies.remove(&disk);
             known.untold.remove(&disk);
