An end reaches every holder, and an heir asks all others before it runs anything (TWICE)

Cause of the incident, by the test that reproduces it: copies went out to further stores after their message's end, and the stores to be told had been counted at the end. Its class: what decides a message (its end, that it was left to another store, that its owner was given up) lived in one store's memory and a stream of best effort, while whoever came to run the message asked only for copies. So in the design:

- no copy goes out after the end (Queue::send_copy); whoever was sent one is told;
- whoever comes to run what it didn't take (heir, owner that finds its own message at a holder, a store's return) first asks every active store whether the message is decided (store/decided.rs), and an heir lets go of what the others keep until each has answered;
- each comparison of two stores opens a session, and records of an earlier one are refused: none comes in behind a report;
- a planned stop or retirement waits until every holder that is there has heard every end, and what is taken over is released; a store that is about to stop still takes ends;
- nothing runs before a store has heard in this life that it still owns it, nothing at a store that was retired and taken over from, and nothing whose time is over.

Found by the same tests on the way, and mended: an heir that had been given a message before by an edge asked itself to leave it, and did (LOST); a copy kept at a store that owned the message itself was gone when that store left it (LOST); the end of a message that two stores owned wasn't told on by the second (a retirement that never ended).

--- a/crates/node/src/calls.rs
+++ b/crates/node/src/calls.rs
@@ -143,16 +143,16 @@
     Status,
     /// Edge to store; answered with [`PutAnswer`].
     Put(Message),
-    /// Store to store, to the disk `to`: what happened to the sender's messages. Answered with whether it is on the
-    /// disk.
-    Replicate { owner: u64, to: u64, entries: Vec<Entry> },
+    /// Store to store, to the disk `to`: what happened to the sender's messages, in the session that the last
+    /// [`Call::Held`] opened. Answered with whether it is on the disk.
+    Replicate { owner: u64, to: u64, session: u64, entries: Vec<Entry> },
     /// Store to store, to the disk `to`: what do you have of this owner's messages, from the first id after one on?
-    /// Answered with [`HeldFor`], if the owner is known.
-    Held { owner: u64, to: u64, after: String },
+    /// Opens a session: nothing of earlier ones is taken any more. Answered with [`HeldFor`], if the owner is known.
+    Held { owner: u64, to: u64, session: u64, after: String },
     /// Store to store: give me these. Answered with [`Given`], of as many of the first as fit one answer.
     Fetch { ids: Vec<String> },
-    /// Store to store: I take over what this lost store owned; keep nothing for it any more. Answered with the ids of
-    /// messages that the receiver took because the lost store gave no clear answer.
+    /// Store to store: I take over what this lost store owned; keep nothing for it any more. Answered with whether that
+    /// is on the disk.
     Claim { lost: u64 },
     /// Store to store, after [`Call::Claim`]: give me its copies, from the first id after one on. Answered with a
     /// [`Piece`].
@@ -167,7 +167,7 @@
     Lacking { owner: u64, live: Vec<String>, ended: Vec<String> },
     /// Store to store: keep these for an owner that is absent. Answered with whether they are on the disk.
     Preserve { owner: u64, given: Vec<Given>, ends: Vec<End> },
-    /// Store to store: which of these do you own, or know the end of? Answered with ids.
+    /// Store to store: which of these do you own, safe, or know the end of? Answered with ids.
     Decided { ids: Vec<String> },
     /// From a store that was given up to the heir of `owner`: messages that may be nowhere else. Answered with whether
     /// they are safe there.
--- a/crates/node/src/store/deliver.rs
+++ b/crates/node/src/store/deliver.rs
@@ -167,17 +167,19 @@
         next.min(due.max(now + SOONEST))
     }
 
-    fn may_run(&self, message: &Message) -> bool {
-        match message.ordered {
-            true => self.knows_its_part() && self.inheriting.borrow().is_empty(),
+    /// Nothing runs before this store knows that it still owns what it recovered, and nothing whose time is over.
+    fn may_run(&self, message: &Message, now: u64) -> bool {
+        let may = match message.ordered {
+            true => self.knows_its_part() && !self.lacks_inheritance(),
             false => !self.leaving.get() && self.clock.ms() >= self.recovered_until.get(),
-        }
+        };
+        may && self.acts_by_a_view() && now < message.expires_at
     }
 
     fn start_route(self: &Rc<Self>, configuration: &Rc<Configuration>, route: &Route, now: u64) -> u64 {
         let steady = self.clock.ms();
         loop {
-            let due = self.queue.borrow_mut().next(&route.name, now, |message| self.may_run(message));
+            let due = self.queue.borrow_mut().next(&route.name, now, |message| self.may_run(message, now));
             let Some(id) = due else { return now + IDLE };
             let picked = self.endpoints.borrow().pick(&route.service, &self.settings.zone, steady);
             let Some(endpoint) = picked else {
--- a/crates/node/src/store/leaving.rs
+++ b/crates/node/src/store/leaving.rs
@@ -1,5 +1,6 @@
 //! Planned stops, retirement, and the return of a store that was given up. In each of them what is only here is made
 //! safe elsewhere before this store goes.
+use super::decided::Patience;
 use super::peers::piece;
 use super::{Store, RESERVE_S};
 use crate::calls::Call;
@@ -19,8 +20,6 @@
 const FAREWELL_PAUSE: Duration = Duration::from_millis(40);
 /// A store that doesn't answer so often isn't waited for.
 const FAREWELL_FAILURES: u32 = 3;
-/// The last words to other stores may take so long, in milliseconds.
-const FLUSH: u64 = 400;
 /// How long an heir may take to make safe what it is given back.
 const HAND_BACK: Duration = Duration::from_millis(4_000);
 /// Between two attempts of that.
@@ -29,8 +28,6 @@
 const HAND_BACK_PATIENCE: u64 = 6_000;
 /// How long deliveries under way may take before that, in milliseconds.
 const RUN_OUT: u64 = 2_000;
-/// How long another store may take to say what it knows of some messages.
-const DECIDED: Duration = Duration::from_millis(1_000);
 /// How long copies of what was given back may take, in milliseconds.
 const SAFE_WITHIN: u64 = 2_500;
 
@@ -50,25 +47,27 @@
         }
         self.paused.set(true);
         let busy = || self.running.get() > 0 || self.taking.get() > 0;
-        let needed = || dispensable.get() > 0 || self.needs_repair.get() || self.lacks_copies();
+        let lacks =
+            || self.needs_repair.get() || self.lacks_copies() || self.is_taking_over() || !self.all_told();
+        let needed = || dispensable.get() > 0 || lacks();
         while (busy() || needed()) && self.clock.ms() < until {
             runtime::sleep(Duration::from_millis(5)).await;
         }
-        let flush = self.clock.ms() + FLUSH;
-        while !self.copiers.borrow().values().all(|copier| copier.is_idle()) && self.clock.ms() < flush {
-            runtime::sleep(Duration::from_millis(2)).await;
-        }
+        self.closing.set(true);
         self.log.write(&[]).await;
         log::info!("stops; {} deliveries under way, needed: {}", self.running.get(), needed());
         self.log_untold();
     }
 
-    /// Which ends other stores hold copies of and haven't been told of: they would be run again by an heir.
+    /// Which ends stores that are there hold copies of and haven't been told of.
     fn log_untold(&self) {
-        let queue = self.queue.borrow();
-        for known in queue.all_owned().filter(|known| !known.untold.is_empty()) {
-            let disks: Vec<String> = known.untold.iter().map(|disk| format!("{disk:016x}")).collect();
-            log::warn!("{}: its end isn't told to disks {}", known.message.id, disks.join(", "));
+        let (queue, present) = (self.queue.borrow(), self.present());
+        for known in queue.all_owned() {
+            let disks = known.untold.intersection(&present).map(|disk| format!("{disk:016x}"));
+            let disks: Vec<String> = disks.collect();
+            if !disks.is_empty() {
+                log::warn!("{}: its end isn't told to disks {}", known.message.id, disks.join(", "));
+            }
         }
     }
 
@@ -122,29 +121,34 @@
         !self.needs_repair.get() && !self.lacks_copies()
     }
 
-    /// The store is to be taken away: it ends what it does, and tells all that others need to know.
-    pub(super) async fn retire(self: Rc<Self>) {
+    /// The store is to be taken away: it ends what it does, and tells all that others need to know. `since_started`: it
+    /// was asked to in the life of this process.
+    pub(super) async fn retire(self: Rc<Self>, since_started: bool) {
         log::info!("retires");
         self.leaving.set(true);
+        if !since_started {
+            // An earlier process may have said that it is idle: the heir may have begun.
+            self.paused.set(true);
+        }
         self.needs_repair.set(true);
         while self.running.get() > self.ordered_running() || self.needs_repair.get() {
             runtime::sleep(Duration::from_millis(10)).await;
         }
         self.paused.set(true);
-        while self.running.get() > 0 || self.taking.get() > 0 || !self.is_whole() || !self.all_told() {
+        let busy = || self.running.get() > 0 || self.taking.get() > 0 || self.is_taking_over();
+        while busy() || !self.is_whole() || !self.all_told() {
             runtime::sleep(Duration::from_millis(10)).await;
         }
         self.idle.set(true);
         log::info!("is idle: others may take over");
     }
 
-    /// Every holder of a copy knows of the end of its message.
+    /// Every holder of a copy that is there has heard all that was to be told, the ends of its messages above all.
     fn all_told(&self) -> bool {
-        let copiers = self.copiers.borrow();
+        let (present, copiers) = (self.present(), self.copiers.borrow());
         let queue = self.queue.borrow();
-        let told = |known: &queue::Known| known.untold.iter().all(|disk| !copiers.contains_key(disk));
-        let all = queue.all_owned().all(told);
-        all && copiers.values().all(|copier| copier.is_idle())
+        let all = queue.all_owned().all(|known| known.untold.is_disjoint(&present));
+        all && present.iter().all(|disk| copiers.get(disk).is_some_and(|copier| copier.is_idle()))
     }
 
     fn ordered_running(&self) -> usize {
@@ -215,22 +219,12 @@
         if !mine || self.leaving.get() {
             return false;
         }
-        let mut open: Vec<String> = given.iter().map(|given| given.message.id.clone()).collect();
-        for decided in custody::decided(&self.queue.borrow(), open.clone()) {
-            open.retain(|id| *id != decided);
-        }
-        for other in view.active().filter(|store| store.disk != self.disk) {
-            let to = SocketAddr::new(other.ip, self.port);
-            let call = Call::Decided { ids: open.clone() };
-            match self.peers.call::<Call, Vec<String>>(to, &call, DECIDED).await {
-                Ok(decided) => {
-                    let decided: BTreeSet<String> = decided.into_iter().collect();
-                    open.retain(|id| !decided.contains(id));
-                }
-                Err(_) if anyway => {}
-                Err(_) => return false,
-            }
+        let mut open = self.not_decided_here(&given);
+        let (decided, all) = self.decided_elsewhere(open.clone(), Patience::Once).await;
+        if !all && !anyway {
+            return false;
         }
+        open.retain(|id| !decided.contains(id));
         let open: BTreeSet<String> = open.into_iter().collect();
         given.retain(|given| open.contains(&given.message.id));
         if !given.is_empty() {
--- a/crates/node/src/store/mod.rs
+++ b/crates/node/src/store/mod.rs
@@ -3,7 +3,10 @@
 //! | module | what it is |
 //! | --- | --- |
 //! | [`log`](mod@log) | records to the ring of files, by a thread of their own |
-//! | [`copies`] | the second copy of each message, and what is said to its holder |
+//! | [`copies`] | copies of each message at other stores |
+//! | [`copier`] | the way to one other store: what it holds, and what it is told |
+//! | [`races`] | messages that an edge gave to several stores |
+//! | [`decided`] | what others know of a message before it is run in another store's place |
 //! | [`preserve`] | copies of what an absent store owned are made whole by those that hold them |
 //! | [`peers`] | what other members ask |
 //! | [`leaving`] | planned stops, retirement, and the return of a store that was given up |
@@ -12,13 +15,16 @@
 //! | [`deliver`] | messages to endpoints |
 //! | [`callbacks`] | call-backs about ends |
 pub mod callbacks;
+pub mod copier;
 pub mod copies;
+pub mod decided;
 pub mod deliver;
 pub mod endpoints;
 pub mod leaving;
 pub mod log;
 pub mod peers;
 pub mod preserve;
+pub mod races;
 pub mod takeover;
 
 use crate::calls::{Custody, Hello, PutAnswer, Refusal, Role};
@@ -69,7 +75,9 @@
     pub queue: RefCell<Queue>,
     /// Recovered messages that other stores were given too, until they are looked after.
     raced: RefCell<Vec<Rc<Message>>>,
-    pub copiers: RefCell<BTreeMap<u64, Rc<copies::Copier>>>,
+    pub copiers: RefCell<BTreeMap<u64, Rc<copier::Copier>>>,
+    /// For each owner the session in which its records are taken.
+    sessions: RefCell<BTreeMap<u64, u64>>,
     pub endpoints: RefCell<endpoints::Endpoints>,
     pub buckets: RefCell<BTreeMap<String, deliver::Bucket>>,
     pub client: Client,
@@ -88,7 +96,7 @@
     /// Copies of each message at other stores: as many as machines may be lost at once.
     pub copies_needed: usize,
     /// Lost stores that are being taken over from, and those that were.
-    pub inheriting: RefCell<BTreeSet<u64>>,
+    pub inheriting: RefCell<BTreeMap<u64, takeover::Inheriting>>,
     pub inherited: RefCell<BTreeSet<u64>>,
     /// Messages that are being copied again.
     pub repairing: RefCell<BTreeSet<String>>,
@@ -109,6 +117,8 @@
     pub leaving: Cell<bool>,
     /// Nothing is delivered or taken any more.
     pub paused: Cell<bool>,
+    /// The last records are written: nothing is kept any more.
+    closing: Cell<bool>,
     last_order: Cell<u64>,
 }
 
@@ -175,6 +185,7 @@
             queue: RefCell::new(queue),
             raced: RefCell::new(raced),
             copiers: RefCell::default(),
+            sessions: RefCell::default(),
             endpoints: RefCell::default(),
             buckets: RefCell::default(),
             client: surroundings.endpoints,
@@ -198,6 +209,7 @@
             not_wanted: RefCell::default(),
             leaving: Cell::new(false),
             paused: Cell::new(false),
+            closing: Cell::new(false),
             settings,
         });
         let (waiting, _, ended, copies) = store.queue.borrow().counts();
@@ -257,27 +269,41 @@
             seen = self.known.changes.get();
             let view = self.known.stores();
             let me = view.get(self.disk);
-            if me.is_some_and(|store| store.retiring) {
-                if !self.retiring.replace(true) {
-                    runtime::spawn(self.clone().retire());
-                }
-            } else if me.is_some_and(|store| store.gone) {
-                if !self.given_up.replace(true) {
-                    runtime::spawn(self.clone().hand_back());
-                }
+            if let Some(store) = me.filter(|store| store.gone) {
+                self.is_given_up(store.retiring);
                 continue;
             }
+            if me.is_some_and(|store| store.retiring) && !self.retiring.replace(true) {
+                runtime::spawn(self.clone().retire(self.acts_by_a_view()));
+            }
             self.keep_copiers(&view);
             self.epoch.set(view.epoch);
             for lost in view.inherited_by(self.disk) {
-                let known = self.inherited.borrow().contains(&lost);
-                if !known && self.inheriting.borrow_mut().insert(lost) {
+                let known =
+                    self.inherited.borrow().contains(&lost) || self.inheriting.borrow().contains_key(&lost);
+                if !known {
+                    self.inheriting.borrow_mut().insert(lost, takeover::Inheriting::Collecting);
                     runtime::spawn(self.clone().take_over(lost));
                 }
             }
         }
     }
 
+    /// Others have taken over from this disk: nothing runs here any more. What only this store has is handed back, unless
+    /// it was retired: then others had all before.
+    fn is_given_up(self: &Rc<Self>, retired: bool) {
+        self.leaving.set(true);
+        self.paused.set(true);
+        if !retired && !self.given_up.replace(true) {
+            runtime::spawn(self.clone().hand_back());
+        }
+    }
+
+    /// Whether this store has heard, since it started, that it is one, and acts by that.
+    pub fn acts_by_a_view(&self) -> bool {
+        self.epoch.get() > 0
+    }
+
     /// Whether this store acts by the newest view that it has heard of: what it has to take over is known.
     pub fn knows_its_part(&self) -> bool {
         let epoch = self.known.stores().epoch;
@@ -299,7 +325,7 @@
             let address = SocketAddr::new(store.ip, self.port);
             copiers
                 .entry(store.disk)
-                .or_insert_with(|| copies::Copier::start(self.clone(), store.disk, address));
+                .or_insert_with(|| copier::Copier::start(self.clone(), store.disk, address));
         }
     }
 
@@ -341,7 +367,11 @@
         }
         let mut entries = Vec::new();
         if let Some(known) = queue.owned(id) {
-            entries.push(Entry::Message { owner: self.disk, message: (*known.message).clone() });
+            let message = |owner: u64| Entry::Message { owner, message: (*known.message).clone() };
+            entries.push(message(self.disk));
+            if known.is_live() {
+                entries.extend(known.kept_for.iter().copied().map(message));
+            }
             if known.attempts > 0 {
                 entries.push(Entry::Failed { id: id.to_string(), attempts: known.attempts });
             }
@@ -352,7 +382,8 @@
                 entries.push(Entry::CalledBack { id: id.to_string() });
             }
         } else if let Some(copy) = queue.copy(id) {
-            entries.push(Entry::Message { owner: copy.owner, message: (*copy.message).clone() });
+            let message = |owner: &u64| Entry::Message { owner: *owner, message: (*copy.message).clone() };
+            entries.extend(copy.owners.iter().map(message));
             entries.push(Entry::Failed { id: id.to_string(), attempts: copy.attempts });
         } else if let Some(end) = queue.end_of(id) {
             entries.push(Entry::Ended(end.clone()));
@@ -439,3 +470,11 @@
 fn encode<T: borsh::BorshSerialize>(answer: &T) -> Vec<u8> {
     borsh::to_vec(answer).expect("writing to memory")
 }
+
+/// How many ids, and the first of them, for the log.
+pub fn some_of(ids: &[String]) -> String {
+    const SHOWN: usize = 5;
+    let first = ids.iter().take(SHOWN).map(String::as_str).collect::<Vec<_>>().join(", ");
+    let more = if ids.len() > SHOWN { ", ..." } else { "" };
+    format!("{} messages ({first}{more})", ids.len())
+}
--- a/crates/node/src/store/peers.rs
+++ b/crates/node/src/store/peers.rs
@@ -33,10 +33,10 @@
         let Ok(call) = borsh::from_slice::<Call>(&bytes) else { return Vec::new() };
         match call {
             Call::Put(message) => encode(&self.put(message).await),
-            Call::Replicate { owner, to, entries } => {
-                encode(&(to == self.disk && self.keep(owner, entries).await))
+            Call::Replicate { owner, to, session, entries } => {
+                encode(&(to == self.disk && self.keep(owner, session, entries).await))
             }
-            Call::Held { owner, to, after } => encode(&self.held(owner, to, &after)),
+            Call::Held { owner, to, session, after } => encode(&self.held(owner, to, session, &after)),
             Call::Fetch { ids } => encode(&self.fetch(&ids)),
             Call::Claim { lost } => encode(&self.claim(lost).await),
             Call::Inherit { lost, after } => encode(&self.inherit(lost, &after)),
@@ -62,12 +62,21 @@
     }
 
     /// Keeps what another store says of its messages; false if that isn't a store any more, or has first to hear what
-    /// is kept here for it.
-    async fn keep(&self, owner: u64, entries: Vec<Entry>) -> bool {
+    /// is kept here for it. A store that is about to stop keeps no more messages, but ends of those that it has.
+    async fn keep(self: &Rc<Self>, owner: u64, session: u64, entries: Vec<Entry>) -> bool {
         self.absences.borrow_mut().heard(owner, self.clock.ms());
-        if self.paused.get() || self.is_refused(owner) || self.absences.borrow().must_reconcile(owner) {
+        if self.is_refused(owner) || self.absences.borrow().must_reconcile(owner) {
             return false;
         }
+        if self.sessions.borrow().get(&owner) != Some(&session) {
+            log::info!("records of disk {owner:016x} come behind its last comparison: refused");
+            return false;
+        }
+        let is_message = |entry: &Entry| matches!(entry, Entry::Message { .. });
+        if self.closing.get() || (self.paused.get() && entries.iter().any(is_message)) {
+            return false;
+        }
+        let entries = self.finish_own(entries);
         let (kept, must_last) = custody::keep(&mut self.queue.borrow_mut(), owner, entries);
         if must_last {
             return self.log.write(&kept).await;
@@ -76,11 +85,30 @@
         true
     }
 
+    /// Ends of messages that are owned here too, because an edge gave them to both stores: those that hold copies for this
+    /// one have to hear of them. Leaves the other records.
+    fn finish_own(self: &Rc<Self>, entries: Vec<Entry>) -> Vec<Entry> {
+        let mut others = Vec::new();
+        for entry in entries {
+            match entry {
+                Entry::Ended(end) if self.queue.borrow().owned(&end.id).is_some() => self.finish(end),
+                other => others.push(other),
+            }
+        }
+        others
+    }
+
     /// A piece of what is here of an owner's messages; nothing if that isn't known as a store.
-    fn held(&self, owner: u64, to: u64, after: &str) -> Option<HeldFor> {
+    fn held(&self, owner: u64, to: u64, session: u64, after: &str) -> Option<HeldFor> {
         if to != self.disk || self.is_refused(owner) {
             return None;
         }
+        // What was sent before is not taken from here on: it would come in behind what is told now.
+        if after.is_empty() {
+            self.sessions.borrow_mut().insert(owner, session);
+        } else if self.sessions.borrow().get(&owner) != Some(&session) {
+            return None;
+        }
         let mut absences = self.absences.borrow_mut();
         absences.heard(owner, self.clock.ms());
         let queue = self.queue.borrow();
@@ -106,19 +134,15 @@
         (piece.given, asked as u64)
     }
 
-    /// Nothing of a lost store is kept from now on, after a restart neither. Tells which messages this store took
-    /// because the lost one gave no clear answer.
-    pub(super) async fn claim(&self, lost: u64) -> Option<Vec<String>> {
-        if self.paused.get() {
-            return None;
+    /// Nothing of a lost store is kept from now on, after a restart neither; false if that can't be said.
+    pub(super) async fn claim(&self, lost: u64) -> bool {
+        if self.closing.get() {
+            return false;
         }
         let known = self.queue.borrow().fenced().contains(&lost);
         self.queue.borrow_mut().fence(lost);
         let fence = [Entry::Fenced { disk: lost }];
-        if !self.log.write(if known { &[] } else { &fence }).await {
-            return None;
-        }
-        Some(self.queue.borrow().taken_from(lost))
+        self.log.write(if known { &[] } else { &fence }).await
     }
 
     /// A piece of the copies that are kept of a lost store, once nothing more comes from it.
@@ -128,6 +152,9 @@
     }
 
     fn claimed(&self, lost: u64) -> bool {
+        if self.closing.get() {
+            return false;
+        }
         let mut queue = self.queue.borrow_mut();
         let ids: Vec<String> = queue.copies_of(lost).map(|copy| copy.message.id.clone()).collect();
         for id in ids {
--- a/crates/node/src/store/preserve.rs
+++ b/crates/node/src/store/preserve.rs
@@ -4,7 +4,7 @@
 //! that: every store that holds a copy sees to it that the stores chosen for the message have one as well. Who owns and
 //! runs the message is decided later, by the stores' view. An owner that returns hears of such copies before anything
 //! more is kept for it, so that none of them outlives the end of its message.
-use super::copies::AWAY;
+use super::copier::AWAY;
 use super::peers::IDS_AT_ONCE;
 use super::Store;
 use crate::calls::Call;
--- a/crates/node/src/store/takeover.rs
+++ b/crates/node/src/store/takeover.rs
@@ -1,9 +1,9 @@
 //! Taking over what a lost store owned: all active stores give what they keep of it, then its messages run here.
-use super::Store;
+use super::decided::Patience;
+use super::{some_of, Store};
 use crate::calls::{Call, Piece};
 use net::runtime;
 use queue::{custody, End, Entry, Given, Message, Stage};
-use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -11,49 +11,70 @@
 const CLAIM: Duration = Duration::from_millis(3_000);
 const PAUSE: Duration = Duration::from_millis(150);
 
+/// How far this store is with taking over from a lost one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Inheriting {
+    /// The others are asked for what they kept.
+    Collecting,
+    /// All is safe here; the others are told to drop what they kept.
+    Releasing,
+}
+
 impl Store {
-    /// Takes over from a lost store: first all others keep nothing for it any more and tell what they took in its
-    /// place, then they give what they kept, piece by piece.
+    /// Takes over from a lost store: first all others keep nothing for it any more, then they give what they kept, piece by
+    /// piece.
     pub async fn take_over(self: Rc<Self>, lost: u64) {
-        let mut taken: BTreeSet<String> = BTreeSet::new();
+        while !self.claim(lost).await {
+            runtime::sleep(PAUSE).await;
+        }
         let mut asked: Vec<u64> = vec![self.disk];
-        let own = loop {
-            match self.claim(lost).await {
-                Some(own) => break own,
-                None => runtime::sleep(PAUSE).await,
-            }
-        };
-        taken.extend(own);
         while let Some(next) = self.next_active(&asked) {
             let to = SocketAddr::new(next.ip, self.port);
-            match self.peers.call::<Call, Option<Vec<String>>>(to, &Call::Claim { lost }, CLAIM).await {
-                Ok(Some(theirs)) => {
-                    taken.extend(theirs);
-                    asked.push(next.disk);
-                }
+            match self.peers.call::<Call, bool>(to, &Call::Claim { lost }, CLAIM).await {
+                Ok(true) => asked.push(next.disk),
                 _ => runtime::sleep(PAUSE).await,
             }
         }
-        // Only now is it known which of them others have taken over already.
         for disk in asked.clone() {
-            self.inherit_from(disk, lost, &taken).await;
+            self.inherit_from(disk, lost).await;
         }
         while self.lacks_copies() {
             self.needs_repair.set(true);
             runtime::sleep(PAUSE).await;
         }
+        self.inheriting.borrow_mut().insert(lost, Inheriting::Releasing);
+        self.work.notify();
         for disk in asked {
-            if let Some(store) = self.known.store(disk) {
-                let to = SocketAddr::new(store.ip, self.port);
-                let _ = self.peers.call::<Call, bool>(to, &Call::Claimed { lost }, CLAIM).await;
-            }
+            self.release(disk, lost).await;
         }
         self.inheriting.borrow_mut().remove(&lost);
         self.inherited.borrow_mut().insert(lost);
-        self.work.notify();
         log::info!("took over from a lost store");
     }
 
+    /// Tells a store that it needn't keep copies for a lost one any more, until it knows or is lost itself: a copy that
+    /// stays would be found again by the next heir.
+    async fn release(&self, disk: u64, lost: u64) {
+        while let Some(store) = self.known.store(disk) {
+            let to = SocketAddr::new(store.ip, self.port);
+            let call = Call::Claimed { lost };
+            if self.peers.call::<Call, bool>(to, &call, CLAIM).await == Ok(true) {
+                return;
+            }
+            runtime::sleep(PAUSE).await;
+        }
+    }
+
+    /// Something of a lost store is still to be taken over, or to be dropped elsewhere.
+    pub fn is_taking_over(&self) -> bool {
+        !self.inheriting.borrow().is_empty()
+    }
+
+    /// Not all is here yet of what lost stores owned.
+    pub fn lacks_inheritance(&self) -> bool {
+        self.inheriting.borrow().values().any(|step| *step == Inheriting::Collecting)
+    }
+
     /// An active store that is not among these.
     fn next_active(&self, asked: &[u64]) -> Option<control::Store> {
         let stores = self.known.stores();
@@ -62,9 +83,9 @@
     }
 
     /// Takes what a store kept of a lost one's messages, piece by piece; less if that store is lost meanwhile.
-    async fn inherit_from(self: &Rc<Self>, disk: u64, lost: u64, taken: &BTreeSet<String>) {
+    async fn inherit_from(self: &Rc<Self>, disk: u64, lost: u64) {
         let mut after = String::new();
-        let mut count = 0;
+        let (mut count, mut decided) = (0, Vec::new());
         loop {
             let piece = match disk == self.disk {
                 true => self.inherit(lost, &after),
@@ -75,36 +96,23 @@
                     self.peers.call::<Call, Option<Piece>>(to, &call, CLAIM).await.unwrap_or(None)
                 }
             };
-            let Some(Piece { mut given, more }) = piece else {
+            let Some(Piece { given, more }) = piece else {
                 runtime::sleep(PAUSE).await;
                 continue;
             };
             count += given.len();
             after = given.last().map_or(after, |given| given.message.id.clone());
-            given.retain(|given| !taken.contains(&given.message.id));
-            self.adopt(given, None).await;
+            let parted = self.part(given, Patience::UntilAnswered).await;
+            decided.extend(parted.elsewhere);
+            self.adopt(parted.open, None).await;
             if !more {
                 break;
             }
         }
         log::info!("{count} messages of a lost store come from disk {disk:016x}");
-    }
-
-    /// Recovered messages that other stores were given too run here once these leave them, or don't answer.
-    pub async fn accept_raced(self: Rc<Self>, raced: Vec<Rc<Message>>) {
-        if raced.is_empty() {
-            return;
-        }
-        // Where the others are has to be known first.
-        while self.known.stores().epoch == 0 {
-            runtime::sleep(PAUSE).await;
-        }
-        log::info!("{} recovered messages may be at other stores too", raced.len());
-        for message in raced {
-            self.taking.set(self.taking.get() + 1);
-            runtime::spawn(self.clone().accept((*message).clone()));
+        if !decided.is_empty() {
+            log::info!("of these others own or know as ended: {}", some_of(&decided));
         }
-        self.needs_repair.set(true);
     }
 
     /// Owns messages from now on, and lets them run; `copy` already holds them.
@@ -115,10 +123,8 @@
         }
         for id in ids {
             let mut queue = self.queue.borrow_mut();
-            let Some(known) = queue.owned_mut(&id) else { continue };
-            known.copies.extend(copy);
-            known.sent.extend(copy);
-            let message = known.message.clone();
+            copy.into_iter().for_each(|disk| queue.copy_kept(&id, disk));
+            let Some(message) = queue.owned(&id).map(|known| known.message.clone()) else { continue };
             if message.also_at.is_empty() {
                 queue.accept(&id);
             } else {
@@ -181,8 +187,7 @@
     /// Stores that may hold a copy of a message.
     pub fn holders(&self, id: &str) -> Vec<u64> {
         let queue = self.queue.borrow();
-        let known = queue.owned(id);
-        known.map_or(Vec::new(), |known| known.copies.union(&known.sent).copied().collect())
+        queue.owned(id).map_or(Vec::new(), |known| known.holders().into_iter().collect())
     }
 
     /// Tells stores a record.
--- a/crates/node/tests/model/machine.rs
+++ b/crates/node/tests/model/machine.rs
@@ -78,6 +78,39 @@
         self.running.as_ref().and_then(|running| running.store.borrow().clone())
     }
 
+    /// Its state, for a report.
+    pub fn describe(&self) -> String {
+        let Some(store) = self.store() else { return format!("{}: removed {}", self.name, self.removed) };
+        let copiers: Vec<String> = store
+            .copiers
+            .borrow()
+            .values()
+            .map(|copier| {
+                format!(
+                    "{:016x} settled {} leaving {}",
+                    copier.disk,
+                    copier.is_settled(),
+                    copier.is_leaving()
+                )
+            })
+            .collect();
+        let untold = store.queue.borrow().all_owned().filter(|known| !known.untold.is_empty()).count();
+        format!(
+            "{} {:016x}: {:?}, leaving {} paused {} needs repair {} lacks {} untold {untold} taking {} running {} inheriting {:x?}; {}",
+            self.name,
+            store.disk,
+            store.queue.borrow().counts(),
+            store.leaving.get(),
+            store.paused.get(),
+            store.needs_repair.get(),
+            store.lacks_copies(),
+            store.taking.get(),
+            store.running.get(),
+            store.inheriting.borrow(),
+            copiers.join(", ")
+        )
+    }
+
     pub fn works(&self, now: Ms) -> bool {
         self.store().is_some() && now >= self.frozen_until && !self.removed
     }
--- a/crates/node/tests/model/mod.rs
+++ b/crates/node/tests/model/mod.rs
@@ -199,9 +199,26 @@
         self.seen.counts = self.endpoints.counts();
         self.seen.given_up = self.control.state.borrow().stores.stores.iter().filter(|s| s.gone).count();
         self.seen.broken = self.endpoints.broken.borrow().clone();
+        if self.seen.broken.is_some() {
+            println!("{}", self.describe());
+        }
         self.seen.clone()
     }
 
+    /// What each machine and the stores' view look like, for a report.
+    fn describe(&self) -> String {
+        let mut lines: Vec<String> = self.machines.iter().map(Machine::describe).collect();
+        let state = self.control.state.borrow();
+        for store in &state.stores.stores {
+            let (gone, heir) = (store.gone, store.heir);
+            let (retiring, emptied) = (store.retiring, store.emptied);
+            let line = format!("view {} {:016x}", store.name, store.disk);
+            lines
+                .push(format!("{line}: gone {gone} heir {heir:016x?} retiring {retiring} emptied {emptied}"));
+        }
+        lines.join("\n")
+    }
+
     fn is_broken(&self) -> bool {
         self.endpoints.broken.borrow().is_some()
     }
@@ -270,6 +287,7 @@
                 machine.kill(&self.simulation, &self.network, true, &mut self.lot);
                 machine.removed = true;
                 self.seen.retired += 1;
+                self.wipe_after_retirement();
             }
         }
     }
@@ -288,6 +306,26 @@
         self.hand_over(id.to_string(), None, 0);
     }
 
+    /// A client sends one message that is due after a time.
+    pub fn send_delayed(&mut self, id: &str, delay: Ms) {
+        self.hand_over(id.to_string(), None, delay);
+    }
+
+    /// A machine is without power for a time; its disk is lost, too, or stays.
+    pub fn power_off(&mut self, i: usize, span: Ms, wiped: bool) {
+        self.kill(i, span, true);
+        if wiped {
+            self.machines[i].memory.wipe();
+        }
+    }
+
+    /// What is broken by now, if every message that was taken has to be done.
+    pub fn broken(&self) -> Option<String> {
+        self.endpoints.check_end();
+        let broken = self.endpoints.broken.borrow().clone();
+        broken
+    }
+
     /// Each begin of a message: when, and by which store.
     pub fn begins(&self, id: &str) -> Vec<(Ms, String)> {
         self.endpoints.begins(id)
--- a/crates/queue/src/custody.rs
+++ b/crates/queue/src/custody.rs
@@ -146,9 +146,8 @@
     for id in held {
         if let Some(end) = queue.end_of(id).cloned() {
             reconciled.ends.push(Entry::Ended(end));
-        } else if let Some(known) = queue.owned_mut(id) {
-            known.copies.insert(holder);
-            known.sent.insert(holder);
+        } else if queue.owned(id).is_some() {
+            queue.copy_kept(id, holder);
         } else {
             reconciled.unknown.push(id.clone());
         }
@@ -181,7 +180,7 @@
 /// Which of an absent owner's messages aren't here, and of which the end isn't known.
 pub fn lacking_of(queue: &Queue, owner: u64, ids: &Ids) -> Vec<String> {
     let held = |id: &str| {
-        let copied = queue.copy(id).is_some_and(|copy| copy.owner == owner);
+        let copied = queue.copy(id).is_some_and(|copy| copy.owners.contains(&owner));
         copied || queue.owned(id).is_some() || queue.end_of(id).is_some()
     };
     let live = ids.live.iter().filter(|id| !held(id));
@@ -247,8 +246,9 @@
     queue.copies_of(owner).map(Given::from).collect()
 }
 
-/// Those of some messages that are owned here, or whose end is known.
+/// Those of some messages that are owned and safe here, or whose end is known: nobody else is to run them.
 pub fn decided(queue: &Queue, mut ids: Vec<String>) -> Vec<String> {
-    ids.retain(|id| queue.owned(id).is_some() || queue.end_of(id).is_some());
+    let is_safe = |id: &str| queue.owned(id).is_some_and(|known| known.stage != Stage::Copying);
+    ids.retain(|id| is_safe(id) || queue.end_of(id).is_some());
     ids
 }
--- a/crates/queue/src/view.rs
+++ b/crates/queue/src/view.rs
@@ -40,6 +40,9 @@
     pub owes_callback: bool,
     /// Disks whose copy doesn't know of the end yet.
     pub untold: BTreeSet<u64>,
+    /// Disks of other stores that were given the message too and count on a copy here: there is one once this store has
+    /// left the message to them.
+    pub kept_for: BTreeSet<u64>,
     /// Where it stands among those of its route that may run.
     place: Option<Place>,
 }
@@ -48,12 +51,23 @@
     fn due_at(&self) -> WallMs {
         self.message.due_at.max(self.not_before)
     }
+
+    /// It has not ended.
+    pub fn is_live(&self) -> bool {
+        !matches!(self.stage, Stage::Ended(_))
+    }
+
+    /// Disks that may hold a copy.
+    pub fn holders(&self) -> BTreeSet<u64> {
+        self.copies.union(&self.sent).copied().collect()
+    }
 }
 
-/// A message that is kept for another store.
+/// A message that is kept for other stores.
 #[derive(Clone, Debug)]
 pub struct Copy {
-    pub owner: u64,
+    /// Disks of the stores that it is kept for: several, if an edge gave the message to several.
+    pub owners: BTreeSet<u64>,
     pub message: Rc<Message>,
     pub attempts: u32,
 }
@@ -61,8 +75,8 @@
 /// The end of a message that is not owned here.
 #[derive(Clone, Debug)]
 struct OthersEnd {
-    /// Who owned it; 0 if that was never known here.
-    owner: u64,
+    /// Who owned it, as far as that was known here.
+    owners: BTreeSet<u64>,
     end: End,
 }
 
@@ -140,9 +154,11 @@
         if self.owned.contains_key(&message.id) || self.ends.contains_key(&message.id) {
             return false;
         }
+        let kept_for = self.copies.get(&message.id).map_or(BTreeSet::new(), |copy| copy.owners.clone());
         self.drop_copy(&message.id);
         self.bytes += message.body.len();
         let known = Known {
+            kept_for,
             owes_callback: message.callback.is_some(),
             stage: Stage::Copying,
             attempts: 0,
@@ -294,20 +310,20 @@
     /// A message has ended. False if it had already, or isn't known.
     pub fn end(&mut self, end: End) -> bool {
         let id = end.id.clone();
-        if let Some(owner) = self.copies.get(&id).map(|copy| copy.owner) {
+        if let Some(owners) = self.copies.get(&id).map(|copy| copy.owners.clone()) {
             self.drop_copy(&id);
-            self.ends.insert(id, OthersEnd { owner, end });
+            self.ends.insert(id, OthersEnd { owners, end });
             return true;
         }
         self.unready(&id);
         let Some(known) = self.owned.get_mut(&id) else {
-            self.ends.entry(id).or_insert(OthersEnd { owner: 0, end });
+            self.ends.entry(id).or_insert(OthersEnd { owners: BTreeSet::new(), end });
             return false;
         };
         if matches!(known.stage, Stage::Ended(_)) {
             return false;
         }
-        known.untold = known.copies.union(&known.sent).copied().collect();
+        known.untold = known.holders();
         let keep_body = end.outcome == Outcome::DeadLetter;
         known.stage = Stage::Ended(end);
         let message = known.message.clone();
@@ -343,13 +359,20 @@
 
     /// Keeps a copy for another store.
     pub fn keep(&mut self, owner: u64, message: Message) {
-        if self.owned.contains_key(&message.id) || self.ends.contains_key(&message.id) {
+        if self.ends.contains_key(&message.id) {
+            return;
+        }
+        if let Some(known) = self.owned.get_mut(&message.id) {
+            known.kept_for.insert(owner);
+            return;
+        }
+        if let Some(copy) = self.copies.get_mut(&message.id) {
+            copy.owners.insert(owner);
             return;
         }
-        let attempts = self.copies.get(&message.id).map_or(0, |copy| copy.attempts);
-        self.drop_copy(&message.id);
         self.bytes += message.body.len();
-        self.copies.insert(message.id.clone(), Copy { owner, message: Rc::new(message), attempts });
+        let (id, owners) = (message.id.clone(), BTreeSet::from([owner]));
+        self.copies.insert(id, Copy { owners, message: Rc::new(message), attempts: 0 });
     }
 
     /// Drops a copy.
@@ -359,14 +382,20 @@
         dropped.is_some()
     }
 
-    /// Drops a copy, if it is one of this owner's.
+    /// A copy isn't kept for this owner any more; it goes if it was kept for nobody else.
     pub fn drop_copy_of(&mut self, owner: u64, id: &str) {
-        if self.copies.get(id).is_some_and(|copy| copy.owner == owner) {
+        if let Some(known) = self.owned.get_mut(id) {
+            known.kept_for.remove(&owner);
+        }
+        let Some(copy) = self.copies.get_mut(id) else { return };
+        copy.owners.remove(&owner);
+        if copy.owners.is_empty() {
             self.drop_copy(id);
         }
     }
 
-    /// Leaves a message that hasn't begun to another store; false if it has begun, or isn't owned here.
+    /// Leaves a message that hasn't begun to another store, and keeps a copy for those that count on one here; false if it
+    /// has begun, or isn't owned here.
     pub fn leave(&mut self, id: &str) -> bool {
         let left = self.owned.get(id).is_some_and(|k| matches!(k.stage, Stage::Copying | Stage::Waiting));
         if !left {
@@ -376,6 +405,9 @@
         if let Some(known) = self.owned.remove(id) {
             self.bytes -= known.message.body.len();
             self.next_of_key(&known.message);
+            for owner in known.kept_for {
+                self.keep(owner, (*known.message).clone());
+            }
         }
         true
     }
@@ -392,9 +424,28 @@
         self.owned.get(id)
     }
 
-    /// The same, to note who holds copies of it.
-    pub fn owned_mut(&mut self, id: &str) -> Option<&mut Known> {
-        self.owned.get_mut(id)
+    /// A copy of a message is about to be sent to a disk. False if none may go out any more: the message has ended, or
+    /// isn't owned here. Whoever is sent a copy is told of the end later, so a copy that goes out after the end would be
+    /// one whose holder never hears of it.
+    pub fn send_copy(&mut self, id: &str, disk: u64) -> bool {
+        let Some(known) = self.owned.get_mut(id).filter(|known| known.is_live()) else { return false };
+        known.sent.insert(disk);
+        true
+    }
+
+    /// A disk has a copy of a message.
+    pub fn copy_kept(&mut self, id: &str, disk: u64) {
+        if let Some(known) = self.owned.get_mut(id) {
+            known.copies.insert(disk);
+            known.sent.insert(disk);
+        }
+    }
+
+    /// Copies of a message count only at these disks.
+    pub fn keep_copies_at(&mut self, id: &str, counts: impl Fn(&u64) -> bool) {
+        if let Some(known) = self.owned.get_mut(id) {
+            known.copies.retain(counts);
+        }
     }
 
     /// A disk holds only these of what is owned here: it has no copy of others, and needn't be told of their ends.
@@ -432,7 +483,7 @@
     /// The same, from the first id after one on.
     pub fn copies_after<'a>(&'a self, owner: u64, after: &str) -> impl Iterator<Item = &'a Copy> {
         let rest = (std::ops::Bound::Excluded(after.to_string()), std::ops::Bound::Unbounded);
-        self.copies.range(rest).map(|(_, copy)| copy).filter(move |copy| copy.owner == owner)
+        self.copies.range(rest).map(|(_, copy)| copy).filter(move |copy| copy.owners.contains(&owner))
     }
 
     /// The end of a message that another store owns or owned.
@@ -448,13 +499,13 @@
     pub fn keep_end(&mut self, owner: u64, end: End) {
         if !self.owned.contains_key(&end.id) {
             self.drop_copy(&end.id);
-            self.ends.insert(end.id.clone(), OthersEnd { owner, end });
+            self.ends.insert(end.id.clone(), OthersEnd { owners: BTreeSet::from([owner]), end });
         }
     }
 
     /// Ends that are known here of another store's messages.
     pub fn ends_of(&self, owner: u64) -> impl Iterator<Item = &End> {
-        self.ends.values().filter(move |others| others.owner == owner).map(|others| &others.end)
+        self.ends.values().filter(move |others| others.owners.contains(&owner)).map(|others| &others.end)
     }
 
     /// Nothing is kept any more for the store with this disk.
