Nothing of an earlier session goes out in the next one; what is kept for others is reported whole

Two more ways of the same class, found by the stores' tests: records that waited for a peer were sent after the next comparison, a copy whose message had been left or had ended meanwhile among them; a store that owns a message itself didn't report that another counts on its copy, so that one's word that it left the message never came.

--- a/crates/node/src/store/copier.rs
+++ b/crates/node/src/store/copier.rs
@@ -138,6 +138,9 @@
     async fn run(self: Rc<Self>, store: Rc<Store>) {
         while !self.ended.get() {
             if !self.settled.get() {
+                // What was to be told in the last session is void: ends that come from now on are told by what the peer
+                // reports, so nothing of before may come in behind that report.
+                self.drop_pending();
                 let settled = self.reconcile(&store).await;
                 self.settled.set(settled);
                 self.collecting.set(false);
--- a/crates/node/src/store/mod.rs
+++ b/crates/node/src/store/mod.rs
@@ -172,10 +172,12 @@
             queue.recover(Entry::Disk(disk));
         }
         let raced = queue.recovered();
+        let started = process.clock.ms();
+        let left = queue.take_left().into_iter().map(|id| (id, started)).collect();
         let settings = process.settings.clone();
         let store = Rc::new(Store {
             clock: process.clock,
-            started: process.clock.ms(),
+            started,
             disk: queue.disk(),
             port: settings.store_port(),
             known: Known::new(settings.seed_ips()),
@@ -206,7 +208,7 @@
             retiring: Cell::new(false),
             idle: Cell::new(false),
             given_up: Cell::new(false),
-            not_wanted: RefCell::default(),
+            not_wanted: RefCell::new(left),
             leaving: Cell::new(false),
             paused: Cell::new(false),
             closing: Cell::new(false),
--- a/crates/node/src/store/peers.rs
+++ b/crates/node/src/store/peers.rs
@@ -115,7 +115,7 @@
         let mut absences = self.absences.borrow_mut();
         absences.heard(owner, self.clock.ms());
         let queue = self.queue.borrow();
-        let mut ids = queue.copies_after(owner, after).map(|copy| copy.message.id.clone());
+        let mut ids = queue.kept_after(owner, after).into_iter().cloned();
         let copies: Vec<String> = ids.by_ref().take(IDS_AT_ONCE).collect();
         let more = ids.next().is_some();
         if !more {
--- a/crates/queue/src/view.rs
+++ b/crates/queue/src/view.rs
@@ -115,6 +115,8 @@
     fenced: BTreeSet<u64>,
     /// Waiting messages by route; of those with a key only the first.
     ready: BTreeMap<String, Ready>,
+    /// Messages that were left to others, as read from the disk.
+    left: BTreeSet<String>,
     /// Messages of a key in the order in which they were taken.
     keys: BTreeMap<String, VecDeque<String>>,
 }
@@ -144,6 +146,7 @@
             Entry::CalledBack { id } => self.called_back(&id),
             Entry::Dropped { owner, id } if owner == self.disk => {
                 self.leave(&id);
+                self.left.insert(id);
             }
             Entry::Dropped { owner, id } => {
                 self.drop_copy_of(owner, &id);
@@ -567,6 +570,20 @@
         self.copies.range(rest).map(|(_, copy)| copy).filter(move |copy| copy.owners.contains(&owner))
     }
 
+    /// Ids of messages that are kept for a store, from the first after one on: copies, and own messages of which there will be
+    /// a copy once they are left to others.
+    pub fn kept_after(&self, owner: u64, after: &str) -> BTreeSet<&String> {
+        let rest = || (std::ops::Bound::Excluded(after.to_string()), std::ops::Bound::Unbounded);
+        let owned = self.owned.range(rest()).filter(|(_, k)| k.is_live() && k.kept_for.contains(&owner));
+        let copies = self.copies.range(rest()).filter(|(_, copy)| copy.owners.contains(&owner));
+        owned.map(|(id, _)| id).chain(copies.map(|(id, _)| id)).collect()
+    }
+
+    /// Messages that were left to other stores before this process started, as far as the log tells.
+    pub fn take_left(&mut self) -> BTreeSet<String> {
+        std::mem::take(&mut self.left)
+    }
+
     /// The end of a message that another store owns or owned.
     pub fn end_of(&self, id: &str) -> Option<&End> {
         match self.owned.get(id).map(|known| &known.stage) {
