--- a/crates/node/src/store/copies.rs
+++ b/crates/node/src/store/copies.rs
@@ -165,28 +165,30 @@
         }
     }
 
-    /// Call-backs that are owed by this store alone are made known to another one, each message together with its end.
+    /// Call-backs that are owed here are made known to as many others as copies are wanted, each message together with
+    /// its end.
     fn copy_owed(&self) {
-        let Some(copier) = self.settled_copiers().into_iter().next() else { return };
-        let mut queue = self.queue.borrow_mut();
-        let entries = |known: &Known| match &known.stage {
-            Stage::Ended(end) => {
-                let message = Entry::Message { owner: self.disk, message: (*known.message).clone() };
-                Some((end.id.clone(), [message, Entry::Ended(end.clone())]))
+        let (present, wanted) = (self.present(), self.copies_wanted());
+        let copiers = self.settled_copiers();
+        let lacking: Vec<Known> = self.queue.borrow().owed_lacking(&present, wanted).cloned().collect();
+        for known in lacking {
+            let Stage::Ended(end) = &known.stage else { continue };
+            let holders = known.holders();
+            let missing = wanted.saturating_sub(holders.intersection(&present).count());
+            let others = copiers.iter().filter(|copier| !holders.contains(&copier.disk));
+            for copier in others.take(missing) {
+                self.queue.borrow_mut().send_ended(&end.id, copier.disk);
+                copier.tell(Entry::Message { owner: self.disk, message: (*known.message).clone() });
+                copier.tell(Entry::Ended(end.clone()));
             }
-            _ => None,
-        };
-        let alone: Vec<_> = queue.owed_alone(&self.present()).filter_map(entries).collect();
-        for (id, entries) in alone {
-            queue.send_ended(&id, copier.disk);
-            entries.into_iter().for_each(|entry| copier.tell(entry));
         }
     }
 
-    /// A message that has not ended is at too few other stores, or its call-back is owed by this one alone.
+    /// A message that has not ended is at too few other stores, or too few of them know that its call-back is owed.
     pub fn lacks_copies(&self) -> bool {
         let (queue, present) = (self.queue.borrow(), self.present());
-        let lacks = custody::lacking_copies(&queue, &present, self.copies_wanted()).next().is_some();
-        lacks || (!present.is_empty() && queue.owed_alone(&present).next().is_some())
+        let wanted = self.copies_wanted();
+        let lacks = custody::lacking_copies(&queue, &present, wanted).next().is_some();
+        lacks || queue.owed_lacking(&present, wanted).next().is_some()
     }
 }
--- a/crates/node/tests/model/machine.rs
+++ b/crates/node/tests/model/machine.rs
@@ -94,17 +94,6 @@
                 )
             })
             .collect();
-        if let Ok(id) = std::env::var("TRACE") {
-            let q = store.queue.borrow();
-            println!(
-                "{} {id}: owned {:?} copy {:?} end {:?} owed {:?}",
-                self.name,
-                q.owned(&id).map(|k| (k.stage.clone(), k.owes_callback, k.holders())),
-                q.copy(&id).map(|c| c.owners.clone()),
-                q.end_of(&id).is_some(),
-                q.owed(&id).map(|o| o.0.clone())
-            );
-        }
         let untold = store.queue.borrow().all_owned().filter(|known| !known.untold.is_empty()).count();
         format!(
             "{} {:016x}: {:?}, leaving {} paused {} needs repair {} lacks {} untold {untold} taking {} running {} inheriting {:x?}; {}",
--- a/crates/queue/src/view.rs
+++ b/crates/queue/src/view.rs
@@ -415,10 +415,14 @@
         self.end(end)
     }
 
-    /// Ended messages whose call-backs are owed here, and that none of these disks knows of.
-    pub fn owed_alone<'a>(&'a self, present: &'a BTreeSet<u64>) -> impl Iterator<Item = &'a Known> {
+    /// Ended messages whose call-backs are owed here, and that fewer of these disks know of than is wanted.
+    pub fn owed_lacking<'a>(
+        &'a self,
+        present: &'a BTreeSet<u64>,
+        wanted: usize,
+    ) -> impl Iterator<Item = &'a Known> {
         let owed = self.owned.values().filter(|known| known.owes_callback && !known.is_live());
-        owed.filter(|known| known.holders().is_disjoint(present))
+        owed.filter(move |known| known.holders().intersection(present).count() < wanted)
     }
 
     /// A disk is about to be sent an ended message together with its end.
