--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -55,6 +55,8 @@
     Retire { name: String, others: usize },
     /// All that a retiring store had is elsewhere.
     Retired(u64),
+    /// All that a lost store had is elsewhere, whole: nothing rests on it any more.
+    Emptied(u64),
 }
 
 /// What changes the state.
@@ -66,6 +68,7 @@
     SharedOut,
     Retiring(u64),
     Retired(u64),
+    Emptied(u64),
 }
 
 /// Why a command changes nothing.
@@ -118,6 +121,10 @@
                 Some(store) if store.retiring && !store.emptied => Ok(vec![Event::Retired(*disk)]),
                 _ => Ok(Vec::new()),
             },
+            Command::Emptied(disk) => match self.stores.get(*disk) {
+                Some(store) if store.gone && !store.emptied => Ok(vec![Event::Emptied(*disk)]),
+                _ => Ok(Vec::new()),
+            },
         }
     }
 
@@ -187,6 +194,7 @@
             Event::SharedOut => self.stores.share_out(),
             Event::Retiring(disk) => self.stores.retire(*disk, false),
             Event::Retired(disk) => self.stores.retire(*disk, true),
+            Event::Emptied(disk) => self.stores.empty(*disk),
         }
     }
 }
--- a/crates/control/src/stores.rs
+++ b/crates/control/src/stores.rs
@@ -19,7 +19,7 @@
     pub heir: Option<u64>,
     /// It is to be emptied and taken away.
     pub retiring: bool,
-    /// All that it had is elsewhere, whole: it may be taken away.
+    /// All that it had is elsewhere, whole: it may be taken away, or was lost and isn't missed any more.
     pub emptied: bool,
 }
 
@@ -118,6 +118,14 @@
         }
     }
 
+    /// All that a lost store had is elsewhere.
+    pub fn empty(&mut self, disk: u64) {
+        if let Some(store) = self.stores.iter_mut().find(|store| store.disk == disk) {
+            store.emptied = true;
+            self.epoch += 1;
+        }
+    }
+
     /// The active store that owns least; of these one of the same name or zone first.
     fn heir_for(&self, disk: u64) -> Option<u64> {
         let lost = self.get(disk)?;
--- a/crates/node/src/control/census.rs
+++ b/crates/node/src/control/census.rs
@@ -1,6 +1,6 @@
 //! Which stores are there: those that ask for news. A disk is lost when another one comes in its place.
 use super::{Changed, Control};
-use crate::calls::{Hello, Role, Seen};
+use crate::calls::{Custody, Hello, Role, Seen};
 use control::{Command, Store, StoreView};
 use net::runtime;
 use std::collections::BTreeMap;
@@ -93,22 +93,35 @@
         }
     }
 
-    /// The next step of a store's retirement: others take over once it is idle, and it may go once all are whole.
-    fn retirement(&self, view: &StoreView, now: u64) -> Option<Command> {
-        let custody = |disk: u64| {
-            self.store(disk).filter(|watcher| now < watcher.at + 2_500).map(|watcher| &watcher.hello.custody)
+    /// What a store that was heard lately says of its messages.
+    fn custody(&self, disk: u64, now: u64) -> Option<&Custody> {
+        self.store(disk).filter(|watcher| now < watcher.at + 2_500).map(|watcher| &watcher.hello.custody)
+    }
+
+    /// Nothing rests on a lost store any more: its heir has taken over, and all stores are whole by the newest view.
+    fn is_empty(&self, lost: &Store, view: &StoreView, now: u64) -> bool {
+        let whole = |store: &Store| {
+            self.custody(store.disk, now).is_some_and(|custody| custody.whole && custody.epoch >= view.epoch)
         };
+        let heir = view.final_heir(lost.disk).and_then(|heir| self.custody(heir, now));
+        let inherited = heir.is_some_and(|custody| custody.inherited.contains(&lost.disk));
+        inherited && view.active().all(whole)
+    }
+
+    /// The next step of a store's retirement, or of the end of a loss: others take over from a retiring store once it is
+    /// idle, and a lost one isn't missed any more once all are whole. That is kept in the state, since the next primary
+    /// hasn't heard the stores that are gone by then.
+    fn emptying(&self, view: &StoreView, now: u64) -> Option<Command> {
         let mut retiring = view.stores.iter().filter(|store| store.retiring && !store.emptied);
-        let store = retiring.next()?;
-        if !store.gone {
-            return custody(store.disk)
-                .filter(|custody| custody.idle)
-                .map(|_| Command::StoreLost(store.disk));
+        if let Some(store) = retiring.next() {
+            if !store.gone {
+                let idle = self.custody(store.disk, now).is_some_and(|custody| custody.idle);
+                return idle.then_some(Command::StoreLost(store.disk));
+            }
+            return self.is_empty(store, view, now).then_some(Command::Retired(store.disk));
         }
-        let whole = |store: &Store| custody(store.disk).is_some_and(|c| c.whole && c.epoch >= view.epoch);
-        let heir = view.final_heir(store.disk).and_then(custody);
-        let inherited = heir.is_some_and(|custody| custody.inherited.contains(&store.disk));
-        (inherited && view.active().all(whole)).then_some(Command::Retired(store.disk))
+        let mut lost = view.stores.iter().filter(|store| store.gone && !store.emptied);
+        lost.find(|store| self.is_empty(store, view, now)).map(|store| Command::Emptied(store.disk))
     }
 
     fn note_losses(&mut self, view: &StoreView, now: u64) {
@@ -132,7 +145,8 @@
             let heir = view.final_heir(lost.disk).and_then(|heir| self.store(heir));
             heir.is_some_and(|heir| heir.hello.custody.inherited.contains(&lost.disk))
         };
-        let lost = view.stores.iter().filter(|lost| lost.gone && !lost.emptied);
+        // A retired store was whole elsewhere before it went.
+        let lost = view.stores.iter().filter(|lost| lost.gone && !lost.emptied && !lost.retiring);
         let open = lost.filter(|lost| since_then(lost) || !taken_over(lost)).count();
         open < tolerance || silent >= LOST_ANYWAY
     }
@@ -158,7 +172,7 @@
             let ready = self.first_store.is_some_and(|first| now >= first + FIRST_STORES);
             return ready.then_some(Command::ShareOut);
         }
-        if let Some(command) = self.retirement(view, now) {
+        if let Some(command) = self.emptying(view, now) {
             return Some(command);
         }
         if now < since + REPLACED {
--- a/crates/node/src/control/census_tests.rs
+++ b/crates/node/src/control/census_tests.rs
@@ -48,6 +48,7 @@
             for (machine, disk) in &self.up {
                 let mut hello = hello(*machine, *disk);
                 hello.custody.leaving = self.leaving == Some(*disk);
+                (hello.custody.whole, hello.custody.epoch) = (!self.heirs_are_slow, self.view.epoch);
                 if !self.heirs_are_slow {
                     hello.custody.inherited = self.view.inherited_by(*disk);
                 }
@@ -66,6 +67,7 @@
                     self.view.lose(disk);
                     lost.push(disk);
                 }
+                Some(Command::Emptied(disk)) => self.view.empty(disk),
                 _ => {}
             }
         }
@@ -221,3 +223,18 @@
     play.up.push((5, 5));
     assert_eq!(play.pass(4_500), [1, 2]);
 }
+
+/// The heir of a lost store goes for good, and the next primary has never heard it: it waited for two minutes, since the
+/// first loss seemed not to be taken over.
+#[test]
+fn a_loss_that_is_made_good_is_none_to_the_next_primary() {
+    let mut play = Play::new(4);
+    play.pass(6_000);
+    play.up.retain(|(_, disk)| *disk != 1);
+    assert_eq!(play.pass(20_000), [1]);
+    assert!(play.view.get(1).unwrap().emptied);
+    let heir = play.view.final_heir(1).unwrap();
+    play.up.retain(|(_, disk)| *disk != heir);
+    play.census = Census::default();
+    assert_eq!(play.pass(20_000), [heir]);
+}
--- a/crates/node/src/store/takeover.rs
+++ b/crates/node/src/store/takeover.rs
@@ -44,13 +44,13 @@
             runtime::sleep(PAUSE).await;
         }
         self.inheriting.borrow_mut().insert(lost, Inheriting::Releasing);
+        self.inherited.borrow_mut().insert(lost);
         self.work.notify();
+        log::info!("took over from a lost store");
         for disk in asked {
             self.release(disk, lost).await;
         }
         self.inheriting.borrow_mut().remove(&lost);
-        self.inherited.borrow_mut().insert(lost);
-        log::info!("took over from a lost store");
     }
 
     /// Tells a store that it needn't keep copies for a lost one any more, until it knows or is lost itself: a copy that
--- a/crates/queue/src/custody.rs
+++ b/crates/queue/src/custody.rs
@@ -3,7 +3,8 @@
 //! Every message is to be on as many other disks as may be lost at once. What follows when a store falls silent, returns
 //! or is given up is decided here from what the queue knows; calls, disks and clocks are the caller's.
 use crate::entry::{End, Entry, Message};
-use crate::view::{Copy, Known, Queue, Stage};
+use crate::others::Copy;
+use crate::view::{Known, Queue, Stage};
 use borsh::{BorshDeserialize, BorshSerialize};
 use std::collections::{BTreeMap, BTreeSet};
 
--- a/crates/queue/src/lib.rs
+++ b/crates/queue/src/lib.rs
@@ -8,16 +8,19 @@
 //! | --- | --- |
 //! | [`custody`] | what is decided about copies at other stores, and about those kept for them |
 //! | [`entry`] | the records |
+//! | `others` | copies, ends and owed call-backs of other stores' messages |
 //! | `ready` | what may run of a route, and in which order |
 //! | [`view`] | the fold, and what may run |
 pub mod custody;
 pub mod entry;
+mod others;
 mod ready;
 pub mod view;
 
 pub use custody::{Given, Owed};
 pub use entry::{End, Entry, Message, Outcome};
-pub use view::{Copy, Known, Queue, Stage};
+pub use others::Copy;
+pub use view::{Known, Queue, Stage};
 
 /// Milliseconds of the wall clock, since 1970.
 pub type WallMs = u64;
--- a/crates/queue/tests/queue.rs
+++ b/crates/queue/tests/queue.rs
@@ -310,3 +310,77 @@
     assert!(queue.end_of("own").is_none());
     assert_eq!(next(&mut queue, 5_000).as_deref(), Some("own"));
 }
+
+/// The cause of an incident: whoever got a copy after the end was never told of it.
+#[test]
+fn no_copy_goes_out_after_the_end_and_whoever_was_sent_one_is_told() {
+    let mut queue = Queue::new(DISK);
+    take(&mut queue, message("a"));
+    assert!(queue.send_copy("a", 5));
+    queue.end(end("a"));
+    assert!(!queue.send_copy("a", 6));
+    assert_eq!(queue.owned("a").unwrap().untold.iter().copied().collect::<Vec<_>>(), [5]);
+    assert!(!queue.send_copy("unknown", 5));
+}
+
+/// An edge gave a message to two stores: one of them kept it for the other too, and left it.
+#[test]
+fn a_message_that_is_left_stays_as_a_copy_for_whoever_counts_on_one() {
+    let mut queue = Queue::new(DISK);
+    take(&mut queue, message("a"));
+    queue.keep(9, message("a"));
+    assert_eq!(queue.kept_after(9, "").len(), 1);
+    assert!(queue.leave("a"));
+    assert_eq!(queue.copies_of(9).count(), 1);
+    queue.drop_copy_of(9, "a");
+    assert!(queue.copy("a").is_none());
+    assert_eq!(queue.bytes(), 0);
+}
+
+#[test]
+fn a_copy_for_two_owners_goes_with_the_last_of_them() {
+    let mut queue = Queue::new(DISK);
+    queue.keep(8, message("a"));
+    queue.keep(9, message("a"));
+    queue.drop_copy_of(9, "a");
+    assert_eq!(queue.copies_of(8).count(), 1);
+    queue.drop_copy_of(8, "a");
+    assert!(queue.copy("a").is_none());
+}
+
+/// A store that was taken away owed call-backs: who held its messages knows of them, and the heir makes them once.
+#[test]
+fn a_call_back_is_owed_by_holders_until_it_is_accepted() {
+    let called = || Message { callback: Some("http://10.0.0.1:1/".to_string()), ..message("a") };
+    let mut queue = Queue::new(DISK);
+    queue.keep(9, called());
+    queue.end(end("a"));
+    assert_eq!(queue.owed_after(9, "").count(), 1);
+    assert!(queue.adopt_owed(called(), end("a")));
+    assert!(!queue.adopt_owed(called(), end("a")));
+    assert!(queue.owned("a").unwrap().owes_callback);
+
+    let mut other = Queue::new(DISK);
+    other.keep(9, called());
+    other.end(end("a"));
+    other.called_back("a");
+    assert_eq!(other.owed_after(9, "").count(), 0);
+    assert!(!other.adopt_owed(called(), end("a")), "it was accepted");
+}
+
+#[test]
+fn what_was_left_and_what_is_owed_are_known_after_a_restart() {
+    let called = || Message { callback: Some("http://10.0.0.1:1/".to_string()), ..message("owed") };
+    let mut queue = Queue::new(DISK);
+    let records = [
+        Entry::Disk(DISK),
+        Entry::Message { owner: DISK, message: message("left") },
+        Entry::Dropped { owner: DISK, id: "left".to_string() },
+        Entry::Message { owner: 9, message: called() },
+        Entry::Ended(end("owed")),
+        Entry::Message { owner: DISK, message: called() },
+    ];
+    records.into_iter().for_each(|record| queue.recover(record));
+    assert_eq!(queue.take_left().into_iter().collect::<Vec<_>>(), ["left"]);
+    assert!(queue.owned("owed").unwrap().owes_callback);
+}
