--- a/crates/node/src/control/census.rs
+++ b/crates/node/src/control/census.rs
@@ -121,7 +121,14 @@
             return self.is_empty(store, view, now).then_some(Command::Retired(store.disk));
         }
         let mut lost = view.stores.iter().filter(|store| store.gone && !store.emptied);
-        lost.find(|store| self.is_empty(store, view, now)).map(|store| Command::Emptied(store.disk))
+        let is_made_good =
+            |store: &Store| self.left_as_planned(store.disk) || self.is_empty(store, view, now);
+        lost.find(|store| is_made_good(store)).map(|store| Command::Emptied(store.disk))
+    }
+
+    /// A store said that it stops, and had others keep what it kept before it went.
+    fn left_as_planned(&self, disk: u64) -> bool {
+        self.store(disk).is_some_and(|watcher| watcher.hello.custody.leaving)
     }
 
     fn note_losses(&mut self, view: &StoreView, now: u64) {
@@ -136,7 +143,7 @@
     /// more disks than are borne are lost with it, of those that were lost since it was heard last and those that their
     /// heirs haven't taken over from yet. Else it may hold the only copy of something, and is waited for.
     fn is_dispensable(&self, store: &Store, view: &StoreView, now: u64, tolerance: usize) -> bool {
-        if self.store(store.disk).is_some_and(|watcher| watcher.hello.custody.leaving) {
+        if self.left_as_planned(store.disk) {
             return true;
         }
         let silent = self.silent(store.disk, now);
--- a/crates/node/src/control/census_tests.rs
+++ b/crates/node/src/control/census_tests.rs
@@ -238,3 +238,19 @@
     play.census = Census::default();
     assert_eq!(play.pass(20_000), [heir]);
 }
+
+/// A store stops as planned and is replaced; its heir goes for good before it took over, and the next primary has heard neither.
+#[test]
+fn a_planned_stop_is_no_loss_to_the_next_primary() {
+    let mut play = Play::new(4);
+    play.pass(6_000);
+    play.leaving = Some(1);
+    play.pass(100);
+    play.up.retain(|(_, disk)| *disk != 1);
+    play.heirs_are_slow = true;
+    assert_eq!(play.pass(20_000), [1]);
+    let heir = play.view.final_heir(1).unwrap();
+    play.up.retain(|(_, disk)| *disk != heir);
+    play.census = Census::default();
+    assert_eq!(play.pass(20_000), [heir]);
+}
