--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -45,7 +45,7 @@
 pub enum Command {
     /// Replace the configuration that has the version `base`.
     Configure { base: u64, body: Vec<u8> },
-    /// A store with this disk is there.
+    /// A store with this disk is there, and says this of itself.
     StoreSeen(Store),
     /// A store's disk is lost.
     StoreLost(u64),
@@ -167,8 +167,7 @@
 
     fn store_seen(&self, store: &Store) -> Vec<Event> {
         match self.stores.get(store.disk) {
-            Some(known) if known.gone => Vec::new(),
-            Some(known) if known.name == store.name && known.ip == store.ip => Vec::new(),
+            Some(known) if known.gone || known.says_the_same(store) => Vec::new(),
             Some(_) => vec![Event::StorePut(store.clone())],
             None => {
                 // Another disk at the same machine: the one before is lost.
--- a/crates/control/src/stores.rs
+++ b/crates/control/src/stores.rs
@@ -17,6 +17,8 @@
     pub gone: bool,
     /// Who takes over what a lost store owned.
     pub heir: Option<u64>,
+    /// It said that it stops as planned, and hasn't been heard as running since: others keep what it kept.
+    pub leaving: bool,
     /// It is to be emptied and taken away.
     pub retiring: bool,
     /// All that it had is elsewhere, whole: it may be taken away, or was lost and isn't missed any more.
@@ -33,6 +35,19 @@
     pub owners: Vec<u64>,
 }
 
+impl Store {
+    /// A store that nothing is known of but what it says of itself.
+    pub fn new(disk: u64, name: String, ip: IpAddr, zone: String, leaving: bool) -> Store {
+        Store { disk, name, ip, zone, gone: false, heir: None, leaving, retiring: false, emptied: false }
+    }
+
+    /// Whether another store that is there says the same of itself.
+    pub fn says_the_same(&self, other: &Store) -> bool {
+        let same_machine = self.name == other.name && self.ip == other.ip && self.zone == other.zone;
+        self.disk == other.disk && same_machine && self.leaving == other.leaving
+    }
+}
+
 impl StoreView {
     /// The store of a disk.
     pub fn get(&self, disk: u64) -> Option<&Store> {
@@ -78,10 +93,13 @@
         gone.filter(|store| self.final_heir(store.disk) == Some(disk)).map(|store| store.disk).collect()
     }
 
-    /// Adds a store, or notes its new address.
+    /// Adds a store, or notes what it says of itself now.
     pub fn put(&mut self, store: Store) {
         match self.stores.iter_mut().find(|known| known.disk == store.disk) {
-            Some(known) => (known.name, known.ip, known.zone) = (store.name, store.ip, store.zone),
+            Some(known) => {
+                (known.name, known.ip, known.zone) = (store.name, store.ip, store.zone);
+                known.leaving = store.leaving;
+            }
             None => self.stores.push(store),
         }
         self.epoch += 1;
--- a/crates/node/src/calls.rs
+++ b/crates/node/src/calls.rs
@@ -18,6 +18,13 @@
     pub custody: Custody,
 }
 
+impl Hello {
+    /// The store that says this of itself.
+    pub fn store(&self) -> control::Store {
+        control::Store::new(self.disk, self.name.clone(), self.ip, self.zone.clone(), self.custody.leaving)
+    }
+}
+
 /// What a store says of its messages.
 #[derive(Clone, Debug, Default, BorshSerialize, BorshDeserialize)]
 pub struct Custody {
--- a/crates/node/src/control/census.rs
+++ b/crates/node/src/control/census.rs
@@ -32,6 +32,9 @@
     at: u64,
 }
 
+/// A store that was heard within this many milliseconds is there.
+const HEARD_LATELY: u64 = 2_000;
+
 /// Who asked for news, and when.
 #[derive(Default)]
 pub struct Census {
@@ -81,11 +84,11 @@
 
     /// How long a store may be silent: less if an empty one came since.
     fn patience(&self, store: &Store, view: &StoreView, now: u64) -> u64 {
-        let Some(watcher) = self.store(store.disk) else { return LOST };
-        let (heard, left) = (watcher.at, watcher.hello.custody.leaving);
+        // A primary that hasn't heard it can't tell who came after it.
+        let heard = self.store(store.disk).map_or(u64::MAX, |watcher| watcher.at);
         let successor = |other: &Store| {
-            let came = self.store(other.disk).is_some_and(|watcher| left || watcher.first > heard);
-            came && self.silent(other.disk, now) < 2_000 && !view.owners.contains(&other.disk)
+            let came = self.store(other.disk).is_some_and(|watcher| store.leaving || watcher.first > heard);
+            came && self.silent(other.disk, now) < HEARD_LATELY && !view.owners.contains(&other.disk)
         };
         match view.active().any(successor) {
             true => REPLACED,
@@ -121,16 +124,10 @@
             return self.is_empty(store, view, now).then_some(Command::Retired(store.disk));
         }
         let mut lost = view.stores.iter().filter(|store| store.gone && !store.emptied);
-        let is_made_good =
-            |store: &Store| self.left_as_planned(store.disk) || self.is_empty(store, view, now);
+        let is_made_good = |store: &Store| store.leaving || self.is_empty(store, view, now);
         lost.find(|store| is_made_good(store)).map(|store| Command::Emptied(store.disk))
     }
 
-    /// A store said that it stops, and had others keep what it kept before it went.
-    fn left_as_planned(&self, disk: u64) -> bool {
-        self.store(disk).is_some_and(|watcher| watcher.hello.custody.leaving)
-    }
-
     fn note_losses(&mut self, view: &StoreView, now: u64) {
         for store in view.stores.iter().filter(|store| store.gone && !store.emptied) {
             // What it had was made whole from when it fell silent on, not from when it was given up.
@@ -143,7 +140,7 @@
     /// more disks than are borne are lost with it, of those that were lost since it was heard last and those that their
     /// heirs haven't taken over from yet. Else it may hold the only copy of something, and is waited for.
     fn is_dispensable(&self, store: &Store, view: &StoreView, now: u64, tolerance: usize) -> bool {
-        if self.left_as_planned(store.disk) {
+        if store.leaving {
             return true;
         }
         let silent = self.silent(store.disk, now);
@@ -158,21 +155,19 @@
         open < tolerance || silent >= LOST_ANYWAY
     }
 
+    /// A store that was heard lately and of which the view doesn't have what it says of itself.
+    fn unknown(&self, view: &StoreView, now: u64) -> Option<Store> {
+        let heard = self.stores().filter(|watcher| now < watcher.at + HEARD_LATELY);
+        let mut heard = heard.map(|watcher| watcher.hello.store());
+        heard
+            .find(|store| view.get(store.disk).is_none_or(|known| !known.gone && !known.says_the_same(store)))
+    }
+
     /// What should change in the view of the stores, where so many disks may be lost at once.
     pub fn wanted(&mut self, view: &StoreView, now: u64, tolerance: usize) -> Option<Command> {
         self.note_losses(view, now);
         let since = *self.since.get_or_insert(now);
-        let unknown = self.stores().filter(|w| now < w.at + 2_000).find(|watcher| {
-            let known = view.get(watcher.hello.disk);
-            known.is_none_or(|store| {
-                !store.gone && (store.ip != watcher.hello.ip || store.name != watcher.hello.name)
-            })
-        });
-        if let Some(watcher) = unknown {
-            let hello = watcher.hello.clone();
-            let Hello { disk, name, ip, zone, .. } = hello;
-            let (gone, heir, retiring, emptied) = (false, None, false, false);
-            let store = Store { disk, name, ip, zone, gone, heir, retiring, emptied };
+        if let Some(store) = self.unknown(view, now) {
             return Some(Command::StoreSeen(store));
         }
         if view.owners.is_empty() {
@@ -185,7 +180,7 @@
         if now < since + REPLACED {
             return None;
         }
-        let alive = view.active().filter(|store| self.silent(store.disk, now) < 2_000).count();
+        let alive = view.active().filter(|store| self.silent(store.disk, now) < HEARD_LATELY).count();
         let lost =
             view.active().find(|store| self.silent(store.disk, now) >= self.patience(store, view, now));
         let lost = lost.filter(|store| alive >= 2 && self.is_dispensable(store, view, now, tolerance));
--- a/crates/node/src/control/census_tests.rs
+++ b/crates/node/src/control/census_tests.rs
@@ -254,3 +254,40 @@
     play.census = Census::default();
     assert_eq!(play.pass(20_000), [heir]);
 }
+
+/// Two stores are replaced as planned, one after the other, and each is heard as stopping only by a primary that goes soon
+/// after: the next one waited for two minutes, since it had heard neither of them.
+#[test]
+fn planned_stops_are_known_to_every_later_primary() {
+    let mut play = Play::new(4);
+    play.pass(6_000);
+    play.heirs_are_slow = true;
+    for disk in [1, 2] {
+        play.up.push((10 + disk as u8, 10 + disk));
+        play.pass(200);
+        play.leaving = Some(disk);
+        play.pass(200);
+        play.up.retain(|(_, up)| *up != disk);
+        play.census = Census::default();
+        play.pass(1_000);
+    }
+    assert_eq!(play.pass(6_000), [1, 2]);
+    assert!(play.view.stores.iter().filter(|store| store.gone).all(|store| store.emptied));
+}
+
+/// A store that comes back after a planned stop is missed like any other from then on, by a later primary too.
+#[test]
+fn a_planned_stop_is_over_once_the_store_is_back() {
+    let mut play = Play::new(4);
+    play.pass(6_000);
+    play.leaving = Some(2);
+    play.pass(200);
+    assert!(play.view.get(2).unwrap().leaving);
+    play.leaving = None;
+    play.pass(200);
+    assert!(!play.view.get(2).unwrap().leaving);
+    play.up.push((5, 5));
+    play.up.retain(|(_, disk)| *disk != 2);
+    play.census = Census::default();
+    assert_eq!(play.pass(10_000), Vec::<u64>::new());
+}
