--- a/crates/control/src/stores.rs
+++ b/crates/control/src/stores.rs
@@ -1,5 +1,6 @@
 //! The stores of a system, by the identity of their disks.
 use borsh::{BorshDeserialize, BorshSerialize};
+use settings::Location;
 use std::net::IpAddr;
 
 /// Keys are shared out by partitions; each has one owner.
@@ -12,7 +13,7 @@
     pub disk: u64,
     pub name: String,
     pub ip: IpAddr,
-    pub zone: String,
+    pub location: Location,
     /// Its disk is lost: nothing that it held is there, and nothing is taken from it.
     pub gone: bool,
     /// Who takes over what a lost store owned.
@@ -37,13 +38,13 @@
 
 impl Store {
     /// A store that nothing is known of but what it says of itself.
-    pub fn new(disk: u64, name: String, ip: IpAddr, zone: String, leaving: bool) -> Store {
-        Store { disk, name, ip, zone, gone: false, heir: None, leaving, retiring: false, emptied: false }
+    pub fn new(disk: u64, name: String, ip: IpAddr, location: Location, leaving: bool) -> Store {
+        Store { disk, name, ip, location, gone: false, heir: None, leaving, retiring: false, emptied: false }
     }
 
     /// Whether another store that is there says the same of itself.
     pub fn says_the_same(&self, other: &Store) -> bool {
-        let same_machine = self.name == other.name && self.ip == other.ip && self.zone == other.zone;
+        let same_machine = self.name == other.name && self.ip == other.ip && self.location == other.location;
         self.disk == other.disk && same_machine && self.leaving == other.leaving
     }
 }
@@ -97,7 +98,7 @@
     pub fn put(&mut self, store: Store) {
         match self.stores.iter_mut().find(|known| known.disk == store.disk) {
             Some(known) => {
-                (known.name, known.ip, known.zone) = (store.name, store.ip, store.zone);
+                (known.name, known.ip, known.location) = (store.name, store.ip, store.location);
                 known.leaving = store.leaving;
             }
             None => self.stores.push(store),
@@ -144,11 +145,12 @@
         }
     }
 
-    /// The active store that owns least; of these one of the same name or zone first.
+    /// The active store that owns least; of these one of the same name first, then the nearest.
     fn heir_for(&self, disk: u64) -> Option<u64> {
         let lost = self.get(disk)?;
         let owned = |store: &Store| self.owners.iter().filter(|owner| **owner == store.disk).count();
         let others = self.staying().filter(|store| store.disk != disk);
-        others.min_by_key(|s| (owned(s), s.name != lost.name, s.zone != lost.zone, s.disk)).map(|s| s.disk)
+        let order = |s: &&Store| (owned(s), s.name != lost.name, s.location.distance(&lost.location), s.disk);
+        others.min_by_key(order).map(|store| store.disk)
     }
 }
--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -1,12 +1,13 @@
 //! Calls over HTTP/1.1, one at a time on each connection; connections are kept.
 use crate::http::{Bounds, Kind, Message, Reader, Response};
+use crate::meter::{Meter, Purpose};
 use crate::repeat::Repeat;
 use crate::runtime::{self, elapsed};
 use crate::socket::{connect, has_bytes_or_ended};
 use bytes::BytesMut;
 use monoio::io::{AsyncReadRent, AsyncWriteRentExt};
 use monoio::net::TcpStream;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::future::Future;
 use std::net::SocketAddr;
@@ -58,9 +59,18 @@
 pub struct Client {
     idle: RefCell<HashMap<SocketAddr, Vec<Kept>>>,
     simulated: Option<Rc<dyn Service>>,
+    /// Under what its calls are counted.
+    purpose: Purpose,
+    /// What calls cost in bytes.
+    pub meter: Meter,
 }
 
 impl Client {
+    /// Its calls are counted under this purpose.
+    pub fn counted_as(purpose: Purpose) -> Client {
+        Client { purpose, ..Client::default() }
+    }
+
     /// Calls go to a service of a test's own.
     pub fn on(service: Rc<dyn Service>) -> Client {
         Client { simulated: Some(service), ..Client::default() }
@@ -108,7 +118,9 @@
             None => connect(to, within.min(CONNECT), SILENCE).await.map_err(|_| CallError::NotSent)?,
         };
         let left = within.saturating_sub(elapsed(started));
-        let answered = runtime::timeout(left, exchange(&mut stream, bytes, identity)).await;
+        let (sent, received) = (bytes.len(), Cell::new(0));
+        let answered = runtime::timeout(left, exchange(&mut stream, bytes, identity, &received)).await;
+        self.meter.note(self.purpose, to.ip(), sent, received.get());
         let response = match answered.unwrap_or(Err(CallError::TimedOut)) {
             Err(CallError::KeptBroke) if !was_kept => return Err(CallError::Broke),
             answered => answered?,
@@ -156,7 +168,12 @@
     Duration::from_secs_f64((seconds * 0.8).clamp(0.0, 60.0))
 }
 
-async fn exchange(stream: &mut TcpStream, request: Vec<u8>, identity: &str) -> Result<Response, CallError> {
+async fn exchange(
+    stream: &mut TcpStream,
+    request: Vec<u8>,
+    identity: &str,
+    received: &Cell<usize>,
+) -> Result<Response, CallError> {
     stream.write_all(request).await.0.map_err(|_| CallError::KeptBroke)?;
     let mut reader = Reader::new(Kind::Response, BOUNDS);
     let mut bytes = BytesMut::new();
@@ -175,6 +192,7 @@
             };
         }
         any = true;
+        received.set(received.get() + count);
         bytes.extend_from_slice(&buffer[..count]);
         loop {
             match reader.next(&mut bytes) {
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -5,6 +5,7 @@
 //! | [`http`] | requests and answers: heads and chunks by `monoio-http`'s decoders, behind stricter checks |
 //! | [`server`] | serves HTTP/1.1 on a listener |
 //! | [`client`] | one call on one connection, and connections that are kept |
+//! | [`meter`] | bytes by peer and purpose |
 //! | [`repeat`] | whether a call may be sent again |
 //! | [`rpc`] | calls between members: numbered frames of `borsh` on one connection a pair |
 //! | [`socket`] | options of sockets |
@@ -12,6 +13,7 @@
 //! | [`wake`] | waking tasks of one thread |
 pub mod client;
 pub mod http;
+pub mod meter;
 pub mod repeat;
 pub mod rpc;
 pub mod runtime;
--- a/crates/net/src/repeat.rs
+++ b/crates/net/src/repeat.rs
@@ -1,4 +1,5 @@
 //! Whether a call may be sent again. Every call says so; what isn't said to be safe is never sent twice here.
+use crate::meter::Purpose;
 
 /// What sending a call again may do.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -18,7 +19,13 @@
     }
 }
 
-/// A call that says whether it may be sent again.
+/// A call that says whether it may be sent again, and what it is for.
 pub trait Repeatable {
+    /// Whether it may be sent again.
     fn repeat(&self) -> Repeat;
+
+    /// Under what its bytes are counted.
+    fn purpose(&self) -> Purpose {
+        "calls"
+    }
 }
--- a/crates/net/src/rpc.rs
+++ b/crates/net/src/rpc.rs
@@ -1,4 +1,5 @@
 //! Calls between members: one connection a pair and direction, frames of length, number and `borsh`.
+use crate::meter::Meter;
 use crate::repeat::Repeatable;
 use crate::runtime::{self, elapsed};
 use crate::socket::{connect, tune};
@@ -72,6 +73,8 @@
     links: RefCell<HashMap<SocketAddr, Rc<Link>>>,
     next: Cell<u64>,
     simulated: Option<Rc<dyn Transport>>,
+    /// What calls cost in bytes.
+    pub meter: Meter,
 }
 
 impl Peers {
@@ -92,12 +95,15 @@
         let begun = runtime::now();
         let answer = self.send(to, &payload, within).await;
         let left = within.saturating_sub(elapsed(begun));
-        let bytes = match answer {
+        let answer = match answer {
             Err(RpcError::Broke) if request.repeat().after_break() && !left.is_zero() => {
-                self.send(to, &payload, left).await?
+                self.send(to, &payload, left).await
             }
-            answer => answer?,
+            answer => answer,
         };
+        let received = answer.as_ref().map_or(0, |bytes| HEAD_BYTES + bytes.len());
+        self.meter.note(request.purpose(), to.ip(), HEAD_BYTES + payload.len(), received);
+        let bytes = answer?;
         A::try_from_slice(&bytes).map_err(|_| RpcError::Broke)
     }
 
--- a/crates/node/src/calls.rs
+++ b/crates/node/src/calls.rs
@@ -1,9 +1,11 @@
 //! What members ask of each other, in `borsh`.
 use borsh::{BorshDeserialize, BorshSerialize};
 use control::StoreView;
+use net::meter::Purpose;
 use net::repeat::{Repeat, Repeatable};
 use queue::custody::{Ids, Preserved};
 use queue::{Body, End, Entry, Given, GivenEnded, HeldIds, Message, Outcome};
+use settings::Location;
 use std::net::IpAddr;
 
 /// Who asks, and which part it has.
@@ -11,7 +13,7 @@
 pub struct Hello {
     pub name: String,
     pub ip: IpAddr,
-    pub zone: String,
+    pub location: Location,
     pub role: Role,
     /// The identity of a store's disk.
     pub disk: u64,
@@ -21,7 +23,13 @@
 impl Hello {
     /// The store that says this of itself.
     pub fn store(&self) -> control::Store {
-        control::Store::new(self.disk, self.name.clone(), self.ip, self.zone.clone(), self.custody.leaving)
+        control::Store::new(
+            self.disk,
+            self.name.clone(),
+            self.ip,
+            self.location.clone(),
+            self.custody.leaving,
+        )
     }
 }
 
@@ -231,4 +239,21 @@
             Call::HandBack { .. } | Call::HandBackEnded { .. } | Call::Leave { .. } => Repeat::SameIdentity,
         }
     }
+
+    fn purpose(&self) -> Purpose {
+        match self {
+            Call::Watch(..) => "news",
+            Call::Put(_) => "messages",
+            Call::Replicate { entries, .. } if entries.is_empty() => "heartbeats",
+            Call::Replicate { entries, .. } if entries.iter().any(Entry::has_message) => "copies",
+            Call::Replicate { .. } => "ends",
+            Call::Find { .. } => "look-ups",
+            Call::Held { .. } | Call::Fetch { .. } | Call::Ends { .. } => "comparisons",
+            Call::Claim { .. } | Call::Claimed { .. } | Call::Inherit { .. } => "take-overs",
+            Call::InheritEnded { .. } | Call::HandBack { .. } | Call::HandBackEnded { .. } => "take-overs",
+            Call::Lacking { .. } | Call::Preserve { .. } => "copies for the absent",
+            Call::Decided { .. } | Call::Leave { .. } | Call::Owns { .. } => "questions",
+            Call::Status | Call::Group(_) | Call::Leaving { .. } | Call::Ping => "others",
+        }
+    }
 }
--- a/crates/node/src/control/census_tests.rs
+++ b/crates/node/src/control/census_tests.rs
@@ -2,13 +2,14 @@
 use super::*;
 use crate::calls::Custody;
 use rstest::rstest;
+use settings::Location;
 use std::net::{IpAddr, Ipv4Addr};
 
 fn hello(machine: u8, disk: u64) -> Hello {
     Hello {
         name: format!("store-{machine}"),
         ip: IpAddr::V4(Ipv4Addr::new(10, 0, 0, machine)),
-        zone: "a".to_string(),
+        location: Location { zone: "a".to_string(), region: "r".to_string() },
         role: Role::Store,
         disk,
         custody: Custody::default(),
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -357,7 +357,7 @@
         let state = &group.durable().state;
         let members = group.view().map_or(Vec::new(), |view| view.members.clone());
         let stores = state.stores.stores.iter().map(|store| {
-            serde_json::json!({"name": store.name, "ip": store.ip.to_string(), "zone": store.zone, "lost": store.gone})
+            serde_json::json!({"name": store.name, "ip": store.ip.to_string(), "zone": store.location.zone, "region": store.location.region, "lost": store.gone})
         });
         let status = serde_json::json!({
             "node": self.process.settings.node_name,
--- a/crates/node/src/edge/mod.rs
+++ b/crates/node/src/edge/mod.rs
@@ -4,6 +4,7 @@
 
 use crate::calls::{Call, Custody, Hello, PutAnswer, Refusal, Role};
 use crate::process::{self, stopped, wall_ms, Process};
+use crate::traffic;
 use crate::watch::{watch, Known};
 use anyhow::Context as _;
 use control::{Store, StoreView};
@@ -14,10 +15,10 @@
 use net::server::{Server, ServerBounds};
 use net::wake::Watched;
 use queue::{Envelope, Message, Outcome};
-use settings::Route;
+use settings::{Location, Route};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -114,6 +115,8 @@
     known: Rc<Known>,
     peers: Rc<Peers>,
     server: Rc<Server>,
+    /// Where this process stands.
+    location: Location,
     leaving: Cell<bool>,
     /// Which stores don't answer.
     health: Rc<Health>,
@@ -155,6 +158,7 @@
             known: Known::new(process.settings.seed_ips()),
             peers: Rc::new(peers),
             server: Server::new(bounds(&settings::Limits::default())),
+            location: process.settings.location(),
             leaving: Cell::new(false),
             health: Rc::new(Health::default()),
             turn: Cell::new(runtime::unique() as usize % 1_000),
@@ -169,7 +173,7 @@
         let hello = Hello {
             name: settings.node_name.clone(),
             ip: settings.own_ip(),
-            zone: settings.zone.clone(),
+            location: settings.location(),
             role: Role::Edge,
             disk: 0,
             custody: Custody::default(),
@@ -182,9 +186,22 @@
             settings.seed_ips(),
         ));
         runtime::spawn(self.health.clone().ask_suspects(self.peers.clone()));
+        runtime::spawn(self.clone().log_traffic());
         runtime::spawn(self.follow_limits());
     }
 
+    async fn log_traffic(self: Rc<Self>) {
+        loop {
+            runtime::sleep(traffic::LOG_EVERY).await;
+            let stores = self.known.stores();
+            let distance = |ip: IpAddr| {
+                let store = stores.stores.iter().find(|store| store.ip == ip);
+                store.map(|store| self.location.distance(&store.location))
+            };
+            traffic::log(&traffic::add_up(&[&self.peers.meter], distance));
+        }
+    }
+
     async fn follow_limits(self: Rc<Self>) {
         let mut seen = 0;
         loop {
@@ -374,7 +391,7 @@
         });
     }
 
-    /// The owner of an ordered message's key; else the stores of this zone, then others. A suspect gets nothing:
+    /// The owner of an ordered message's key; else the stores by their distance, those equally near by turns. A suspect gets nothing:
     /// what it would be given might be lost or not, and the client couldn't be told to come again.
     fn candidates(&self, message: &Message, stores: &StoreView) -> Vec<Store> {
         let suspected = |store: &Store| {
@@ -389,7 +406,7 @@
         let mut sound: Vec<Store> = stores.staying().filter(|store| !suspected(store)).cloned().collect();
         let count = sound.len().max(1);
         sound.rotate_left(turn % count);
-        sound.sort_by_key(|store| store.zone != self.process.settings.zone);
+        sound.sort_by_key(|store| store.location.distance(&self.location));
         sound
     }
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -9,6 +9,7 @@
 //! | [`store`] | keeps messages on disk, in two places, and delivers them |
 //! | [`demo`] | the whole system on loopback, with stand-ins for all around it |
 //! | [`tools`] | what operators run by hand |
+//! | [`traffic`] | bytes by purpose and distance, for the log and the status |
 //! | [`control`] | the control group: the operator's API, the list of endpoints, who is there |
 pub mod calls;
 pub mod control;
@@ -18,4 +19,5 @@
 pub mod process;
 pub mod store;
 pub mod tools;
+pub mod traffic;
 pub mod watch;
--- a/crates/node/src/store/callbacks.rs
+++ b/crates/node/src/store/callbacks.rs
@@ -3,6 +3,7 @@
 use crate::edge::end_json;
 use net::client::Client;
 use net::http::encode_request;
+use net::meter::Meter;
 use net::repeat::Repeat;
 use net::runtime;
 use queue::{Entry, Outcome};
@@ -54,6 +55,11 @@
         Callbacks { client, receivers: RefCell::default() }
     }
 
+    /// What call-backs cost in bytes.
+    pub fn meter(&self) -> &Meter {
+        &self.client.meter
+    }
+
     /// Owes a call-back.
     pub fn push(&self, store: Rc<Store>, url: &str, id: &str, outcome: &Outcome) {
         let Some((address, target)) = parse(url) else {
--- a/crates/node/src/store/copies.rs
+++ b/crates/node/src/store/copies.rs
@@ -4,7 +4,9 @@
 use net::runtime;
 use net::wake::Watched;
 use queue::custody;
-use queue::{Entry, Message};
+use queue::{Entry, Message, Placement, Tolerance};
+use settings::process::FaultTolerance;
+use settings::{Distance, Location, ProcessSettings};
 use std::cell::Cell;
 use std::collections::BTreeSet;
 use std::rc::Rc;
@@ -21,27 +23,34 @@
     changed: Watched,
 }
 
-/// Puts stores in the order in which they are asked: those that aren't late first, then those at the wanted place, a
-/// different one first each turn. Whether one is late changes by the clock, so that it is asked once for each.
+/// Puts stores in the order in which they are asked: those that aren't late first, then the nearest, of those equally near
+/// a different one first each turn. Whether one is late changes by the clock, so that it is asked once for each.
 pub fn in_preference<T>(
     stores: &mut [T],
     turn: usize,
     late: impl Fn(&T) -> bool,
-    wanted: impl Fn(&T) -> bool,
+    distance: impl Fn(&T) -> Distance,
 ) {
     let count = stores.len().max(1);
     stores.rotate_left(turn % count);
-    stores.sort_by_cached_key(|store| (late(store), !wanted(store)));
+    stores.sort_by_cached_key(|store| (late(store), distance(store)));
+}
+
+/// What the settings say may be lost at once.
+pub fn tolerance(settings: &ProcessSettings) -> Tolerance {
+    let FaultTolerance { machines, zones, regions } = settings.tolerance;
+    Tolerance { machines: machines as usize, zones: zones as usize, regions: regions as usize }
 }
 
 impl Store {
     /// Copies a message until as many other stores have it as are wanted, and to another where one doesn't answer soon.
-    pub async fn copy_enough(self: &Rc<Self>, id: &str, entry: &Entry, wanted: fn(&Store) -> usize) {
+    pub async fn copy_enough(self: &Rc<Self>, id: &str, entry: &Entry, placement: fn(&Store) -> Placement) {
         let answers = Rc::new(Answers::default());
         let mut asked: Vec<u64> = Vec::new();
         loop {
             let seen = answers.changed.get();
-            let missing = self.missing_copies(id, wanted(self));
+            let placement = placement(self);
+            let missing = self.missing_copies(id, &placement);
             if missing == 0 {
                 return;
             }
@@ -51,7 +60,7 @@
                 .settled_copiers()
                 .into_iter()
                 .filter(|copier| !asked.contains(&copier.disk) && !self.has_copy(id, copier.disk));
-            let candidates: Vec<_> = candidates.take(more).collect();
+            let candidates = placement.choose(candidates.collect(), |c| c.disk, &self.copies_of(id), more);
             if more > 0 && candidates.is_empty() && answers.open.get() == 0 {
                 runtime::sleep(PAUSE).await;
                 asked.clear();
@@ -68,10 +77,15 @@
     }
 
     /// How many copies a message needs beyond those that count; none once it has ended.
-    pub fn missing_copies(&self, id: &str, wanted: usize) -> usize {
+    pub fn missing_copies(&self, id: &str, placement: &Placement) -> usize {
         let queue = self.queue.borrow();
-        let Some(owned) = queue.owned(id).filter(|owned| owned.is_live()) else { return 0 };
-        wanted.saturating_sub(owned.copies_among(&self.present()))
+        let live = queue.owned(id).filter(|owned| owned.is_live());
+        live.map_or(0, |owned| placement.missing(&owned.copies))
+    }
+
+    /// Disks of other stores that have a message of this one.
+    fn copies_of(&self, id: &str) -> BTreeSet<u64> {
+        self.queue.borrow().owned(id).map_or_else(BTreeSet::new, |owned| owned.copies.clone())
     }
 
     fn has_copy(&self, id: &str, disk: u64) -> bool {
@@ -84,11 +98,35 @@
         copiers.values().filter(|copier| !copier.is_away(now)).map(|copier| copier.disk).collect()
     }
 
-    /// Copies that each message should have at other stores: as many as may be lost at once, and one more in the place
-    /// of this store's own while it is about to go. No more than there are stores.
-    pub fn copies_wanted(&self) -> usize {
-        let wanted = self.copies_needed + usize::from(self.leaving.get());
-        wanted.min(self.present().len())
+    /// What the stores that are there to stay can't give of the tolerance.
+    pub fn unmet_tolerance(&self) -> Option<String> {
+        let view = self.known.stores();
+        let locations: Vec<&Location> = view.staying().map(|store| &store.location).collect();
+        self.tolerance.unmet(&locations)
+    }
+
+    /// Where the copies of a message have to be before it is taken.
+    pub fn placement_to_take(&self) -> Placement {
+        self.placement_of(self.tolerance.copies())
+    }
+
+    /// Where the copies of each message should be: at as many other stores as may be lost at once, and at one more in the
+    /// place of this store's own while it is about to go. No more than there are stores.
+    pub fn placement(&self) -> Placement {
+        let wanted = self.tolerance.copies() + usize::from(self.leaving.get());
+        self.placement_of(wanted.min(self.present().len()))
+    }
+
+    fn placement_of(&self, copies: usize) -> Placement {
+        let present = self.present();
+        if !self.tolerance.needs_spread() {
+            return Placement::anywhere(present, copies);
+        }
+        let view = self.known.stores();
+        let staying = view.staying().filter(|store| present.contains(&store.disk));
+        let locations = staying.map(|store| (store.disk, store.location.clone())).collect();
+        let own = (!self.leaving.get()).then(|| self.location.clone());
+        Placement::anywhere(present, copies).with_spread(self.tolerance, locations, own)
     }
 
     fn copy_to(self: &Rc<Self>, copier: &Rc<Copier>, id: &str, entry: &Entry, answers: &Rc<Answers>) {
@@ -124,17 +162,18 @@
         let mut settled: Vec<_> = there.cloned().collect();
         let turn = self.turn.get();
         self.turn.set(turn + 1);
-        // Bytes between zones cost; where a zone may be lost, the copy has to be in another.
-        let elsewhere = self.settings.tolerance.zones > 0;
-        let here = |disk: u64| view.get(disk).is_some_and(|store| store.zone == self.settings.zone);
-        in_preference(&mut settled, turn, |copier| copier.is_late(), |copier| here(copier.disk) != elsewhere);
+        let distance = |copier: &Rc<Copier>| {
+            let store = view.get(copier.disk);
+            store.map_or(Distance::Beyond, |store| self.location.distance(&store.location))
+        };
+        in_preference(&mut settled, turn, |copier| copier.is_late(), distance);
         settled
     }
 
     async fn copy_again(self: Rc<Self>, id: String, entry: Entry) {
         let copiers = self.copiers.borrow().clone();
         self.queue.borrow_mut().keep_copies_at(&id, |disk| copiers.contains_key(disk));
-        self.copy_enough(&id, &entry, Store::copies_wanted).await;
+        self.copy_enough(&id, &entry, Store::placement).await;
         self.repairing.borrow_mut().remove(&id);
     }
 
@@ -149,8 +188,8 @@
         self.needs_repair.set(false);
         let lacking: Vec<(String, Entry)> = {
             let (queue, mut repairing) = (self.queue.borrow(), self.repairing.borrow_mut());
-            let (present, wanted) = (self.present(), self.copies_wanted());
-            let lacking = custody::lacking_copies(&queue, &present, wanted);
+            let placement = self.placement();
+            let lacking = custody::lacking_copies(&queue, &placement);
             let lacking = lacking.filter_map(|owned| owned.live_message());
             let lacking = lacking.filter(|message| repairing.insert(message.id().to_string()));
             let entry = |message: &Message| Entry::Message { owner: self.disk, message: message.clone() };
@@ -167,8 +206,8 @@
 
     /// A message that has not ended is at too few other stores.
     pub fn lacks_live_copies(&self) -> bool {
-        let (queue, present) = (self.queue.borrow(), self.present());
-        let lacks = custody::lacking_copies(&queue, &present, self.copies_wanted()).next().is_some();
+        let (queue, placement) = (self.queue.borrow(), self.placement());
+        let lacks = custody::lacking_copies(&queue, &placement).next().is_some();
         lacks
     }
 
--- a/crates/node/src/store/deliver.rs
+++ b/crates/node/src/store/deliver.rs
@@ -9,7 +9,7 @@
 use policy::api::Outcome as Told;
 use queue::{End, Entry, Envelope, Outcome};
 use settings::{Configuration, Route};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -114,6 +114,7 @@
 /// Takes each new list and configuration; messages whose route was dropped end.
 async fn follow(store: Rc<Store>) {
     let mut seen = 0;
+    let mut unknown_zones = BTreeSet::new();
     loop {
         let changes = store.known.changes.changed(seen);
         let _ = runtime::timeout(Duration::from_millis(1_000), changes).await;
@@ -121,7 +122,17 @@
             seen = store.known.changes.get();
             let configuration = store.known.configuration();
             let senders = store.known.stores().active().count();
-            store.endpoints.borrow_mut().update(&configuration, &store.known.endpoints(), senders);
+            let (list, topology) = (store.known.endpoints(), &store.settings.topology);
+            for endpoint in list.iter().filter(|endpoint| !topology.knows(&endpoint.zone)) {
+                if unknown_zones.insert(endpoint.zone.clone()) {
+                    log::warn!(
+                        "the zone {:?} of endpoint {} is not among Zones of the settings, so it counts as far: add it",
+                        endpoint.zone,
+                        endpoint.id
+                    );
+                }
+            }
+            store.endpoints.borrow_mut().update(&configuration, &list, topology, senders);
         }
         store.end_what_is_over();
         let endpoints = &store.endpoints;
@@ -187,7 +198,7 @@
         loop {
             let due = self.queue.borrow_mut().next(&route.name, now, |envelope| self.may_run(envelope, now));
             let Some(id) = due else { return now + IDLE };
-            let picked = self.endpoints.borrow().pick(&route.service, &self.settings.zone, steady);
+            let picked = self.endpoints.borrow().pick(&route.service, &self.location, steady);
             let Some(endpoint) = picked else {
                 let next = self.endpoints.borrow().next_try(&route.service, steady);
                 return next.map_or(now + IDLE, |at| now + (at - steady));
--- a/crates/node/src/store/ended.rs
+++ b/crates/node/src/store/ended.rs
@@ -25,8 +25,8 @@
 impl Store {
     /// Something is owed of a message that has ended, and too few other stores hold it.
     pub fn lacks_ended_copies(&self) -> bool {
-        let (queue, present) = (self.queue.borrow(), self.present());
-        let lacks = custody::lacking_ended(&queue, &present, self.copies_wanted()).next().is_some();
+        let (queue, placement) = (self.queue.borrow(), self.placement());
+        let lacks = custody::lacking_ended(&queue, &placement).next().is_some();
         lacks
     }
 
@@ -70,14 +70,15 @@
 
     /// Messages that lack copies, as many as one batch takes, and to which stores each may go.
     fn ended_batch(&self) -> Vec<(GivenEnded, Vec<Rc<Copier>>)> {
-        let (present, wanted) = (self.present(), self.copies_wanted());
+        let placement = self.placement();
         let copiers = self.settled_copiers();
         let queue = self.queue.borrow();
         let (mut batch, mut bytes) = (Vec::new(), 0);
-        for owned in custody::lacking_ended(&queue, &present, wanted).take(MOST_AT_ONCE) {
-            let missing = wanted.saturating_sub(owned.copies_among(&present));
+        for owned in custody::lacking_ended(&queue, &placement).take(MOST_AT_ONCE) {
+            let missing = placement.missing(&owned.copies);
             let others = copiers.iter().filter(|copier| !owned.copies.contains(&copier.disk));
-            let to: Vec<Rc<Copier>> = others.take(missing).cloned().collect();
+            let to =
+                placement.choose(others.cloned().collect(), |c: &Rc<Copier>| c.disk, &owned.copies, missing);
             bytes += owned.body_bytes() * to.len();
             batch.extend(custody::given_ended(owned).map(|given| (given, to)));
             if bytes >= PIECE_BYTES {
--- a/crates/node/src/store/endpoints.rs
+++ b/crates/node/src/store/endpoints.rs
@@ -2,9 +2,9 @@
 use crate::calls;
 use policy::admission::{Admission, ClassDeadline};
 use policy::api::Outcome;
-use settings::{Configuration, Service};
+use settings::{Configuration, Distance, Location, Service, Topology};
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 
 /// Slots of an endpoint that hasn't told them yet.
 const UNTOLD_SLOTS: usize = 16;
@@ -21,7 +21,8 @@
     pub address: SocketAddr,
     /// Its incarnation, where it is on a list.
     pub id: Option<String>,
-    pub zone: String,
+    /// Where it stands, if it is on a list: others are outside, as near as any.
+    location: Option<Location>,
     pub in_flight: usize,
     /// Calls that it accepts from this sender at the most.
     connections: usize,
@@ -40,6 +41,10 @@
         !self.leaving && now >= self.avoid_until && self.in_flight < most
     }
 
+    fn distance(&self, from: &Location) -> Distance {
+        self.location.as_ref().map_or(Distance::SameZone, |location| from.distance(location))
+    }
+
     fn room(&self) -> f64 {
         let taken = (self.in_flight + self.others) as f64;
         taken / self.admission.slots().max(1) as f64
@@ -56,7 +61,13 @@
 
 impl Endpoints {
     /// Takes a new list and a new configuration; what was learned of endpoints that stay is kept.
-    pub fn update(&mut self, configuration: &Configuration, list: &[calls::Endpoint], senders: usize) {
+    pub fn update(
+        &mut self,
+        configuration: &Configuration,
+        list: &[calls::Endpoint],
+        topology: &Topology,
+        senders: usize,
+    ) {
         let mut before = std::mem::take(&mut self.services);
         self.classes.clear();
         for service in &configuration.services {
@@ -67,7 +78,7 @@
             self.classes
                 .insert(service.name.clone(), routes.iter().map(|route| route.name.clone()).collect());
             let old = before.remove(&service.name).unwrap_or_default();
-            let endpoints = wanted(service, list, old, &classes, senders);
+            let endpoints = wanted(service, list, topology, old, &classes, senders);
             self.services.insert(service.name.clone(), endpoints);
         }
     }
@@ -78,11 +89,11 @@
         classes.and_then(|classes| classes.iter().position(|name| name == route)).unwrap_or(usize::MAX)
     }
 
-    /// An endpoint of the service that may take a message: of this zone before others, those with most room first.
-    pub fn pick(&self, service: &str, zone: &str, now: u64) -> Option<usize> {
+    /// An endpoint of the service that may take a message: the nearest to `from`, of these the one with most room.
+    pub fn pick(&self, service: &str, from: &Location, now: u64) -> Option<usize> {
         let endpoints = self.services.get(service)?;
         let free = endpoints.iter().enumerate().filter(|(_, endpoint)| endpoint.may_take(now));
-        let order = |e: &Endpoint| (e.zone != zone && !e.zone.is_empty(), e.room());
+        let order = |e: &Endpoint| (e.distance(from), e.room());
         let best = free.min_by(|(_, a), (_, b)| {
             let (a, b) = (order(a), order(b));
             a.0.cmp(&b.0).then(a.1.total_cmp(&b.1))
@@ -159,6 +170,13 @@
         self.services.values().flatten().any(|endpoint| endpoint.address == *address)
     }
 
+    /// How far an endpoint at this address is, if it is on the list.
+    pub fn distance_of(&self, ip: IpAddr, from: &Location) -> Option<Distance> {
+        let mut all = self.services.values().flatten();
+        let endpoint = all.find(|endpoint| endpoint.address.ip() == ip);
+        endpoint.and_then(|endpoint| endpoint.location.as_ref()).map(|location| from.distance(location))
+    }
+
     /// For an operator's tool: address, cap, in flight, failures.
     pub fn show(&self) -> Vec<serde_json::Value> {
         let show = |(service, e): (&String, &Endpoint)| {
@@ -186,40 +204,44 @@
 fn wanted(
     service: &Service,
     list: &[calls::Endpoint],
+    topology: &Topology,
     mut old: Vec<Endpoint>,
     classes: &[ClassDeadline],
     senders: usize,
 ) -> Vec<Endpoint> {
     let connections = (service.max_connections as usize / senders.max(1)).max(1);
     let mut endpoints = Vec::new();
-    let mut add =
-        |address: SocketAddr, id: Option<String>, zone: String, slots: Option<usize>, leaving: bool| {
-            let known =
-                old.iter().position(|e| e.address == address && e.id == id).map(|i| old.swap_remove(i));
-            let mut endpoint = known.unwrap_or_else(|| Endpoint {
-                address,
-                id,
-                zone,
-                in_flight: 0,
-                connections,
-                admission: Admission::new(slots.unwrap_or(UNTOLD_SLOTS), classes),
-                leaving,
-                failures: 0,
-                avoid_until: 0,
-                others: 0,
-            });
-            let slots = slots.unwrap_or(endpoint.admission.slots());
-            endpoint.admission.change(slots, classes);
-            (endpoint.leaving, endpoint.connections) = (leaving, connections);
-            endpoints.push(endpoint);
-        };
+    let mut add = |address: SocketAddr,
+                   id: Option<String>,
+                   location: Option<Location>,
+                   slots: Option<usize>,
+                   leaving: bool| {
+        let known = old.iter().position(|e| e.address == address && e.id == id).map(|i| old.swap_remove(i));
+        let mut endpoint = known.unwrap_or_else(|| Endpoint {
+            address,
+            id,
+            location,
+            in_flight: 0,
+            connections,
+            admission: Admission::new(slots.unwrap_or(UNTOLD_SLOTS), classes),
+            leaving,
+            failures: 0,
+            avoid_until: 0,
+            others: 0,
+        });
+        let slots = slots.unwrap_or(endpoint.admission.slots());
+        endpoint.admission.change(slots, classes);
+        (endpoint.leaving, endpoint.connections) = (leaving, connections);
+        endpoints.push(endpoint);
+    };
     if let Some(address) = service.pinned.as_ref().and_then(|address| address.parse().ok()) {
-        add(address, None, String::new(), None, false);
+        add(address, None, None, None, false);
     }
     for entry in list.iter().filter(|entry| entry.service == service.name) {
         if let Ok(address) = entry.address.parse() {
             let slots = Some(entry.capacity.max(1) as usize);
-            add(address, Some(entry.id.clone()), entry.zone.clone(), slots, entry.draining);
+            let location = Some(topology.locate(&entry.zone));
+            add(address, Some(entry.id.clone()), location, slots, entry.draining);
         }
     }
     // Those that are gone stay until their calls have ended.
--- a/crates/node/src/store/leaving.rs
+++ b/crates/node/src/store/leaving.rs
@@ -272,7 +272,7 @@
         let ids: Vec<String> = given.iter().map(|given| given.message.id().to_string()).collect();
         self.adopt(given, None).await;
         let until = self.clock.ms() + SAFE_WITHIN;
-        let is_safe = |id: &String| self.missing_copies(id, self.copies_wanted()) == 0;
+        let is_safe = |id: &String| self.missing_copies(id, &self.placement()) == 0;
         while !ids.iter().all(is_safe) && self.clock.ms() < until {
             runtime::sleep(Duration::from_millis(20)).await;
         }
--- a/crates/node/src/store/mod.rs
+++ b/crates/node/src/store/mod.rs
@@ -33,6 +33,7 @@
 
 use crate::calls::{Custody, Hello, PutAnswer, Refusal, Role};
 use crate::process::{self, stopped, Clock, Process};
+use crate::traffic;
 use crate::watch::{watch, Known};
 use anyhow::Context as _;
 use futures_channel::oneshot;
@@ -41,12 +42,12 @@
 use net::rpc::{serve, Peers};
 use net::runtime;
 use net::wake::Notify;
-use queue::{custody, Entry, Message, Queue};
+use queue::{custody, Entry, Message, Queue, Tolerance};
 use races::LeftBecause;
-use settings::ProcessSettings;
+use settings::{Location, ProcessSettings};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::path::Path;
 use std::rc::Rc;
 use std::time::Duration;
@@ -98,8 +99,10 @@
     /// Bytes of messages that are owned and not ended, about.
     pub turn: Cell<usize>,
     pub needs_repair: Cell<bool>,
-    /// Copies of each message at other stores: as many as machines may be lost at once.
-    pub copies_needed: usize,
+    /// Where this store stands.
+    pub location: Location,
+    /// What may be lost at once.
+    pub tolerance: Tolerance,
     /// Lost stores that are being taken over from, and those that were.
     pub inheriting: RefCell<BTreeMap<u64, takeover::Inheriting>>,
     pub inherited: RefCell<BTreeSet<u64>>,
@@ -143,8 +146,11 @@
     let mut queue = Queue::default();
     let shape = log::shape(process.settings.limits.disk_mb);
     let log = log::Log::open(Path::new(&folder), shape, &mut |entry| queue.recover(entry))?;
-    let surroundings =
-        Surroundings { peers: Peers::default(), endpoints: Client::default(), receivers: Client::default() };
+    let surroundings = Surroundings {
+        peers: Peers::default(),
+        endpoints: Client::counted_as("deliveries"),
+        receivers: Client::counted_as("call-backs"),
+    };
     let store = Store::open(&process, queue, log, surroundings).await?;
     let listener = TcpListener::bind(SocketAddr::new(store.settings.own_ip(), store.port))
         .context("the members' port is taken; free it")?;
@@ -209,7 +215,8 @@
             taking: Cell::new(0),
             turn: Cell::new(0),
             needs_repair: Cell::new(true),
-            copies_needed: settings.tolerance.machines.max(1) as usize,
+            location: settings.location(),
+            tolerance: copies::tolerance(&settings),
             inheriting: RefCell::default(),
             inherited: RefCell::default(),
             repairing: RefCell::default(),
@@ -248,6 +255,7 @@
         ));
         runtime::spawn(self.clone().follow_stores());
         runtime::spawn(self.clone().care());
+        runtime::spawn(self.clone().log_traffic());
         runtime::spawn(deliver::deliver(self.clone()));
         runtime::spawn(self.clone().accept_raced(self.raced.take()));
         self.owed_callbacks();
@@ -267,7 +275,7 @@
         Hello {
             name: self.settings.node_name.clone(),
             ip: self.settings.own_ip(),
-            zone: self.settings.zone.clone(),
+            location: self.settings.location(),
             role: Role::Store,
             disk: self.disk,
             custody,
@@ -283,6 +291,7 @@
     /// Keeps a way to every other store, and takes over from lost ones.
     async fn follow_stores(self: Rc<Self>) {
         let mut seen = 0;
+        let mut unmet = None;
         loop {
             self.known.changes.changed(seen).await;
             seen = self.known.changes.get();
@@ -295,6 +304,10 @@
             if me.is_some_and(|store| store.retiring) && !self.retiring.replace(true) {
                 runtime::spawn(self.clone().retire(self.acts_by_a_view()));
             }
+            let unmet_before = std::mem::replace(&mut unmet, self.unmet_tolerance());
+            if let Some(unmet) = unmet.as_ref().filter(|_| unmet != unmet_before) {
+                ::log::warn!("what may be lost at once can't be borne now: {unmet}");
+            }
             self.keep_copiers(&view);
             self.epoch.set(view.epoch);
             for lost in view.inherited_by(self.disk) {
@@ -362,6 +375,25 @@
         }
     }
 
+    async fn log_traffic(self: Rc<Self>) {
+        loop {
+            runtime::sleep(traffic::LOG_EVERY).await;
+            traffic::log(&self.traffic());
+        }
+    }
+
+    /// What this store has sent since it started, by purpose and distance.
+    pub(super) fn traffic(&self) -> traffic::Traffic {
+        let (view, endpoints) = (self.known.stores(), self.endpoints.borrow());
+        let distance = |ip: IpAddr| {
+            let store = view.stores.iter().find(|store| store.ip == ip);
+            let store = store.map(|store| self.location.distance(&store.location));
+            store.or_else(|| endpoints.distance_of(ip, &self.location))
+        };
+        let meters = [&self.peers.meter, &self.client.meter, self.callbacks.meter()];
+        traffic::add_up(&meters, distance)
+    }
+
     fn forget_not_wanted(&self) {
         let ttl = (self.settings.bounds.status_ttl_s * 1_000.0) as u64;
         let now = self.clock.ms();
@@ -398,7 +430,7 @@
         if owner.is_some_and(|owner| owner != Some(self.disk)) {
             return Some(Refusal::NotOwner);
         }
-        if self.settled_copiers().len() < self.copies_needed {
+        if self.settled_copiers().len() < self.tolerance.copies() {
             return Some(Refusal::NoCopy);
         }
         let full = self.log.lag() > DISK_LAG || self.log.free_share() < FULL_BELOW || self.is_memory_full();
@@ -435,7 +467,7 @@
         let (store, copy_id, copy_entry) = (self.clone(), id.clone(), entry.clone());
         let (done, copied) = oneshot::channel();
         runtime::spawn(async move {
-            store.copy_enough(&copy_id, &copy_entry, |store| store.copies_needed).await;
+            store.copy_enough(&copy_id, &copy_entry, Store::placement_to_take).await;
             let _ = done.send(());
         });
         let written = self.log.write(std::slice::from_ref(&entry)).await;
@@ -453,7 +485,7 @@
         if self.ask_to_leave(&message).await {
             self.queue.borrow_mut().accept(message.id());
             // What was recovered or adopted may have fewer copies than it should.
-            if self.missing_copies(message.id(), self.copies_wanted()) > 0 {
+            if self.missing_copies(message.id(), &self.placement()) > 0 {
                 self.needs_repair.set(true);
             }
         } else {
--- a/crates/node/src/store/peers.rs
+++ b/crates/node/src/store/peers.rs
@@ -2,6 +2,7 @@
 use super::{encode, Store};
 use crate::calls::{Call, EndedPiece, Found, HeldFor, Piece};
 use crate::process;
+use crate::traffic;
 use queue::custody;
 use queue::{End, Entry, Given, GivenEnded};
 use std::net::IpAddr;
@@ -212,6 +213,8 @@
             "waiting": waiting, "running": running, "ended": ended, "copies": replicas,
             "oldest_ms": oldest, "backlog": self.backlog(), "free_ring": self.log.free_share(),
             "taking_over": self.inheriting.borrow().len(),
+            "zone": self.location.zone, "region": self.location.region,
+            "tolerance_unmet": self.unmet_tolerance(), "traffic": traffic::as_json(&self.traffic()),
             "endpoints": self.endpoints.borrow().show(),
         });
         status.to_string()
--- a/crates/node/src/store/preserve.rs
+++ b/crates/node/src/store/preserve.rs
@@ -56,7 +56,7 @@
         let mut stores: BTreeSet<u64> = present.iter().copied().filter(stays).collect();
         stores.insert(self.disk);
         let given_up = self.known.store(owner).is_none();
-        custody::targets(&self.queue.borrow(), owner, given_up, &stores, self.copies_needed + 1)
+        custody::targets(&self.queue.borrow(), owner, given_up, &stores, self.tolerance.copies() + 1)
     }
 
     /// Sends another store what it lacks; nothing if that failed.
--- a/crates/node/src/store/takeover.rs
+++ b/crates/node/src/store/takeover.rs
@@ -228,9 +228,9 @@
 
     /// A message that ended before it had all its copies gets the rest, if something of it is owed.
     fn look_after_ended(&self, id: &str) {
-        let (queue, present) = (self.queue.borrow(), self.present());
+        let (queue, placement) = (self.queue.borrow(), self.placement());
         let owing = queue.owned(id).filter(|owned| owned.owes_after_end());
-        if owing.is_some_and(|owned| owned.copies_among(&present) < self.copies_wanted()) {
+        if owing.is_some_and(|owned| placement.missing(&owned.copies) > 0) {
             self.needs_repair.set(true);
         }
     }
--- a/crates/node/tests/delivery.rs
+++ b/crates/node/tests/delivery.rs
@@ -6,7 +6,7 @@
 use node::store::endpoints::{Call, Endpoints};
 use policy::api::Outcome;
 use rstest::rstest;
-use settings::{Configuration, Route, Service};
+use settings::{Configuration, Location, Route, Service, Topology};
 
 fn answer(bytes: &str) -> Result<Response, CallError> {
     let mut input = bytes::BytesMut::from(bytes);
@@ -63,8 +63,22 @@
     }
 }
 
+/// Three zones, two of them in one region.
+fn topology() -> Topology {
+    let zones = [("here", "east"), ("there", "east"), ("far", "west")];
+    Topology::new(zones.map(|(zone, region)| (zone.to_string(), region.to_string())))
+}
+
+fn here() -> Location {
+    topology().locate("here")
+}
+
+fn update(endpoints: &mut Endpoints, list: &[Endpoint]) {
+    endpoints.update(&configuration(), list, &topology(), 1);
+}
+
 fn begin(endpoints: &mut Endpoints, now: u64) -> Option<Call> {
-    let at = endpoints.pick("s", "here", now)?;
+    let at = endpoints.pick("s", &here(), now)?;
     let (address, instance, level) = endpoints.begin("s", at, 0, now as i64 * 1_000_000);
     let classes = endpoints.deadlines(&configuration(), "s");
     let began = now as i64 * 1_000_000;
@@ -78,7 +92,7 @@
 #[test]
 fn calls_in_flight_stay_under_three_quarters_of_the_slots() {
     let mut endpoints = Endpoints::default();
-    endpoints.update(&configuration(), &[listed("a", "here", 1, 8, false)], 1);
+    update(&mut endpoints, &[listed("a", "here", 1, 8, false)]);
     let calls: Vec<_> = std::iter::from_fn(|| begin(&mut endpoints, 1)).collect();
     assert_eq!(calls.len(), 6);
     finish(&mut endpoints, &calls[0], Outcome::Served, 2);
@@ -86,44 +100,48 @@
 }
 
 #[test]
-fn the_own_zone_comes_first_and_others_when_it_is_full() {
+fn the_nearest_come_first_and_others_when_they_are_full() {
     let mut endpoints = Endpoints::default();
-    let list = [listed("far", "there", 1, 4, false), listed("near", "here", 2, 4, false)];
-    endpoints.update(&configuration(), &list, 1);
+    let list = [
+        listed("unknown", "nowhere", 1, 4, false),
+        listed("region", "there", 2, 4, false),
+        listed("zone", "here", 3, 4, false),
+    ];
+    update(&mut endpoints, &list);
     let calls: Vec<_> = std::iter::from_fn(|| begin(&mut endpoints, 1)).collect();
     let ids: Vec<_> = calls.iter().map(|call| call.instance.clone().unwrap()).collect();
-    assert_eq!(ids, ["near", "near", "near", "far", "far", "far"]);
+    assert_eq!(ids, ["zone", "zone", "zone", "region", "region", "region", "unknown", "unknown", "unknown"]);
 }
 
 #[test]
 fn what_drains_or_is_gone_gets_nothing_and_its_calls_end_in_peace() {
     let mut endpoints = Endpoints::default();
-    endpoints.update(&configuration(), &[listed("a", "here", 1, 4, false)], 1);
+    update(&mut endpoints, &[listed("a", "here", 1, 4, false)]);
     let call = begin(&mut endpoints, 1).unwrap();
-    endpoints.update(&configuration(), &[listed("a", "here", 1, 4, true)], 1);
+    update(&mut endpoints, &[listed("a", "here", 1, 4, true)]);
     assert!(begin(&mut endpoints, 2).is_none());
-    endpoints.update(&configuration(), &[], 1);
+    update(&mut endpoints, &[]);
     assert!(begin(&mut endpoints, 3).is_none());
     finish(&mut endpoints, &call, Outcome::Served, 4);
-    endpoints.update(&configuration(), &[], 1);
+    update(&mut endpoints, &[]);
     assert!(!endpoints.knows(&call.address));
 }
 
 #[test]
 fn an_address_that_has_another_incarnation_is_another_endpoint() {
     let mut endpoints = Endpoints::default();
-    endpoints.update(&configuration(), &[listed("old", "here", 1, 4, false)], 1);
+    update(&mut endpoints, &[listed("old", "here", 1, 4, false)]);
     let call = begin(&mut endpoints, 1).unwrap();
     finish(&mut endpoints, &call, Outcome::NoAnswer, 2);
     assert!(begin(&mut endpoints, 3).is_none(), "in doubt");
-    endpoints.update(&configuration(), &[listed("new", "here", 1, 4, false)], 1);
+    update(&mut endpoints, &[listed("new", "here", 1, 4, false)]);
     assert_eq!(begin(&mut endpoints, 3).unwrap().instance.as_deref(), Some("new"));
 }
 
 #[test]
 fn one_in_doubt_gets_one_call_at_a_time_until_it_answers() {
     let mut endpoints = Endpoints::default();
-    endpoints.update(&configuration(), &[listed("a", "here", 1, 8, false)], 1);
+    update(&mut endpoints, &[listed("a", "here", 1, 8, false)]);
     let call = begin(&mut endpoints, 1).unwrap();
     finish(&mut endpoints, &call, Outcome::NoConnection, 2);
     assert!(begin(&mut endpoints, 3).is_none());
@@ -139,6 +157,6 @@
     let mut endpoints = Endpoints::default();
     let mut configuration = configuration();
     configuration.services[0].max_connections = 6;
-    endpoints.update(&configuration, &[listed("a", "here", 1, 40, false)], 3);
+    endpoints.update(&configuration, &[listed("a", "here", 1, 40, false)], &topology(), 3);
     assert_eq!(std::iter::from_fn(|| begin(&mut endpoints, 1)).count(), 2);
 }
--- a/crates/queue/src/custody.rs
+++ b/crates/queue/src/custody.rs
@@ -6,6 +6,7 @@
 use crate::ended::End;
 use crate::entry::{Entry, Given, GivenEnded};
 use crate::owned::{OwnedMessage, Stage};
+use crate::placement::Placement;
 use crate::view::{HeldIds, Queue};
 use borsh::{BorshDeserialize, BorshSerialize};
 use std::collections::{BTreeMap, BTreeSet};
@@ -116,24 +117,22 @@
     by_weight
 }
 
-/// Own messages that have not ended and are at fewer of the stores that are there than is wanted.
+/// Own messages that have not ended and lack copies.
 pub fn lacking_copies<'a>(
     queue: &'a Queue,
-    present: &'a BTreeSet<u64>,
-    wanted: usize,
+    placement: &'a Placement,
 ) -> impl Iterator<Item = &'a OwnedMessage> {
     let safe = |owned: &&OwnedMessage| matches!(owned.stage(), Some(Stage::Waiting | Stage::Running));
-    queue.all_owned().filter(safe).filter(move |owned| owned.copies_among(present) < wanted)
+    queue.all_owned().filter(safe).filter(|owned| placement.missing(&owned.copies) > 0)
 }
 
-/// Own messages that have ended, of which something is owed that fewer of the stores that are there hold than is wanted.
+/// Own messages that have ended, of which something is owed and that lack copies.
 pub fn lacking_ended<'a>(
     queue: &'a Queue,
-    present: &'a BTreeSet<u64>,
-    wanted: usize,
+    placement: &'a Placement,
 ) -> impl Iterator<Item = &'a OwnedMessage> {
     let owing = queue.all_owned().filter(|owned| owned.owes_after_end());
-    owing.filter(move |owned| owned.copies_among(present) < wanted)
+    owing.filter(|owned| placement.missing(&owned.copies) > 0)
 }
 
 /// An own message that has ended, as it is given to another store.
--- a/crates/queue/src/lib.rs
+++ b/crates/queue/src/lib.rs
@@ -16,12 +16,14 @@
 //! | [`replicas`] | messages and ends that are kept for other stores |
 //! | `ready`, `schedule` | what may run of a route, and in which order |
 //! | [`view`] | the fold of all records; what is kept for other stores, as they ask for it |
+//! | [`placement`] | at which stores the copies of a message lie |
 //! | [`custody`] | what is decided about replicas at other stores, and about those kept for them |
 pub mod custody;
 pub mod ended;
 pub mod entry;
 pub mod message;
 pub mod owned;
+pub mod placement;
 mod ready;
 pub mod replicas;
 mod schedule;
@@ -31,6 +33,7 @@
 pub use entry::{Entry, Given, GivenEnded};
 pub use message::{Body, DamagedBody, Envelope, Message};
 pub use owned::{OwnedMessage, Stage};
+pub use placement::{Placement, Tolerance};
 pub use replicas::Replica;
 pub use view::{Counts, HeldIds, Queue};
 
--- a/crates/queue/src/owned.rs
+++ b/crates/queue/src/owned.rs
@@ -129,11 +129,6 @@
         self.copies.union(&self.sent).copied().collect()
     }
 
-    /// How many of these disks hold a replica.
-    pub fn copies_among(&self, disks: &BTreeSet<u64>) -> usize {
-        self.copies.intersection(disks).count()
-    }
-
     /// Bytes of the body that is kept.
     pub fn body_bytes(&self) -> usize {
         self.message().map_or(0, |message| message.body.len())
--- a/crates/queue/tests/queue.rs
+++ b/crates/queue/tests/queue.rs
@@ -1,7 +1,8 @@
 //! The queue of a store: what runs next, what ends, and that a restart finds what the process knew.
 use queue::custody;
 use queue::{
-    Counts, End, EndedMessage, Entry, Envelope, GivenEnded, HeldIds, Message, Outcome, Queue, Stage,
+    Counts, End, EndedMessage, Entry, Envelope, GivenEnded, HeldIds, Message, Outcome, Placement, Queue,
+    Stage,
 };
 use std::collections::BTreeSet;
 
@@ -537,9 +538,9 @@
     for end in [dead("dead"), end("owing"), end("completed")] {
         assert!(queue.end(end));
     }
-    let present = BTreeSet::from([5, 6]);
+    let placement = Placement::anywhere(BTreeSet::from([5, 6]), 1);
     let lacking = |queue: &Queue| -> Vec<String> {
-        custody::lacking_ended(queue, &present, 1).map(|owned| owned.id().to_string()).collect()
+        custody::lacking_ended(queue, &placement).map(|owned| owned.id().to_string()).collect()
     };
     assert_eq!(lacking(&queue), ["dead", "owing"]);
     assert!(queue.send_ended("dead", 5) && !queue.send_copy("dead", 5));
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -6,12 +6,15 @@
 //! | module | what it is |
 //! | --- | --- |
 //! | [`declare`](mod@declare) | the macro and the types it can read |
+//! | [`location`] | zones, regions and distances |
 //! | [`process`] | the settings file of a process |
 //! | [`configuration`] | routes, services and limits, as the operator sends them |
 pub mod configuration;
 pub mod declare;
+pub mod location;
 pub mod process;
 
 pub use configuration::{Configuration, Limits, Route, Service};
 pub use declare::{Fault, Faults};
+pub use location::{Distance, Location, Topology};
 pub use process::ProcessSettings;
--- a/crates/settings/src/process.rs
+++ b/crates/settings/src/process.rs
@@ -1,5 +1,6 @@
 //! The settings file of a process, as the platform writes it.
 use crate::declare::{above_zero, any, not_empty, not_negative, Faults, Readable};
+use crate::location::{Location, Topology};
 use serde_json::Value;
 use std::net::{IpAddr, SocketAddr};
 
@@ -45,6 +46,7 @@
     pub struct FaultTolerance {
         "Machines" machines: u64 = [1], any;
         "Zones" zones: u64 = [0], any;
+        "Regions" regions: u64 = [0], any;
     }
 }
 
@@ -70,6 +72,10 @@
         "NodeName" node_name: String = [], not_empty;
         "Ip" ip: String = [], not_empty;
         "Zone" zone: String = [String::new()], any;
+        /// The region that the zone lies in.
+        "Region" region: String = [String::new()], any;
+        /// All zones of the system with their regions.
+        "Zones" topology: Topology = [Topology::default()], any;
         "ListenAddresses" listen: ListenAddresses = [], any;
         /// First and last of the ports for what members say to each other.
         "PortRange" port_range: Vec<u64> = [], two_ports;
@@ -79,7 +85,7 @@
         "Bootstrap" bootstrap: bool = [false], any;
         "Limits" limits: MachineLimits = [], any;
         "DataDir" data_dir: Option<String> = [None], any;
-        "FaultTolerance" tolerance: FaultTolerance = [FaultTolerance { machines: 1, zones: 0 }], any;
+        "FaultTolerance" tolerance: FaultTolerance = [FaultTolerance { machines: 1, zones: 0, regions: 0 }], any;
         "Bounds" bounds: Bounds =
             [Bounds { grace_s: 6.0, status_ttl_s: 120.0, ceiling_window_s: 5.0, max_skew_ms: 12_000 }], any;
         "CloudApi" cloud: Option<CloudApi> = [None], any;
@@ -141,6 +147,14 @@
         self.ip.parse().expect("checked when read")
     }
 
+    /// Where the machine stands: its region by its own word, else by that of the table of zones.
+    pub fn location(&self) -> Location {
+        match self.region.is_empty() {
+            true => self.topology.locate(&self.zone),
+            false => Location { zone: self.zone.clone(), region: self.region.clone() },
+        }
+    }
+
     /// The port on which control machines answer members, the same everywhere.
     pub fn control_port(&self) -> u16 {
         self.port_range[0] as u16
