--- a/crates/node/src/store/decided.rs
+++ b/crates/node/src/store/decided.rs
@@ -117,7 +117,7 @@
         heard.changed.raise();
     }
 
-    fn is_away(&self, disk: u64, now: Instant) -> bool {
+    pub(super) fn is_away(&self, disk: u64, now: Instant) -> bool {
         self.copiers.borrow().get(&disk).is_none_or(|copier| copier.is_away(now))
     }
 }
--- a/crates/node/src/store/mod.rs
+++ b/crates/node/src/store/mod.rs
@@ -43,7 +43,7 @@
 use net::runtime;
 use net::wake::Notify;
 use queue::{custody, Entry, Message, Queue, Tolerance};
-use races::LeftBecause;
+use races::{Asked, LeftBecause};
 use settings::{Location, ProcessSettings};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -482,14 +482,16 @@
 
     /// A message is safe: it may run, unless a store that was given it before has begun with it.
     pub async fn accept(self: Rc<Self>, message: Message) {
-        if self.ask_to_leave(&message).await {
-            self.queue.borrow_mut().accept(message.id());
-            // What was recovered or adopted may have fewer copies than it should.
-            if self.missing_copies(message.id(), &self.placement()) > 0 {
-                self.needs_repair.set(true);
+        match self.ask_to_leave(&message).await {
+            Asked::Left { silent } => {
+                self.queue.borrow_mut().accept(message.id());
+                silent.into_iter().for_each(|disk| self.require_comparison(disk));
+                // What was recovered or adopted may have fewer copies than it should.
+                if self.missing_copies(message.id(), &self.placement()) > 0 {
+                    self.needs_repair.set(true);
+                }
             }
-        } else {
-            self.leave_to_others(vec![message.id().to_string()], LeftBecause::Begun);
+            Asked::Begun => self.leave_to_others(vec![message.id().to_string()], LeftBecause::Begun),
         }
         self.taking.set(self.taking.get() - 1);
         self.work.notify();
--- a/crates/node/src/store/races.rs
+++ b/crates/node/src/store/races.rs
@@ -21,6 +21,15 @@
     pub(super) at: u64,
 }
 
+/// What stores say that were given a message before the one that took it.
+#[derive(Debug)]
+pub enum Asked {
+    /// They leave it, but for those that are away.
+    Left { silent: Vec<u64> },
+    /// One of them has begun to run it.
+    Begun,
+}
+
 /// Why a message is left to another store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LeftBecause {
@@ -43,22 +52,44 @@
 }
 
 impl Store {
-    /// Asks the stores that were given a message before, or their heirs, to leave it to this one. False if one of them
-    /// has begun.
-    pub async fn ask_to_leave(&self, message: &Message) -> bool {
+    /// Asks the stores that were given a message before, or their heirs, to leave it to this one.
+    pub async fn ask_to_leave(&self, message: &Message) -> Asked {
         let view = self.known.stores();
         let owners = message.envelope.also_at.iter().filter_map(|disk| view.final_heir(*disk));
         let others: BTreeSet<u64> = owners.filter(|disk| *disk != self.disk).collect();
+        let mut silent = Vec::new();
         for disk in others {
-            let Some(other) = view.get(disk) else { continue };
+            match self.ask_one_to_leave(message.id(), disk).await {
+                Some(true) => {}
+                Some(false) => return Asked::Begun,
+                None => silent.push(disk),
+            }
+        }
+        Asked::Left { silent }
+    }
+
+    /// Asks one store, until it answers or is away; nothing if it is.
+    async fn ask_one_to_leave(&self, id: &str, disk: u64) -> Option<bool> {
+        let call = Call::Leave { id: id.to_string(), to: self.disk };
+        while let Some(other) = self.known.store(disk) {
             let to = SocketAddr::new(other.ip, self.port);
-            let call = Call::Leave { id: message.id().to_string(), to: self.disk };
-            // One that doesn't answer is in trouble: it hears of the message before it runs what it recovers.
-            if self.peers.call::<Call, bool>(to, &call, LEAVE).await == Ok(false) {
-                return false;
+            if let Ok(leaves) = self.peers.call::<Call, bool>(to, &call, LEAVE).await {
+                return Some(leaves);
+            }
+            if self.is_away(disk, runtime::now()) {
+                log::info!("{id}: disk {disk:016x} is away and doesn't say that it leaves it");
+                return None;
             }
+            runtime::sleep(PAUSE).await;
         }
-        true
+        Some(true)
+    }
+
+    /// Has a store that didn't say whether it leaves a message hear that it was taken here: it was stopped for a while, or
+    /// answers didn't reach this store, so it may have the message without knowing. Nothing more is taken from it until it
+    /// has asked what is held here, which tells it.
+    pub fn require_comparison(&self, disk: u64) {
+        self.sessions.borrow_mut().remove(&disk);
     }
 
     /// Recovered messages that other stores were given too run here once these leave them, or don't answer.
--- a/crates/node/tests/stores.rs
+++ b/crates/node/tests/stores.rs
@@ -10,6 +10,8 @@
 use queue::Entry;
 use rstest::rstest;
 use simulation::network::Tamper;
+use std::cell::RefCell;
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -130,6 +132,52 @@
     }
 }
 
+/// Copies are so slow that edges give messages to a second store, and the first request of that one to leave a message to it
+/// is lost on its way.
+#[derive(Default)]
+struct FirstRequestsToLeaveAreLost {
+    lost: RefCell<BTreeSet<String>>,
+}
+
+impl Tamper for FirstRequestsToLeaveAreLost {
+    fn delay(&self, call: &[u8]) -> Duration {
+        let is_message = |entry: &Entry| matches!(entry, Entry::Message { .. });
+        match Call::try_from_slice(call) {
+            Ok(Call::Replicate { entries, .. }) if entries.iter().any(is_message) => {
+                Duration::from_millis(180)
+            }
+            Ok(Call::Leave { id, .. }) if self.lost.borrow_mut().insert(id.clone()) => {
+                Duration::from_secs(600)
+            }
+            _ => Duration::ZERO,
+        }
+    }
+}
+
+/// A store that was given a message first and doesn't answer whether it leaves it isn't taken for one that does.
+#[test]
+fn a_lost_request_to_leave_a_message_has_it_run_once() {
+    let mut world = World::new(8, 4, 1, Mistake::None, Regime::Planned);
+    world.advance(5_000);
+    world.send_one("first", 20);
+    world.advance(500);
+    let losing = Rc::new(FirstRequestsToLeaveAreLost::default());
+    world.set_tamper(losing.clone());
+    for i in 0..30 {
+        world.send_delayed(&format!("m{i}"), 12_000);
+        world.advance(40);
+    }
+    world.advance(3_000);
+    world.set_tamper(Rc::new(Mistake::None));
+    world.advance(20_000);
+    assert!(losing.lost.borrow().len() > 20, "messages were given to two stores");
+    let begins: Vec<usize> = (0..30).map(|i| world.begins(&format!("m{i}")).len()).collect();
+    assert!(begins.iter().all(|count| *count <= 1), "{begins:?}");
+    // What was taken has run.
+    assert_eq!(world.broken(), None);
+    assert!(begins.iter().sum::<usize>() > 25, "{begins:?}");
+}
+
 /// A store is retired while it runs a message: the copy that is made for that is late, another store is asked for one as
 /// well, and in between the run ends.
 #[test]
