--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -10,6 +10,7 @@
 use net::wake::Watched;
 use settings::Configuration;
 use std::cell::{Cell, RefCell};
+use std::collections::{BTreeSet, VecDeque};
 use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
@@ -18,7 +19,7 @@
 pub const HOLD: Duration = Duration::from_millis(1_000);
 /// No answer for so long: another member is asked.
 const PATIENCE: Duration = Duration::from_millis(1_500);
-/// Between two members that couldn't answer.
+/// Between two members that are asked who leads.
 const PAUSE: Duration = Duration::from_millis(100);
 
 /// What is known by now; versions of it never fall.
@@ -117,12 +118,11 @@
         }
     }
 
-    /// The members and seeds, one after the other.
-    fn in_turn(&self, turn: usize, seeds: &[IpAddr]) -> Option<IpAddr> {
+    /// The members, and seeds that aren't among them.
+    fn members_and(&self, seeds: &[IpAddr]) -> Vec<IpAddr> {
         let group = self.group.borrow();
         let others = seeds.iter().filter(|seed| !group.contains(seed));
-        let all: Vec<&IpAddr> = group.iter().chain(others).collect();
-        (!all.is_empty()).then(|| *all[turn % all.len()])
+        group.iter().chain(others).copied().collect()
     }
 }
 
@@ -134,34 +134,126 @@
     port: u16,
     seeds: Vec<IpAddr>,
 ) {
-    let mut next: Option<IpAddr> = None;
-    let mut failed: Option<IpAddr> = None;
-    let mut turn = 0;
+    let watcher = Watcher { known, peers, hello, port, seeds, turn: Cell::new(0) };
     loop {
-        let to = next.take().or_else(|| known.in_turn(turn, &seeds));
-        turn += 1;
-        let Some(to) = to else {
-            runtime::sleep(PAUSE).await;
-            continue;
-        };
-        let call = Call::Watch(hello(), known.seen.get());
-        match peers.call::<Call, News>(SocketAddr::new(to, port), &call, PATIENCE).await {
-            Ok(news) if news.leads && news.epoch >= known.seen.get().epoch => {
-                known.take_group(&news);
-                known.take(news);
-                (next, failed) = (Some(to), None);
-                continue;
+        let primary = watcher.find().await;
+        watcher.follow(primary).await;
+    }
+}
+
+/// The answers of members that were asked for the primary.
+#[derive(Default)]
+struct Answers {
+    come: RefCell<VecDeque<(IpAddr, Option<News>)>>,
+    changed: Watched,
+}
+
+/// What an answer says of the primary.
+enum Heard {
+    /// The one that answered leads.
+    Leads(IpAddr),
+    /// Another one does, by what it says.
+    Elsewhere(IpAddr),
+    Nothing,
+}
+
+struct Watcher<H> {
+    known: Rc<Known>,
+    peers: Rc<Peers>,
+    hello: H,
+    port: u16,
+    seeds: Vec<IpAddr>,
+    turn: Cell<usize>,
+}
+
+impl<H: Fn() -> Hello> Watcher<H> {
+    /// Asks the primary for news until it doesn't lead any more, or doesn't answer.
+    async fn follow(&self, primary: IpAddr) {
+        loop {
+            let call = Call::Watch((self.hello)(), self.known.seen());
+            let to = SocketAddr::new(primary, self.port);
+            let news = self.peers.call::<Call, News>(to, &call, PATIENCE).await;
+            if !matches!(self.hear(primary, news.ok()), Heard::Leads(_)) {
+                return;
             }
-            // It led in an epoch that is over: another member knows better.
-            Ok(news) if news.leads => failed = Some(to),
-            Ok(news) => {
-                known.take_group(&news);
-                next = news.primary.filter(|primary| *primary != to && Some(*primary) != failed);
+        }
+    }
+
+    /// Asks one member after the other who leads; the next one soon, also while others haven't answered: one that is cut
+    /// off says nothing for long.
+    async fn find(&self) -> IpAddr {
+        let answers = Rc::new(Answers::default());
+        let mut waiting = BTreeSet::new();
+        let mut named = None;
+        loop {
+            let next = named.take().or_else(|| self.next_but(&waiting));
+            if let Some(to) = next {
+                waiting.insert(to);
+                self.ask(to, answers.clone());
+            }
+            match self.first_word(&answers, &mut waiting).await {
+                Heard::Leads(primary) => return primary,
+                Heard::Elsewhere(primary) => named = Some(primary),
+                Heard::Nothing => {}
+            }
+        }
+    }
+
+    /// Waits for a while for an answer that says who leads. Of a member that was asked and hasn't answered, that others
+    /// name it is no news.
+    async fn first_word(&self, answers: &Answers, waiting: &mut BTreeSet<IpAddr>) -> Heard {
+        let begun = runtime::now();
+        loop {
+            let seen = answers.changed.get();
+            let come = answers.come.take();
+            for (from, news) in come {
+                waiting.remove(&from);
+                match self.hear(from, news) {
+                    Heard::Elsewhere(primary) if waiting.contains(&primary) => {}
+                    Heard::Nothing => {}
+                    heard => return heard,
+                }
+            }
+            let left = PAUSE.saturating_sub(runtime::elapsed(begun));
+            if left.is_zero() || runtime::timeout(left, answers.changed.changed(seen)).await.is_err() {
+                return Heard::Nothing;
             }
-            Err(_) => failed = Some(to),
         }
-        if next.is_none() {
-            runtime::sleep(PAUSE).await;
+    }
+
+    fn ask(&self, to: IpAddr, answers: Rc<Answers>) {
+        let call = Call::Watch((self.hello)(), self.known.seen());
+        let (peers, address) = (self.peers.clone(), SocketAddr::new(to, self.port));
+        runtime::spawn(async move {
+            let news = peers.call::<Call, News>(address, &call, PATIENCE).await;
+            answers.come.borrow_mut().push_back((to, news.ok()));
+            answers.changed.raise();
+        });
+    }
+
+    /// Takes what a member answers, and what it says of the primary. One that led in an epoch that is over knows nothing.
+    fn hear(&self, from: IpAddr, news: Option<News>) -> Heard {
+        let Some(news) = news else { return Heard::Nothing };
+        if !news.leads {
+            self.known.take_group(&news);
+            let primary = news.primary.filter(|primary| *primary != from);
+            return primary.map_or(Heard::Nothing, Heard::Elsewhere);
         }
+        if news.epoch < self.known.seen().epoch {
+            return Heard::Nothing;
+        }
+        self.known.take_group(&news);
+        self.known.take(news);
+        Heard::Leads(from)
+    }
+
+    /// The next member or seed that isn't among these.
+    fn next_but(&self, waiting: &BTreeSet<IpAddr>) -> Option<IpAddr> {
+        let all = self.known.members_and(&self.seeds);
+        let turn = self.turn.get();
+        let mut in_turn = (0..all.len()).map(|i| (turn + i, all[(turn + i) % all.len()]));
+        let (at, next) = in_turn.find(|(_, member)| !waiting.contains(member))?;
+        self.turn.set(at + 1);
+        Some(next)
     }
 }
--- /dev/null
+++ b/crates/node/tests/watch.rs
@@ -0,0 +1,71 @@
+//! How soon a watcher that knows nothing hears from the primary, whoever of the group is cut off.
+use net::rpc::Peers;
+use node::calls::{Call, Custody, Hello, News, Role};
+use node::packed::pack;
+use node::watch::{watch, Known};
+use rstest::rstest;
+use settings::Location;
+use simulation::clock::WORLD;
+use simulation::network::Network;
+use simulation::Simulation;
+use std::future::Future;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::pin::Pin;
+use std::rc::Rc;
+use std::time::Duration;
+
+const PORT: u16 = 7_000;
+const STEP: u64 = 10;
+/// A call takes up to 8 ms there and back, now and then 140; between two members that are asked are 100 ms.
+const SOON: u64 = 450;
+
+fn member(number: u8) -> IpAddr {
+    IpAddr::V4(Ipv4Addr::new(10, 0, 1, number))
+}
+
+fn hello(ip: IpAddr) -> Hello {
+    let location = Location::default();
+    Hello { name: "edge".to_string(), ip, location, role: Role::Edge, disk: 0, custody: Custody::default() }
+}
+
+/// What a member answers of a group whose third member leads.
+fn answer(number: u8, bytes: &[u8]) -> Vec<u8> {
+    let Ok(Call::Watch(..)) = borsh::from_slice::<Call>(bytes) else { return Vec::new() };
+    let group = vec![member(1), member(2), member(3)];
+    let configuration = pack(br#"{"Version":4,"Routes":[],"Backends":[],"Limits":{}}"#);
+    let news = match number {
+        3 => {
+            News { leads: true, epoch: 7, configuration: Some((4, configuration)), group, ..News::default() }
+        }
+        _ => News { primary: Some(member(3)), group, ..News::default() },
+    };
+    borsh::to_vec(&news).unwrap()
+}
+
+#[rstest]
+#[case::all_answer(&[])]
+#[case::the_first_is_cut_off(&[1])]
+#[case::only_the_primary_is_left(&[1, 2])]
+fn a_watcher_hears_the_primary_soon(#[case] dark: &[u8], #[values(1, 2, 3, 4, 5)] seed: u64) {
+    let simulation = Simulation::new(seed);
+    let network = Network::new(&simulation, seed);
+    for number in 1..=3 {
+        let handler = move |_, bytes: Vec<u8>| -> Pin<Box<dyn Future<Output = Vec<u8>>>> {
+            Box::pin(async move { answer(number, &bytes) })
+        };
+        network.listen(SocketAddr::new(member(number), PORT), WORLD, Rc::new(handler));
+    }
+    let own = IpAddr::V4(Ipv4Addr::new(10, 0, 2, 1));
+    dark.iter().for_each(|number| network.cut(own, member(*number)));
+    let process = simulation.new_process("edge");
+    let seeds = vec![member(1), member(2), member(3)];
+    let known = Known::new(seeds.clone());
+    let peers = Rc::new(Peers::on(network.transport(process, own)));
+    let watching = watch(known.clone(), peers, move || hello(own), PORT, seeds);
+    simulation.spawn_in(process, watching);
+    while known.version() == 0 && simulation.ms() < SOON {
+        simulation.run_for(Duration::from_millis(STEP));
+    }
+    assert_eq!(known.version(), 4, "after {SOON} ms");
+    net::runtime::simulate(None);
+}
