--- a/crates/node/src/calls.rs
+++ b/crates/node/src/calls.rs
@@ -216,6 +216,8 @@
     Leave { id: String, to: u64 },
     /// Store to store: do you still own this message? Answered with whether it does.
     Owns { id: String },
+    /// Store to store: lend me so many permits of your share of a service's rate. Answered with how many are lent.
+    Lend { service: String, permits: u64 },
     /// Edge to store: do you answer?
     Ping,
     /// Edge to store; answered with [`Found`].
@@ -230,6 +232,8 @@
             Call::Lacking { .. } | Call::Decided { .. } | Call::Ping | Call::Find { .. } => Repeat::Freely,
             Call::Claim { .. } | Call::Claimed { .. } | Call::Leaving { .. } => Repeat::Freely,
             Call::InheritEnded { .. } | Call::Ends { .. } | Call::Owns { .. } => Repeat::Freely,
+            // What was lent for the first one is gone.
+            Call::Lend { .. } => Repeat::Never,
             // What the caller says of itself may have changed meanwhile: it asks anew.
             Call::Watch(..) => Repeat::SameIdentity,
             // Known by the epoch, by the message's id, or by the owner with the id.
@@ -253,6 +257,7 @@
             Call::InheritEnded { .. } | Call::HandBack { .. } | Call::HandBackEnded { .. } => "take-overs",
             Call::Lacking { .. } | Call::Preserve { .. } => "copies for the absent",
             Call::Decided { .. } | Call::Leave { .. } | Call::Owns { .. } => "questions",
+            Call::Lend { .. } => "permits",
             Call::Status | Call::Group(_) | Call::Leaving { .. } | Call::Ping => "others",
         }
     }
--- a/crates/node/src/store/deliver.rs
+++ b/crates/node/src/store/deliver.rs
@@ -26,19 +26,6 @@
 const LONGEST_FAILED_PAUSE: u64 = 500;
 const UNKNOWN_PAUSE: u64 = 60;
 const NOT_RUN_PAUSE: u64 = 10;
-/// Share of a service's rate that is used.
-const RATE_SHARE: f64 = 0.97;
-/// Messages that a store may send at once, at the most.
-const BURST: f64 = 3.0;
-/// What a service bears beyond its rate in one window, as a share of that and in messages; all stores share it.
-const OVERAGE: (f64, f64) = (0.1, 5.0);
-
-/// A store's share of a service's rate.
-pub struct Bucket {
-    tokens: f64,
-    at: u64,
-}
-
 /// What an answer, or its absence, says of the message.
 #[derive(Debug, PartialEq, Eq)]
 pub enum Verdict {
@@ -203,36 +190,14 @@
                 let next = self.endpoints.borrow().next_try(&route.service, steady);
                 return next.map_or(now + IDLE, |at| now + (at - steady));
             };
-            if let Some(wait) = self.spend(configuration, &route.service, steady) {
+            let waiting = self.queue.borrow().backlog(&route.name);
+            if let Err(wait) = self.spend(configuration, &route.service, waiting, steady) {
                 return now + wait;
             }
             self.start_one(configuration, route, &id, endpoint);
         }
     }
 
-    /// Takes one call from the store's share of the service's rate; the time to wait where there is none.
-    fn spend(&self, configuration: &Configuration, service: &str, now: u64) -> Option<u64> {
-        let rate = configuration.service(service).map_or(0.0, |service| service.rate_per_s);
-        if rate <= 0.0 {
-            return None;
-        }
-        let stores = self.known.stores().active().count().max(1) as f64;
-        let spare = rate * self.settings.bounds.ceiling_window_s * OVERAGE.0 + OVERAGE.1;
-        let burst = (spare * 0.8 / stores).clamp(1.0, BURST);
-        let rate = rate * RATE_SHARE / stores;
-        let mut buckets = self.buckets.borrow_mut();
-        // What an earlier process sent isn't known: a new one begins with nothing.
-        let bucket = buckets.entry(service.to_string()).or_insert(Bucket { tokens: 0.0, at: now });
-        let passed = now.saturating_sub(bucket.at) as f64 / 1_000.0;
-        bucket.tokens = (bucket.tokens + passed * rate).min(burst);
-        bucket.at = now;
-        if bucket.tokens >= 1.0 {
-            bucket.tokens -= 1.0;
-            return None;
-        }
-        Some(((1.0 - bucket.tokens) / rate * 1_000.0).ceil() as u64)
-    }
-
     fn start_one(self: &Rc<Self>, configuration: &Rc<Configuration>, route: &Route, id: &str, at: usize) {
         let Some(message) = self.queue.borrow_mut().start(id) else { return };
         let body = match message.verified_body() {
--- a/crates/node/src/store/mod.rs
+++ b/crates/node/src/store/mod.rs
@@ -13,6 +13,7 @@
 //! | [`peers`] | what other members ask |
 //! | [`leaving`] | planned stops, retirement, and the return of a store that was given up |
 //! | [`takeover`] | what a lost store owned; ends of messages |
+//! | [`rates`] | shares of the rates of services, and what stores lend each other |
 //! | [`endpoints`] | caps, doubts and choice of endpoints |
 //! | [`deliver`] | messages to endpoints |
 //! | [`callbacks`] | call-backs about ends |
@@ -29,6 +30,7 @@
 pub mod peers;
 pub mod preserve;
 pub mod races;
+pub mod rates;
 pub mod takeover;
 
 use crate::calls::{Custody, Hello, PutAnswer, Refusal, Role};
@@ -85,7 +87,7 @@
     /// For each owner the session in which its records are taken.
     sessions: RefCell<BTreeMap<u64, u64>>,
     pub endpoints: RefCell<endpoints::Endpoints>,
-    pub buckets: RefCell<BTreeMap<String, deliver::Bucket>>,
+    pub buckets: RefCell<BTreeMap<String, rates::Bucket>>,
     pub client: Client,
     pub callbacks: callbacks::Callbacks,
     /// Wakes the delivery sender.
--- a/crates/node/src/store/peers.rs
+++ b/crates/node/src/store/peers.rs
@@ -65,6 +65,7 @@
             Call::HandBackEnded { owner, given } => encode(&self.take_back_ended(owner, given).await),
             Call::Leave { id, to } => encode(&self.leave_one(&id, to)),
             Call::Owns { id } => encode(&self.queue.borrow().owned(&id).is_some()),
+            Call::Lend { service, permits } => encode(&self.lend(&service, permits)),
             Call::Ping => encode(&true),
             Call::Find { id, body } => encode(&self.find(&id, body)),
             Call::Status => encode(&self.status()),
