--- a/crates/net/src/rpc.rs
+++ b/crates/net/src/rpc.rs
@@ -18,7 +18,6 @@
 use std::time::{Duration, Instant};
 
 const READ_BYTES: usize = 32 * 1024;
-const CONNECT: Duration = Duration::from_millis(600);
 const SILENCE: Duration = Duration::from_millis(1_500);
 /// Length and number.
 const HEAD_BYTES: usize = 12;
@@ -67,11 +66,39 @@
 /// A call that is under way.
 pub type Exchange = Pin<Box<dyn Future<Output = Result<Vec<u8>, RpcError>>>>;
 
+/// How long a connection to a member may take. A machine that is without power says nothing, and a connection that was asked
+/// for then isn't made when it is back: so the first attempts are short, and they grow longer for the sake of slow links.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ConnectPatience(Duration);
+
+impl ConnectPatience {
+    const FIRST: Duration = Duration::from_millis(150);
+    const LONGEST: Duration = Duration::from_millis(1_200);
+
+    /// How long this attempt may take.
+    pub fn time(self) -> Duration {
+        self.0
+    }
+
+    /// For the attempt after one that failed.
+    pub fn after_failure(self) -> ConnectPatience {
+        ConnectPatience((self.0 * 2).min(Self::LONGEST))
+    }
+}
+
+impl Default for ConnectPatience {
+    fn default() -> ConnectPatience {
+        ConnectPatience(Self::FIRST)
+    }
+}
+
 /// Connections to other members, made when they are first called.
 #[derive(Default)]
 pub struct Peers {
     links: RefCell<HashMap<SocketAddr, Rc<Link>>>,
     next: Cell<u64>,
+    /// How long connections to those may take that couldn't be reached.
+    patience: Rc<RefCell<HashMap<SocketAddr, ConnectPatience>>>,
     simulated: Option<Rc<dyn Transport>>,
     /// What calls cost in bytes.
     pub meter: Meter,
@@ -148,15 +175,22 @@
             heard: Cell::new(runtime::now()),
         });
         links.insert(to, link.clone());
-        runtime::spawn(run_link(to, link.clone()));
+        runtime::spawn(run_link(to, link.clone(), self.patience.clone()));
         link
     }
 }
 
-async fn run_link(to: SocketAddr, link: Rc<Link>) {
-    let Ok(stream) = connect(to, CONNECT, SILENCE).await else {
+async fn run_link(
+    to: SocketAddr,
+    link: Rc<Link>,
+    patience: Rc<RefCell<HashMap<SocketAddr, ConnectPatience>>>,
+) {
+    let within = patience.borrow().get(&to).copied().unwrap_or_default();
+    let Ok(stream) = connect(to, within.time(), SILENCE).await else {
+        patience.borrow_mut().insert(to, within.after_failure());
         return link.fail(RpcError::Unreachable);
     };
+    patience.borrow_mut().remove(&to);
     link.heard.set(runtime::now());
     let (reader, mut writer) = stream.into_split();
     runtime::spawn(read_answers(reader, link.clone()));
--- a/crates/net/tests/calls.rs
+++ b/crates/net/tests/calls.rs
@@ -4,7 +4,7 @@
 use net::client::{CallError, Client};
 use net::http::{encode_request, Response};
 use net::repeat::{Repeat, Repeatable};
-use net::rpc::{Peers, RpcError};
+use net::rpc::{ConnectPatience, Peers, RpcError};
 use rstest::rstest;
 use std::future::Future;
 use std::io::{Read, Write};
@@ -298,3 +298,15 @@
         assert_eq!(answer, Err(RpcError::Unreachable));
     });
 }
+
+/// A member that can't be reached is tried anew soon, and for longer each time.
+#[test]
+fn attempts_to_connect_are_short_at_first_and_grow() {
+    let mut patience = ConnectPatience::default();
+    let mut times = Vec::new();
+    for _ in 0..5 {
+        times.push(patience.time().as_millis());
+        patience = patience.after_failure();
+    }
+    assert_eq!(times, [150, 300, 600, 1_200, 1_200]);
+}
