--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -18,7 +18,7 @@
 const READ_BYTES: usize = 4 * 1024;
 const CONNECT: Duration = Duration::from_millis(500);
 const SILENCE: Duration = Duration::from_millis(2_000);
-/// Connections that have been idle for longer are not used again.
+/// How long an idle connection is kept to a peer that doesn't say how long it keeps it.
 const KEEP: Duration = Duration::from_secs(4);
 /// Answers to other requests that may come before the one that is waited for.
 const MOST_STRAYS: usize = 3;
@@ -41,7 +41,6 @@
 
 struct Kept {
     stream: TcpStream,
-    used: Instant,
     until: Instant,
 }
 
@@ -137,8 +136,7 @@
         let kept = idle.get_mut(&to)?;
         let now = runtime::now();
         while let Some(connection) = kept.pop() {
-            let in_time = now < connection.until && now.duration_since(connection.used) < KEEP;
-            if in_time && !has_bytes_or_ended(&connection.stream) {
+            if now < connection.until && !has_bytes_or_ended(&connection.stream) {
                 return Some(connection.stream);
             }
         }
@@ -146,16 +144,15 @@
     }
 
     fn keep(&self, to: SocketAddr, stream: TcpStream, response: &Response) {
-        let used = runtime::now();
-        let until = used + keep_alive_time(response.header("keep-alive"));
-        self.idle.borrow_mut().entry(to).or_default().push(Kept { stream, used, until });
+        let until = runtime::now() + keep_alive_time(response.header("keep-alive"));
+        self.idle.borrow_mut().entry(to).or_default().push(Kept { stream, until });
     }
 
     /// Drops connections that have been idle for too long, and those to peers that `known` doesn't name.
     pub fn sweep(&self, known: impl Fn(&SocketAddr) -> bool) {
         let now = runtime::now();
         self.idle.borrow_mut().retain(|address, kept| {
-            kept.retain(|c| now < c.until && now.duration_since(c.used) < KEEP);
+            kept.retain(|c| now < c.until);
             !kept.is_empty() && known(address)
         });
     }
