--- a/crates/node/src/store/mod.rs
+++ b/crates/node/src/store/mod.rs
@@ -4,6 +4,7 @@
 //! | --- | --- |
 //! | [`log`](mod@log) | records to the ring of files, by a thread of their own |
 //! | [`bodies`] | damaged bodies are replaced by those of other stores |
+//! | [`intake`] | messages are taken |
 //! | [`copies`] | copies of each message at other stores |
 //! | [`ended`] | copies of messages that have ended and of which something is owed |
 //! | [`copier`] | the way to one other store: what it holds, and what it is told |
@@ -25,6 +26,7 @@
 pub mod deliver;
 pub mod ended;
 pub mod endpoints;
+pub mod intake;
 pub mod leaving;
 pub mod log;
 pub mod peers;
@@ -33,19 +35,17 @@
 pub mod rates;
 pub mod takeover;
 
-use crate::calls::{Custody, Hello, PutAnswer, Refusal, Role};
+use crate::calls::{Custody, Hello, Role};
 use crate::process::{self, stopped, Clock, Process};
 use crate::traffic;
 use crate::watch::{watch, Known};
 use anyhow::Context as _;
-use futures_channel::oneshot;
 use monoio::net::TcpListener;
 use net::client::Client;
 use net::rpc::{serve, Peers};
 use net::runtime;
 use net::wake::Notify;
 use queue::{custody, Entry, Message, Queue, Tolerance};
-use races::{Asked, LeftBecause};
 use settings::{Location, ProcessSettings};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -54,14 +54,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-/// A disk that has been at one batch for so long doesn't keep up.
-const DISK_LAG: Duration = Duration::from_millis(250);
 /// With less of the ring free, its oldest file is written anew.
 const COMPACT_BELOW: f64 = 0.3;
-/// With less of it free, nothing is taken.
-const FULL_BELOW: f64 = 0.1;
-/// Share of the process's memory that messages may take.
-const MEMORY_SHARE: f64 = 0.4;
 /// How often repairs and the ring are looked after.
 const CARE: Duration = Duration::from_millis(200);
 /// How long recovered messages wait to hear whether others took them, in milliseconds.
@@ -421,83 +415,6 @@
         let fences = queue.fenced().iter().map(|disk| Entry::Fenced { disk: *disk });
         [Entry::Disk(self.disk)].into_iter().chain(fences).collect()
     }
-
-    /// Why a message isn't taken.
-    fn refusal(&self, message: &Message) -> Option<Refusal> {
-        let key = message.envelope.order_key();
-        if self.paused.get() || (self.leaving.get() && key.is_none()) {
-            return Some(Refusal::Stopping);
-        }
-        let owner = key.map(|key| self.known.stores().owner(key).map(|store| store.disk));
-        if owner.is_some_and(|owner| owner != Some(self.disk)) {
-            return Some(Refusal::NotOwner);
-        }
-        if self.settled_copiers().len() < self.tolerance.copies() {
-            return Some(Refusal::NoCopy);
-        }
-        let full = self.log.lag() > DISK_LAG || self.log.free_share() < FULL_BELOW || self.is_memory_full();
-        full.then_some(Refusal::Full)
-    }
-
-    fn is_memory_full(&self) -> bool {
-        let most = (self.settings.limits.memory_mb as f64 * MEMORY_SHARE * 1_048_576.0) as usize;
-        self.queue.borrow().bytes() > most
-    }
-
-    fn next_order(&self) -> u64 {
-        let epoch = self.known.stores().epoch << 32;
-        let order = (self.last_order.get() + 1).max(epoch);
-        self.last_order.set(order);
-        order
-    }
-
-    /// Takes a message: it is taken once it is on this disk and on another.
-    async fn put(self: &Rc<Self>, mut message: Message) -> PutAnswer {
-        if let Some(refusal) = self.refusal(&message) {
-            return PutAnswer::Refused(refusal);
-        }
-        if self.not_wanted.borrow().contains_key(message.id()) {
-            return PutAnswer::Refused(Refusal::NotOwner);
-        }
-        let id = message.id().to_string();
-        Rc::make_mut(&mut message.envelope).order = self.next_order();
-        let entry = Entry::Message { owner: self.disk, message: message.clone() };
-        if !self.queue.borrow_mut().add(message.clone()) {
-            return PutAnswer::Unclear;
-        }
-        self.taking.set(self.taking.get() + 1);
-        let (store, copy_id, copy_entry) = (self.clone(), id.clone(), entry.clone());
-        let (done, copied) = oneshot::channel();
-        runtime::spawn(async move {
-            store.copy_enough(&copy_id, &copy_entry, Store::placement_to_take).await;
-            let _ = done.send(());
-        });
-        let written = self.log.write(std::slice::from_ref(&entry)).await;
-        let _ = copied.await;
-        if !written {
-            self.taking.set(self.taking.get() - 1);
-            return PutAnswer::Unclear;
-        }
-        runtime::spawn(self.clone().accept(message));
-        PutAnswer::Taken
-    }
-
-    /// A message is safe: it may run, unless a store that was given it before has begun with it.
-    pub async fn accept(self: Rc<Self>, message: Message) {
-        match self.ask_to_leave(&message).await {
-            Asked::Left { silent } => {
-                self.queue.borrow_mut().accept(message.id());
-                silent.into_iter().for_each(|disk| self.require_comparison(disk));
-                // What was recovered or adopted may have fewer copies than it should.
-                if self.missing_copies(message.id(), &self.placement()) > 0 {
-                    self.needs_repair.set(true);
-                }
-            }
-            Asked::Begun => self.leave_to_others(vec![message.id().to_string()], LeftBecause::Begun),
-        }
-        self.taking.set(self.taking.get() - 1);
-        self.work.notify();
-    }
 }
 
 fn encode<T: borsh::BorshSerialize>(answer: &T) -> Vec<u8> {
--- a/crates/node/src/store/races.rs
+++ b/crates/node/src/store/races.rs
@@ -77,7 +77,7 @@
                 return Some(leaves);
             }
             if self.is_away(disk, runtime::now()) {
-                log::info!("{id}: disk {disk:016x} is away and doesn't say that it leaves it");
+                log::debug!("{id}: disk {disk:016x} is away and doesn't say that it leaves it");
                 return None;
             }
             runtime::sleep(PAUSE).await;
--- a/crates/node/tests/model/machine.rs
+++ b/crates/node/tests/model/machine.rs
@@ -1,6 +1,6 @@
 //! A machine of the model: the program's own store on a simulated disk.
 use super::endpoints::Endpoints;
-use super::{settings, Ms, PORT};
+use super::{Deployment, Ms, PORT};
 use net::client::Client;
 use net::rpc::Peers;
 use net::runtime::sleep;
@@ -126,7 +126,8 @@
         simulation: &Simulation,
         network: &Network,
         endpoints: &Rc<Endpoints>,
-        tolerance: usize,
+        deployment: Deployment,
+        number: usize,
         seed: u64,
         forgets: Forgets,
     ) {
@@ -156,7 +157,7 @@
             let device = Device::new(ring, seed);
             *device_place.borrow_mut() = Some(device.clone());
             let process =
-                Process { settings: settings(&name, ip, tolerance), clock: Clock::start(), stopping };
+                Process { settings: deployment.settings(&name, ip, number), clock: Clock::start(), stopping };
             let surroundings = Surroundings {
                 peers: Peers::on(network.transport(id, ip)),
                 endpoints: Client::on(endpoints.reached_by(&name)),
--- a/crates/node/tests/model/mod.rs
+++ b/crates/node/tests/model/mod.rs
@@ -75,15 +75,40 @@
     IpAddr::V4(Ipv4Addr::new(10, 0, 1, 1))
 }
 
-/// The settings of a process.
-pub fn settings(name: &str, ip: IpAddr, tolerance: usize) -> ProcessSettings {
-    let seed = SocketAddr::new(ip_of_control(), PORT);
-    let text = format!(
-        "NodeName: {name}\nIp: {ip}\nZone: z\nPortRange: [{PORT}, {}]\nSeeds: [\"{seed}\"]\nListenAddresses: {{}}\nBootstrap: true\n\
-         Limits: {{ MemoryMb: 256, MaxFds: 1024, DiskMb: 64 }}\nFaultTolerance: {{ Machines: {tolerance} }}\n",
-        PORT + 2
-    );
-    ProcessSettings::parse(&text).unwrap()
+/// Where the machines stand, and what may be lost at once.
+#[derive(Clone, Copy, Debug)]
+pub struct Deployment {
+    /// Machines that may be lost.
+    pub tolerance: usize,
+    /// Machines stand in so many regions by turns, and one of these may be lost; in one zone, if there are none.
+    pub regions: u8,
+}
+
+impl Deployment {
+    /// The region of a machine.
+    pub fn region(&self, number: usize) -> usize {
+        number % usize::from(self.regions.max(1))
+    }
+
+    /// The settings of a process on a machine.
+    pub fn settings(&self, name: &str, ip: IpAddr, number: usize) -> ProcessSettings {
+        let seed = SocketAddr::new(ip_of_control(), PORT);
+        let (place, lost) = match self.regions {
+            0 => ("Zone: z\n".to_string(), String::new()),
+            _ => {
+                let region = self.region(number);
+                (format!("Zone: zone-{region}\nRegion: region-{region}\n"), ", Regions: 1".to_string())
+            }
+        };
+        let text = format!(
+            "NodeName: {name}\nIp: {ip}\n{place}PortRange: [{PORT}, {}]\nSeeds: [\"{seed}\"]\nListenAddresses: {{}}\n\
+             Bootstrap: true\nLimits: {{ MemoryMb: 256, MaxFds: 1024, DiskMb: 64 }}\n\
+             FaultTolerance: {{ Machines: {}{lost} }}\n",
+            PORT + 2,
+            self.tolerance
+        );
+        ProcessSettings::parse(&text).unwrap()
+    }
 }
 
 /// What a run shows of how much happened.
@@ -109,6 +134,7 @@
     machines: Vec<Machine>,
     lot: Pcg64Mcg,
     tolerance: usize,
+    deployment: Deployment,
     mistake: Mistake,
     regime: Regime,
     messages: usize,
@@ -133,7 +159,13 @@
 }
 
 impl World {
+    /// All machines stand in one zone.
     pub fn new(seed: u64, count: usize, tolerance: usize, mistake: Mistake, regime: Regime) -> World {
+        World::of(seed, count, Deployment { tolerance, regions: 0 }, mistake, regime)
+    }
+
+    pub fn of(seed: u64, count: usize, deployment: Deployment, mistake: Mistake, regime: Regime) -> World {
+        let tolerance = deployment.tolerance;
         let simulation = Simulation::new(seed);
         let network = Network::new(&simulation, seed ^ 0x6e65_7477);
         if mistake != Mistake::None {
@@ -155,6 +187,7 @@
             machines: Vec::new(),
             lot: Pcg64Mcg::seed_from_u64(seed ^ 0x776f_726c),
             tolerance,
+            deployment,
             mistake,
             regime,
             messages: 0,
@@ -188,14 +221,22 @@
     fn start(&mut self, i: usize) {
         let seed = self.lot.random_range(0..u64::MAX);
         let (simulation, network, endpoints) = (&self.simulation, &self.network, &self.endpoints);
-        self.machines[i].start(simulation, network, endpoints, self.tolerance, seed, self.mistake.forgets());
+        self.machines[i].start(
+            simulation,
+            network,
+            endpoints,
+            self.deployment,
+            i,
+            seed,
+            self.mistake.forgets(),
+        );
     }
 
     fn add_edge(&mut self, number: u8) {
         let ip = IpAddr::V4(Ipv4Addr::new(10, 0, 2, number + 1));
         let id = self.simulation.new_process(&format!("e{number}"));
         let process = Process {
-            settings: settings(&format!("e{number}"), ip, self.tolerance),
+            settings: self.deployment.settings(&format!("e{number}"), ip, usize::from(number)),
             clock: Clock::start(),
             stopping: Rc::new(Cell::new(false)),
         };
--- a/crates/node/tests/stores.rs
+++ b/crates/node/tests/stores.rs
@@ -5,7 +5,7 @@
 mod model;
 
 use borsh::BorshDeserialize as _;
-use model::{Brings, DamagesBodies, Doom, Mistake, Regime, Seen, World};
+use model::{Brings, DamagesBodies, Deployment, Doom, Mistake, Regime, Seen, World};
 use node::calls::Call;
 use queue::Entry;
 use rstest::rstest;
@@ -287,6 +287,35 @@
     assert_eq!(world.broken().is_some(), lost, "{:?}", world.broken());
 }
 
+/// A region is lost with all its disks. Where that may be borne nothing is, whichever region it is and though the nearest
+/// stores are in the same one; where it may not, something is.
+#[rstest]
+#[case(3, false)]
+#[case(1, true)]
+fn a_region_that_may_be_lost_takes_nothing_with_it(#[case] regions: u8, #[case] lost: bool) {
+    let broken: Vec<String> = (0..3).filter_map(|region| lose_region(regions, region)).collect();
+    assert_eq!(!broken.is_empty(), lost, "{broken:#?}");
+}
+
+/// Six stores; those that stand in the `region`th of three are lost at once.
+fn lose_region(regions: u8, region: usize) -> Option<String> {
+    let deployment = Deployment { tolerance: 1, regions };
+    let mut world = World::of(11, 6, deployment, Mistake::None, Regime::Planned);
+    world.advance(5_000);
+    for i in 0..60 {
+        world.send_delayed(&format!("m{i}"), 40_000);
+        world.send_doomed(&format!("d{i}"), Doom::Refused, false);
+        world.advance(20);
+    }
+    world.advance(1_000);
+    for machine in (0..6).filter(|machine| machine % 3 == region) {
+        world.power_off(machine, 2_000, true);
+    }
+    world.advance(70_000);
+    world.check_answers();
+    world.broken()
+}
+
 /// A store loses its disk and stays away; before it is given up, another one loses its disk too. What the first owned was
 /// made whole among the others meanwhile; or is lost, with the mistake planted.
 #[rstest]
