--- a/src/bin/mallowstep.rs
+++ b/src/bin/mallowstep.rs
@@ -4,7 +4,7 @@
 use std::process::ExitCode;
 
 const HELP: &str = "\
-mallowstep: takes messages, keeps each on two disks, and delivers it once
+mallowstep: takes messages, keeps each on as many disks as may be lost and one more, and delivers it once
 
 Roles; each reads its settings from the file that MALLOWSTEP_CONFIG names:
   mallowstep edge            takes messages from clients
@@ -23,15 +23,17 @@
 const EDGE_HELP: &str = "\
 mallowstep edge: takes messages from clients and hands each to a store
 
-Settings it reads: NodeName, Ip, Zone, ListenAddresses.Http, ListenAddresses.Readiness, PortRange, Seeds, Bounds.GraceS.
+Settings it reads: NodeName, Ip, Zone, Region, Zones, ListenAddresses.Http, ListenAddresses.Readiness, PortRange, Seeds,
+Bounds.GraceS. The nearest stores are given messages first: those of its zone, of its region, then others.
 It needs no disk. On SIGTERM it says that it isn't ready, serves on for 2.3 s, and ends once all is answered.
 ";
 
 const STORE_HELP: &str = "\
-mallowstep store: keeps messages on its disk and at another store, and delivers them
+mallowstep store: keeps messages on its disk and at other stores, and delivers them
 
-Settings it reads: NodeName, Ip, Zone, PortRange, Seeds, DataDir, Limits.DiskMb, Limits.MemoryMb, Bounds.GraceS,
-Bounds.StatusTtlS. Three fifths of the disk are its ring of files. On SIGTERM deliveries under way end, within GraceS.
+Settings it reads: NodeName, Ip, Zone, Region, Zones, PortRange, Seeds, DataDir, FaultTolerance, Limits.DiskMb,
+Limits.MemoryMb, Bounds.GraceS, Bounds.StatusTtlS, Bounds.CeilingWindowS. Copies lie at the nearest stores that make them
+outlast the machines, zones or regions that FaultTolerance names. Three fifths of the disk are its ring of files. On SIGTERM deliveries under way end, within GraceS.
 ";
 
 const CONTROL_HELP: &str = "\
