Load that endpoints tell of other callers is worth nothing and goes out; the choice of endpoints against its optimum on drawn cases

The slots that an endpoint tells are still taken from the header. The test's free endpoints are compared by distance, then by the share of slots taken.

--- a/crates/node/src/store/deliver.rs
+++ b/crates/node/src/store/deliver.rs
@@ -72,12 +72,10 @@
     }
 }
 
-/// Running, waiting and slots, as an endpoint tells them.
-fn load(answer: &Result<Response, CallError>) -> Option<(usize, usize)> {
+/// The slots of an endpoint that tells its load: the last of three numbers, after those of running and waiting requests.
+fn slots(answer: &Result<Response, CallError>) -> Option<usize> {
     let told = answer.as_ref().ok()?.header("x-server-load");
-    let mut numbers = told.split(',').map(|part| part.trim().parse::<usize>());
-    let (running, waiting, slots) = (numbers.next()?.ok()?, numbers.next()?.ok()?, numbers.next()?.ok()?);
-    Some((running + waiting, slots))
+    told.split(',').nth(2)?.trim().parse().ok()
 }
 
 /// Delivers for good.
@@ -234,7 +232,7 @@
             log::debug!("{id} at {}: {verdict:?}", call.address);
         }
         let clock = (self.clock.ms(), self.clock.ns());
-        self.endpoints.borrow_mut().end(&call, outcome(&verdict, &answer), load(&answer), clock);
+        self.endpoints.borrow_mut().end(&call, outcome(&verdict, &answer), slots(&answer), clock);
         self.running.set(self.running.get() - 1);
         self.conclude(&id, verdict, most);
         self.work.notify();
--- a/crates/node/src/store/endpoints.rs
+++ b/crates/node/src/store/endpoints.rs
@@ -31,8 +31,6 @@
     leaving: bool,
     failures: u32,
     avoid_until: u64,
-    /// Others' calls there, as it last told.
-    others: usize,
 }
 
 impl Endpoint {
@@ -46,8 +44,7 @@
     }
 
     fn room(&self) -> f64 {
-        let taken = (self.in_flight + self.others) as f64;
-        taken / self.admission.slots().max(1) as f64
+        self.in_flight as f64 / self.admission.slots().max(1) as f64
     }
 }
 
@@ -115,18 +112,14 @@
         (endpoint.address, endpoint.id.clone(), endpoint.in_flight)
     }
 
-    /// A call has ended.
-    pub fn end(&mut self, call: &Call, outcome: Outcome, load: Option<(usize, usize)>, clock: (u64, i64)) {
+    /// A call has ended; the endpoint may have told how many slots it has.
+    pub fn end(&mut self, call: &Call, outcome: Outcome, slots: Option<usize>, clock: (u64, i64)) {
         let Some(endpoint) = self.find(call) else { return };
         let (now, ns) = clock;
         endpoint.in_flight = endpoint.in_flight.saturating_sub(1);
         endpoint.admission.book(outcome, ns - call.began, call.class, call.level, ns);
-        if let Some((busy, slots)) = load {
-            endpoint.others = busy.saturating_sub(endpoint.in_flight + 1);
-            if slots > 0 && slots != endpoint.admission.slots() {
-                let classes = call.classes.clone();
-                endpoint.admission.change(slots, &classes);
-            }
+        if let Some(slots) = slots.filter(|slots| *slots > 0 && *slots != endpoint.admission.slots()) {
+            endpoint.admission.change(slots, &call.classes);
         }
         match outcome {
             Outcome::Served | Outcome::ServerError => endpoint.failures = 0,
@@ -227,7 +220,6 @@
             leaving,
             failures: 0,
             avoid_until: 0,
-            others: 0,
         });
         let slots = slots.unwrap_or(endpoint.admission.slots());
         endpoint.admission.change(slots, classes);
--- a/crates/node/tests/delivery.rs
+++ b/crates/node/tests/delivery.rs
@@ -5,6 +5,8 @@
 use node::store::deliver::{verdict, Verdict};
 use node::store::endpoints::{Call, Endpoints};
 use policy::api::Outcome;
+use rand::{RngExt as _, SeedableRng as _};
+use rand_pcg::Pcg64Mcg;
 use rstest::rstest;
 use settings::{Configuration, Location, Route, Service, Topology};
 
@@ -160,3 +162,41 @@
     endpoints.update(&configuration, &[listed("a", "here", 1, 40, false)], &topology(), 3);
     assert_eq!(std::iter::from_fn(|| begin(&mut endpoints, 1)).count(), 2);
 }
+
+/// Endpoints in drawn zones with drawn slots, calls that begin and end: whichever is chosen, no free one is nearer, and of
+/// those equally near none has less of its slots taken.
+#[test]
+fn the_chosen_endpoint_is_the_nearest_with_room_and_of_those_the_freest() {
+    let zones = ["here", "there", "far", "nowhere"];
+    let mut lot = Pcg64Mcg::seed_from_u64(3);
+    for _ in 0..100 {
+        let mut endpoints = Endpoints::default();
+        let list: Vec<Endpoint> = (1..=8)
+            .map(|i| listed(&i.to_string(), zones[lot.random_range(0..4)], i, lot.random_range(1..9), false))
+            .collect();
+        update(&mut endpoints, &list);
+        let mut calls: Vec<Call> = Vec::new();
+        for now in 1..60 {
+            if lot.random_bool(0.3) && !calls.is_empty() {
+                let call = calls.swap_remove(lot.random_range(0..calls.len()));
+                finish(&mut endpoints, &call, Outcome::Served, now);
+            }
+            // By distance, then by the share of its slots that is taken, of those that may have one more.
+            let rank = |endpoint: &Endpoint| {
+                let taken =
+                    calls.iter().filter(|call| call.instance.as_deref() == Some(&endpoint.id)).count() as u64;
+                let cap = (endpoint.capacity * 3 / 4).max(1);
+                let distance = here().distance(&topology().locate(&endpoint.zone));
+                (taken < cap).then_some((distance, taken * 1_000 / endpoint.capacity))
+            };
+            let best = list.iter().filter_map(rank).min();
+            let Some(call) = begin(&mut endpoints, now) else {
+                assert_eq!(best, None);
+                continue;
+            };
+            let chosen = list.iter().find(|endpoint| call.instance.as_deref() == Some(&endpoint.id)).unwrap();
+            assert_eq!(rank(chosen), best);
+            calls.push(call);
+        }
+    }
+}
