--- a/crates/node/tests/model/machine.rs
+++ b/crates/node/tests/model/machine.rs
@@ -1,6 +1,6 @@
 //! A machine of the model: the program's own store on a simulated disk.
 use super::endpoints::Endpoints;
-use super::{Deployment, Ms, PORT};
+use super::{Ms, PORT};
 use net::client::Client;
 use net::rpc::Peers;
 use net::runtime::sleep;
@@ -11,6 +11,7 @@
 use rand::{RngExt as _, SeedableRng as _};
 use rand_pcg::Pcg64Mcg;
 use ringlog::{Ring, Shape};
+use settings::ProcessSettings;
 use simulation::disk::Memory;
 use simulation::network::Network;
 use simulation::{ProcessId, Simulation};
@@ -126,8 +127,7 @@
         simulation: &Simulation,
         network: &Network,
         endpoints: &Rc<Endpoints>,
-        deployment: Deployment,
-        number: usize,
+        settings: ProcessSettings,
         seed: u64,
         forgets: Forgets,
     ) {
@@ -156,8 +156,7 @@
             let (ring, found) = read(memory, SHAPE, &mut fold).unwrap();
             let device = Device::new(ring, seed);
             *device_place.borrow_mut() = Some(device.clone());
-            let process =
-                Process { settings: deployment.settings(&name, ip, number), clock: Clock::start(), stopping };
+            let process = Process { settings, clock: Clock::start(), stopping };
             let surroundings = Surroundings {
                 peers: Peers::on(network.transport(id, ip)),
                 endpoints: Client::on(endpoints.reached_by(&name)),
--- a/crates/node/tests/model/mod.rs
+++ b/crates/node/tests/model/mod.rs
@@ -221,15 +221,9 @@
     fn start(&mut self, i: usize) {
         let seed = self.lot.random_range(0..u64::MAX);
         let (simulation, network, endpoints) = (&self.simulation, &self.network, &self.endpoints);
-        self.machines[i].start(
-            simulation,
-            network,
-            endpoints,
-            self.deployment,
-            i,
-            seed,
-            self.mistake.forgets(),
-        );
+        let machine = &mut self.machines[i];
+        let settings = self.deployment.settings(&machine.name, machine.ip, i);
+        machine.start(simulation, network, endpoints, settings, seed, self.mistake.forgets());
     }
 
     fn add_edge(&mut self, number: u8) {
