A watcher that looks for the primary drops no answer

Found by reading the change once more: where two answers came at once and the first named another member, the second was thrown away and its member counted as still asked, so that it wasn't asked again. Answers are now taken one by one.

--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -148,6 +148,12 @@
     changed: Watched,
 }
 
+impl Answers {
+    fn next(&self) -> Option<(IpAddr, Option<News>)> {
+        self.come.borrow_mut().pop_front()
+    }
+}
+
 /// What an answer says of the primary.
 enum Heard {
     /// The one that answered leads.
@@ -205,8 +211,8 @@
         let begun = runtime::now();
         loop {
             let seen = answers.changed.get();
-            let come = answers.come.take();
-            for (from, news) in come {
+            // One by one: what isn't looked at now is there for the next look.
+            while let Some((from, news)) = answers.next() {
                 waiting.remove(&from);
                 match self.hear(from, news) {
                     Heard::Elsewhere(primary) if waiting.contains(&primary) => {}
