--- a/crates/node/tests/watch.rs
+++ b/crates/node/tests/watch.rs
@@ -1,5 +1,8 @@
-//! How soon a watcher that knows nothing hears from the primary, whoever of the group is cut off.
-use net::rpc::Peers;
+//! How soon a watcher that knows nothing hears from the primary, whoever of the group is cut off, and in whatever order
+//! the members answer.
+use net::rpc::{Exchange, Peers, RpcError, Transport};
+use net::runtime;
+use net::wake::Watched;
 use node::calls::{Call, Custody, Hello, News, Role};
 use node::packed::pack;
 use node::watch::{watch, Known};
@@ -67,5 +70,50 @@
         simulation.run_for(Duration::from_millis(STEP));
     }
     assert_eq!(known.version(), 4, "after {SOON} ms");
-    net::runtime::simulate(None);
+    runtime::simulate(None);
+}
+
+/// Members of a group that changed hands: the first two hold their answers back until a test lets them go, both at the
+/// same moment. The first names the third, which is silent; the second leads.
+struct HeldBackMembers {
+    released: Rc<Watched>,
+}
+
+impl Transport for HeldBackMembers {
+    fn send(&self, to: SocketAddr, _call: Vec<u8>, within: Duration) -> Exchange {
+        let released = self.released.clone();
+        Box::pin(async move {
+            if to.ip() == member(3) {
+                runtime::sleep(within).await;
+                return Err(RpcError::TimedOut);
+            }
+            if released.get() == 0 {
+                released.changed(0).await;
+            } else {
+                runtime::sleep(Duration::from_millis(STEP)).await;
+            }
+            let group = vec![member(1), member(2), member(3)];
+            let leads = to.ip() == member(2);
+            let primary = (!leads).then(|| member(3));
+            Ok(borsh::to_vec(&News { leads, primary, epoch: 9, group, ..News::default() }).unwrap())
+        })
+    }
+}
+
+#[test]
+fn a_watcher_hears_the_primary_that_answers_together_with_another_member() {
+    let simulation = Simulation::new(1);
+    let process = simulation.new_process("edge");
+    let own = IpAddr::V4(Ipv4Addr::new(10, 0, 2, 1));
+    let seeds = vec![member(1), member(2), member(3)];
+    let known = Known::new(seeds.clone());
+    let released = Rc::new(Watched::default());
+    let peers = Rc::new(Peers::on(Rc::new(HeldBackMembers { released: released.clone() })));
+    simulation.spawn_in(process, watch(known.clone(), peers, move || hello(own), PORT, seeds));
+    // Two members have been asked by now, the third one hasn't.
+    simulation.run_for(Duration::from_millis(150));
+    released.raise();
+    simulation.run_for(Duration::from_millis(SOON));
+    assert_eq!(known.seen().epoch, 9, "{SOON} ms after both answered");
+    runtime::simulate(None);
 }
