--- a/crates/node/tests/model/mistakes.rs
+++ b/crates/node/tests/model/mistakes.rs
@@ -14,6 +14,8 @@
     None,
     /// A fence is in memory alone: a restart forgets it.
     ForgetsFences,
+    /// Ends weren't on the disk yet when the process was killed: a restart doesn't find them. That is none of the program's.
+    LosesEnds,
     /// A store that is told to stop doesn't wait until others have what it has.
     LeavesBeforeTheCopy,
     /// Nothing is copied again before the owner is given up.
@@ -35,6 +37,7 @@
     pub fn forgets(self) -> fn(&Entry) -> bool {
         match self {
             Mistake::ForgetsFences => |entry| matches!(entry, Entry::Fenced { .. }),
+            Mistake::LosesEnds => |entry| matches!(entry, Entry::Ended(_)),
             _ => |_| false,
         }
     }
--- a/crates/node/tests/stores.rs
+++ b/crates/node/tests/stores.rs
@@ -200,6 +200,24 @@
     world.begins("m")
 }
 
+/// A store is killed before the ends of its messages are on its disk. The stores that hold copies know of them, so nothing runs
+/// again once it is back: neither at once nor after planned restarts, long after the kill.
+#[rstest]
+fn ends_that_only_other_stores_know_of_end_messages_after_a_restart(#[values(1, 2, 3)] seed: u64) {
+    let mut world = World::new(seed, 4, 1, Mistake::LosesEnds, Regime::Planned);
+    world.advance(5_000);
+    for i in 0..40 {
+        world.send_one(&format!("m{i}"), 20);
+        world.advance(20);
+    }
+    world.advance(500);
+    let begun = |world: &World| (0..40).map(|i| world.begins(&format!("m{i}")).len()).collect::<Vec<_>>();
+    assert!(begun(&world).iter().all(|begins| *begins == 1), "{:?}", begun(&world));
+    world.power_off(0, 300, false);
+    world.advance(8_000);
+    assert!(begun(&world).iter().all(|begins| *begins == 1), "{:?}", begun(&world));
+}
+
 /// A message can never be done, and the store that owns it is lost. Its bytes come back as long as its state is told,
 /// whether a call-back about it is owed, was accepted, or isn't wanted.
 #[rstest]
