--- a/crates/node/src/store/copier.rs
+++ b/crates/node/src/store/copier.rs
@@ -252,6 +252,11 @@
         if !ended_there.is_empty() && !self.learn_ends(store, ended_there).await {
             return false;
         }
+        // Of a completed message the peer keeps the end alone, and doesn't list it as held.
+        let unheld = store.recovered_and_not_among(&held.live);
+        if !unheld.is_empty() && !self.learn_ends(store, unheld).await {
+            return false;
+        }
         if !unknown.is_empty() && !self.fetch(store, unknown).await {
             return false;
         }
@@ -259,15 +264,18 @@
         true
     }
 
-    /// Messages of this store have ended by what the peer knows: the end was on its way to this store's disk when the power
-    /// was lost.
+    /// Asks the peer which of some messages of this store have ended: an end was on its way to this store's disk when the
+    /// process was killed.
     async fn learn_ends(&self, store: &Rc<Store>, ids: Vec<String>) -> bool {
-        log::info!("ended by what disk {:016x} knows: {}", self.disk, some_of(&ids));
         for ids in ids.chunks(ENDS_AT_ONCE) {
             let call = Call::Ends { ids: ids.to_vec() };
             let Ok(ends) = store.peers.call::<Call, Vec<End>>(self.address, &call, RECONCILE).await else {
                 return false;
             };
+            if !ends.is_empty() {
+                let ended: Vec<String> = ends.iter().map(|end| end.id.clone()).collect();
+                log::info!("ended by what disk {:016x} knows: {}", self.disk, some_of(&ended));
+            }
             ends.into_iter().for_each(|end| store.finish(end));
         }
         true
--- a/crates/node/src/store/mod.rs
+++ b/crates/node/src/store/mod.rs
@@ -75,6 +75,8 @@
     pub peers: Rc<Peers>,
     pub log: Rc<log::Log>,
     pub queue: RefCell<Queue>,
+    /// Messages that had not ended by what was read from the disk at the start.
+    recovered: RefCell<BTreeSet<String>>,
     /// Recovered messages that other stores were given too, until they are looked after.
     raced: RefCell<Vec<Message>>,
     pub copiers: RefCell<BTreeMap<u64, Rc<copier::Copier>>>,
@@ -185,6 +187,8 @@
             queue.recover(Entry::Disk(disk));
         }
         let raced = queue.recovered();
+        let live = queue.all_owned().filter(|owned| owned.is_live());
+        let recovered = live.map(|owned| owned.id().to_string()).collect();
         let started = process.clock.ms();
         let left = queue.take_left().into_iter().map(|id| (id, started)).collect();
         let settings = process.settings.clone();
@@ -198,6 +202,7 @@
             log,
             last_order: Cell::new(queue.highest_order()),
             queue: RefCell::new(queue),
+            recovered: RefCell::new(recovered),
             raced: RefCell::new(raced),
             copiers: RefCell::default(),
             sessions: RefCell::default(),
@@ -327,6 +332,14 @@
         }
     }
 
+    /// Messages that were read from the disk at the start, that have not ended since by what is known here, and that aren't
+    /// among these.
+    fn recovered_and_not_among(&self, ids: &BTreeSet<String>) -> Vec<String> {
+        let (queue, mut recovered) = (self.queue.borrow(), self.recovered.borrow_mut());
+        recovered.retain(|id| queue.owned(id).is_some_and(|owned| owned.is_live()));
+        recovered.difference(ids).cloned().collect()
+    }
+
     /// Whether this store has heard, since it started, that it is one, and acts by that.
     pub fn acts_by_a_view(&self) -> bool {
         self.epoch.get() > 0
