A start reads what still counts: the ring knows what was given up, the oldest file is written anew once little of it counts

Cause: given-up files were read again at each start, and nothing was given up before 70% of the ring was in use. A file's header tells now which files counted when it was begun; the oldest is written anew once half of a file at the most still counts. And a file could be given up twice, the second time in the next one's stead, while nothing was written; what was left to others was forgotten.

--- a/crates/node/src/store/log.rs
+++ b/crates/node/src/store/log.rs
@@ -3,7 +3,7 @@
 use net::runtime;
 use net::wake::Notify;
 use queue::Entry;
-use ringlog::{Files, Folder, Record, Ring, RingError, SegmentId, Shape};
+use ringlog::{Files, Folder, Record, Ring, RingError, SegmentId, Shape, RECORD_OVERHEAD};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
 use std::path::Path;
@@ -24,8 +24,10 @@
 pub enum Job {
     /// Append records, and tell when they last.
     Append(Vec<Vec<u8>>, oneshot::Sender<Result<Done, RingError>>),
-    /// Nothing in the oldest file counts any more.
-    ReleaseOldest,
+    /// Begin every file with this record from now on.
+    BeginWith(Vec<u8>),
+    /// Nothing in this file counts any more, if it is the oldest.
+    Release(SegmentId),
 }
 
 /// Records were appended, and last.
@@ -51,7 +53,7 @@
 /// What was found on a disk at an opening.
 pub struct Found {
     places: BTreeMap<SegmentId, BTreeSet<String>>,
-    segments: usize,
+    shape: Shape,
     free: usize,
     oldest: Option<SegmentId>,
 }
@@ -69,7 +71,7 @@
     disk: Rc<dyn Disk>,
     /// Whose records stand in which file.
     places: RefCell<BTreeMap<SegmentId, BTreeSet<String>>>,
-    segments: usize,
+    shape: Shape,
     free: Cell<usize>,
     oldest: Cell<Option<SegmentId>>,
     /// Since when a batch is being written.
@@ -87,6 +89,11 @@
     entry.id().unwrap_or_default()
 }
 
+/// How many bytes a record takes in a file of the ring.
+pub fn written_bytes(entry: &Entry) -> usize {
+    RECORD_OVERHEAD + borsh::object_length(entry).expect("counting bytes")
+}
+
 /// Why a log can't be opened.
 #[derive(Debug)]
 pub enum OpenError {
@@ -138,7 +145,7 @@
     if unreadable > 0 {
         return Err(OpenError::Unreadable { records: unreadable });
     }
-    let found = Found { places, segments: shape.segments, free: ring.free(), oldest: ring.oldest() };
+    let found = Found { places, shape, free: ring.free(), oldest: ring.oldest() };
     Ok((ring, found))
 }
 
@@ -159,7 +166,7 @@
             wake: Notify::default(),
             disk,
             places: RefCell::new(found.places),
-            segments: found.segments,
+            shape: found.shape,
             free: Cell::new(found.free),
             oldest: Cell::new(found.oldest),
             writing_since: Cell::new(None),
@@ -177,6 +184,11 @@
         receiver.await.unwrap_or(false)
     }
 
+    /// Begins every file with a record from now on, so that a start reads it before all that is left.
+    pub fn begin_files_with(&self, entry: &Entry) {
+        self.disk.submit(Job::BeginWith(borsh::to_vec(entry).expect("writing to memory")));
+    }
+
     /// Appends a record; it lasts soon.
     pub fn note(&self, entry: &Entry) {
         self.push(entry);
@@ -195,7 +207,12 @@
 
     /// The share of the ring's files that are free.
     pub fn free_share(&self) -> f64 {
-        self.free.get() as f64 / self.segments as f64
+        self.free.get() as f64 / self.shape.segments as f64
+    }
+
+    /// The size of each file of the ring.
+    pub fn segment_bytes(&self) -> usize {
+        self.shape.segment_bytes
     }
 
     /// The oldest file, and whose records stand in it.
@@ -205,10 +222,12 @@
         Some((oldest, places.get(&oldest).into_iter().flatten().cloned().collect()))
     }
 
-    /// Nothing that counts stands in the oldest file any more.
+    /// Nothing that counts stands in this file any more, which is the oldest. Which one is the oldest then is known with the
+    /// next records that are written.
     pub fn release(&self, segment: SegmentId) {
         self.places.borrow_mut().remove(&segment);
-        self.disk.submit(Job::ReleaseOldest);
+        self.oldest.set(None);
+        self.disk.submit(Job::Release(segment));
     }
 
     async fn write_batches(self: Rc<Self>) {
@@ -270,6 +289,8 @@
             let (free, oldest) = (ring.free(), ring.oldest());
             let _ = done.send(written.map(|places| Done { places, free, oldest }));
         }
-        Job::ReleaseOldest => ring.release_oldest(),
+        Job::BeginWith(record) => ring.set_preamble(record),
+        Job::Release(segment) if ring.oldest() == Some(segment) => ring.release_oldest(),
+        Job::Release(segment) => log::warn!("file {segment} isn't the oldest of the ring: it stays"),
     }
 }
--- a/crates/node/src/store/mod.rs
+++ b/crates/node/src/store/mod.rs
@@ -56,6 +56,10 @@
 
 /// With less of the ring free, its oldest file is written anew.
 const COMPACT_BELOW: f64 = 0.3;
+/// So is one of which so much at the most still counts, so that a start doesn't read what is over.
+const COMPACT_SHARE: f64 = 0.5;
+/// How often it is looked how much that is.
+const COMPACT_LOOK: Duration = Duration::from_millis(2_000);
 /// How often repairs and the ring are looked after.
 const CARE: Duration = Duration::from_millis(200);
 /// How long recovered messages wait to hear whether others took them, in milliseconds.
@@ -186,6 +190,8 @@
             );
             queue.recover(Entry::Disk(disk));
         }
+        // Whose messages the others are is known by it: it is read first.
+        log.begin_files_with(&Entry::Disk(queue.disk()));
         let raced = queue.recovered();
         let live = queue.all_owned().filter(|owned| owned.is_live());
         let recovered = live.map(|owned| owned.id().to_string()).collect();
@@ -371,6 +377,7 @@
     }
 
     async fn care(self: Rc<Self>) {
+        let mut looked = runtime::now();
         loop {
             let _ = runtime::timeout(CARE, self.cared.notified()).await;
             self.look_for_absences();
@@ -378,7 +385,11 @@
             if self.needs_repair.get() {
                 self.repair().await;
             }
-            if self.log.free_share() < COMPACT_BELOW {
+            let looks = runtime::elapsed(looked) >= COMPACT_LOOK;
+            if looks {
+                looked = runtime::now();
+            }
+            if self.log.free_share() < COMPACT_BELOW || (looks && self.is_oldest_file_mostly_over()) {
                 self.compact().await;
             }
         }
@@ -419,11 +430,27 @@
         }
     }
 
+    /// What still counts in the oldest file of the ring is little.
+    fn is_oldest_file_mostly_over(&self) -> bool {
+        let Some((_, ids)) = self.log.oldest() else { return false };
+        let most = (self.log.segment_bytes() as f64 * COMPACT_SHARE) as usize;
+        let mut counts = 0;
+        for id in ids {
+            counts += self.entries_of(&id).iter().map(log::written_bytes).sum::<usize>();
+            if counts > most {
+                return false;
+            }
+        }
+        true
+    }
+
     /// The records that tell all that is known of a message; without an id, of the disk itself.
     fn entries_of(&self, id: &str) -> Vec<Entry> {
         let queue = self.queue.borrow();
         if !id.is_empty() {
-            return custody::records_of(&queue, id);
+            let left = self.not_wanted.borrow().contains_key(id);
+            let left = left.then(|| Entry::Dropped { owner: self.disk, id: id.to_string() });
+            return custody::records_of(&queue, id).into_iter().chain(left).collect();
         }
         let fences = queue.fenced().iter().map(|disk| Entry::Fenced { disk: *disk });
         [Entry::Disk(self.disk)].into_iter().chain(fences).collect()
--- a/crates/node/tests/model/machine.rs
+++ b/crates/node/tests/model/machine.rs
@@ -112,6 +112,13 @@
         )
     }
 
+    /// How many bytes of bodies a start would read from the disk.
+    pub fn body_bytes_on_disk(&self) -> usize {
+        let mut bytes = 0;
+        read(self.memory.clone(), SHAPE, &mut |entry| bytes += entry.body_bytes()).unwrap();
+        bytes
+    }
+
     pub fn works(&self, now: Ms) -> bool {
         self.store().is_some() && now >= self.frozen_until && !self.removed
     }
--- a/crates/ringlog/src/segment.rs
+++ b/crates/ringlog/src/segment.rs
@@ -1,9 +1,11 @@
 //! The bytes of one file of the ring.
 
-/// Marks a file of a ring, with its version.
-const MAGIC: [u8; 8] = *b"mstring1";
-/// Magic, generation, checksum.
-pub const HEADER_BYTES: usize = 20;
+/// Marks a file of a ring.
+const MAGIC: [u8; 7] = *b"mstring";
+/// The version of the header and the records, as a digit.
+const VERSION: u8 = b'2';
+/// Magic and version, generation, first generation that counts, checksum.
+pub const HEADER_BYTES: usize = 28;
 /// Length, generation, checksum.
 pub const RECORD_OVERHEAD: usize = 16;
 
@@ -16,24 +18,58 @@
     pub payload: Vec<u8>,
 }
 
-/// The header of a file.
-pub fn header(generation: u64) -> [u8; HEADER_BYTES] {
-    let mut bytes = [0; HEADER_BYTES];
-    bytes[..8].copy_from_slice(&MAGIC);
-    bytes[8..16].copy_from_slice(&generation.to_le_bytes());
-    let checksum = crc32fast::hash(&bytes[..16]);
-    bytes[16..].copy_from_slice(&checksum.to_le_bytes());
-    bytes
+/// What stands at the beginning of a file.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Header {
+    /// How many files were begun before it, and this one.
+    pub generation: u64,
+    /// Files of lower generations held nothing that counts when this one was begun.
+    pub first: u64,
 }
 
-/// The generation that a header tells, if it is whole.
-pub fn generation_of(bytes: &[u8]) -> Option<u64> {
-    let bytes = bytes.get(..HEADER_BYTES)?;
-    let checksum = u32::from_le_bytes(bytes[16..20].try_into().ok()?);
-    if bytes[..8] != MAGIC || crc32fast::hash(&bytes[..16]) != checksum {
-        return None;
+/// What the first bytes of a file are.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Start {
+    /// None of a ring, or torn: nothing after it counts.
+    Unused,
+    /// A file of a ring that another version of the program wrote.
+    OtherVersion,
+    Begun(Header),
+}
+
+impl Header {
+    /// Its bytes.
+    pub fn encode(&self) -> [u8; HEADER_BYTES] {
+        let mut bytes = [0; HEADER_BYTES];
+        bytes[..7].copy_from_slice(&MAGIC);
+        bytes[7] = VERSION;
+        bytes[8..16].copy_from_slice(&self.generation.to_le_bytes());
+        bytes[16..24].copy_from_slice(&self.first.to_le_bytes());
+        let checksum = crc32fast::hash(&bytes[..24]);
+        bytes[24..].copy_from_slice(&checksum.to_le_bytes());
+        bytes
+    }
+}
+
+impl Start {
+    /// Reads the first bytes of a file.
+    pub fn of(bytes: &[u8]) -> Start {
+        if bytes.get(..7) == Some(&MAGIC) && bytes.get(7).is_some_and(|version| *version != VERSION) {
+            return Start::OtherVersion;
+        }
+        match read_header(bytes) {
+            Some(header) => Start::Begun(header),
+            None => Start::Unused,
+        }
     }
-    Some(u64::from_le_bytes(bytes[8..16].try_into().ok()?))
+}
+
+fn read_header(bytes: &[u8]) -> Option<Header> {
+    let bytes = bytes.get(..HEADER_BYTES)?;
+    let number = |at: usize| Some(u64::from_le_bytes(bytes[at..at + 8].try_into().ok()?));
+    let checksum = u32::from_le_bytes(bytes[24..28].try_into().ok()?);
+    let is_whole = bytes[..7] == MAGIC && crc32fast::hash(&bytes[..24]) == checksum;
+    is_whole.then_some(Header { generation: number(8)?, first: number(16)? })
 }
 
 /// Appends a record's bytes.
@@ -54,7 +90,7 @@
 
 /// All whole records of a file, up to the first that is not whole or is of an earlier use.
 pub fn read_segment(bytes: &[u8]) -> Vec<Record> {
-    let Some(generation) = generation_of(bytes) else { return Vec::new() };
+    let Some(Header { generation, .. }) = read_header(bytes) else { return Vec::new() };
     let mut records = Vec::new();
     let mut at = HEADER_BYTES;
     while let Some(payload) = record_at(bytes, at, generation) {
--- a/crates/ringlog/src/writer.rs
+++ b/crates/ringlog/src/writer.rs
@@ -1,6 +1,6 @@
 //! Opening a ring, and appending to it.
 use crate::files::{Files, Folder};
-use crate::segment::{encode, generation_of, header, read_segment, Record, HEADER_BYTES, RECORD_OVERHEAD};
+use crate::segment::{encode, read_segment, Header, Record, Start, HEADER_BYTES, RECORD_OVERHEAD};
 use std::io;
 use std::path::{Path, PathBuf};
 
@@ -21,6 +21,8 @@
     Full,
     /// A record is larger than a file.
     TooLarge,
+    /// A file is of another version of the program.
+    OtherVersion,
     /// The disk failed.
     Disk(io::Error),
 }
@@ -34,6 +36,9 @@
             RingError::TooLarge => {
                 f.write_str("a record is larger than a file of the ring; use larger files")
             }
+            RingError::OtherVersion => f.write_str(
+                "the ring is of another version of the program; let that one end its messages before the change",
+            ),
             RingError::Disk(error) => write!(f, "the disk failed ({error}); check its space and health"),
         }
     }
@@ -66,19 +71,24 @@
     /// The place after the last record in the file that was begun last; nothing before one was begun.
     end: Option<usize>,
     generation: u64,
+    /// The payload of the first record of each file; empty for none.
+    preamble: Vec<u8>,
 }
 
-/// Reads the ring in a folder without changing anything: its files in the order of their use, with their records.
+/// Reads the ring in a folder without changing anything: its files that count in the order of their use, with their
+/// records.
 pub fn read(folder: &Path) -> Result<Vec<(PathBuf, Vec<Record>)>, RingError> {
     let mut files = Vec::new();
     for entry in std::fs::read_dir(folder)? {
         let path = entry?.path();
         let bytes = std::fs::read(&path)?;
-        if let Some(generation) = generation_of(&bytes) {
-            files.push((generation, path, read_segment(&bytes)));
+        if let Start::Begun(header) = Start::of(&bytes) {
+            files.push((header, path, read_segment(&bytes)));
         }
     }
     files.sort();
+    let first = files.last().map_or(0, |(header, _, _)| header.first);
+    files.retain(|(header, _, _)| header.generation >= first);
     Ok(files.into_iter().map(|(_, path, records)| (path, records)).collect())
 }
 
@@ -106,7 +116,11 @@
         let mut made = 0;
         for segment in 0..shape.segments {
             match files.start(segment)? {
-                Some(start) => begun.extend(generation_of(&start).map(|generation| (generation, segment))),
+                Some(start) => match Start::of(&start) {
+                    Start::Begun(header) => begun.push((header, segment)),
+                    Start::OtherVersion => return Err(RingError::OtherVersion),
+                    Start::Unused => {}
+                },
                 None => {
                     files.create(segment, shape.segment_bytes)?;
                     made += 1;
@@ -117,9 +131,12 @@
             files.sync_names()?;
         }
         begun.sort_unstable();
-        let (generation, last) = begun.last().copied().unwrap_or((0, shape.segments - 1));
+        let nothing = (Header { generation: 0, first: 0 }, shape.segments - 1);
+        let (Header { generation, first }, last) = begun.last().copied().unwrap_or(nothing);
         let mut used = vec![None; shape.segments];
-        for (generation, segment) in begun {
+        // What had been given up when the last file was begun needn't be read again.
+        begun.retain(|(header, _)| header.generation >= first);
+        for (Header { generation, .. }, segment) in begun {
             let records = read_segment(&files.read(segment)?);
             used[segment] = (!records.is_empty()).then_some(generation);
             records.into_iter().for_each(|record| visit(segment, record));
@@ -128,10 +145,24 @@
         if generation > 0 {
             files.sync(last)?;
         }
-        let ring = Ring { files, shape, used, last, end: None, generation };
+        let ring = Ring { files, shape, used, last, end: None, generation, preamble: Vec::new() };
         Ok(Opened { ring, fresh: made == shape.segments })
     }
 
+    /// Every file that is begun from now on has this as its first record: what has to be known before all others is read
+    /// first, whichever files have been given up.
+    pub fn set_preamble(&mut self, payload: Vec<u8>) {
+        self.preamble = payload;
+    }
+
+    /// How many bytes of a file its header and the preamble take.
+    fn head_bytes(&self) -> usize {
+        match self.preamble.len() {
+            0 => HEADER_BYTES,
+            bytes => HEADER_BYTES + RECORD_OVERHEAD + bytes,
+        }
+    }
+
     /// Appends payloads, all in one write where they fit; tells in which file each stands. They last once
     /// [`Ring::sync`] has returned.
     pub fn append(&mut self, payloads: &[Vec<u8>]) -> Result<Vec<SegmentId>, RingError> {
@@ -139,7 +170,7 @@
         let mut batch = Vec::new();
         for payload in payloads {
             let needed = RECORD_OVERHEAD + payload.len();
-            if HEADER_BYTES + needed > self.shape.segment_bytes {
+            if self.head_bytes() + needed > self.shape.segment_bytes {
                 return Err(RingError::TooLarge);
             }
             if !self.fits(batch.len() + needed) {
@@ -171,10 +202,15 @@
         let next = order.into_iter().find(|segment| self.used[*segment].is_none()).ok_or(RingError::Full)?;
         self.sync()?;
         self.generation += 1;
-        self.files.write(next, 0, &header(self.generation))?;
         self.used[next] = Some(self.generation);
+        let first = self.used.iter().flatten().min().copied().unwrap_or(self.generation);
+        let mut head = Header { generation: self.generation, first }.encode().to_vec();
+        if !self.preamble.is_empty() {
+            encode(self.generation, &self.preamble, &mut head);
+        }
+        self.files.write(next, 0, &head)?;
         self.last = next;
-        self.end = Some(HEADER_BYTES);
+        self.end = Some(head.len());
         Ok(())
     }
 
--- a/crates/ringlog/tests/ring.rs
+++ b/crates/ringlog/tests/ring.rs
@@ -111,7 +111,7 @@
     ring.sync().unwrap();
     ring.append(&[payload(2)]).unwrap();
     drop(ring);
-    let start = 20 + 76;
+    let start = ringlog::HEADER_BYTES as u64 + 76;
     let mut file = OpenOptions::new().write(true).open(folder.0.join("segment-000")).unwrap();
     file.seek(SeekFrom::Start(start + kept)).unwrap();
     file.write_all(&vec![0; (76 - kept) as usize]).unwrap();
@@ -141,6 +141,67 @@
     assert!(!records.contains(&payload(1)) && !records.contains(&payload(2)));
 }
 
+/// What was given up when the last file was begun isn't read at the next opening; if that file's header is torn, it is.
+#[rstest]
+#[case::whole(false)]
+#[case::torn(true)]
+fn files_that_were_given_up_are_read_only_if_the_last_header_is_torn(#[case] torn: bool) {
+    let folder = Folder::new(&format!("given-up-{torn}"));
+    let (mut ring, _) = open(&folder.0);
+    for i in 0..9 {
+        ring.append(&[payload(i)]).unwrap();
+    }
+    ring.release_oldest();
+    ring.release_oldest();
+    let places = ring.append(&[payload(9)]).unwrap();
+    ring.sync().unwrap();
+    drop(ring);
+    if torn {
+        let path = folder.0.join(format!("segment-{:03}", places[0]));
+        let mut file = OpenOptions::new().write(true).open(path).unwrap();
+        file.write_all(&[0xff; 9]).unwrap();
+    }
+    let expected: Vec<_> = if torn { (0..9).map(payload).collect() } else { (6..10).map(payload).collect() };
+    assert_eq!(open(&folder.0).1, expected);
+}
+
+/// The preamble is read before all else, whatever has been given up, and other records have less room by it.
+#[test]
+fn each_file_begins_with_the_preamble() {
+    let folder = Folder::new("preamble");
+    let (mut ring, _) = open(&folder.0);
+    ring.set_preamble(vec![200; 10]);
+    for i in 0..6 {
+        ring.append(&[payload(i)]).unwrap();
+    }
+    ring.release_oldest();
+    ring.append(&[payload(6)]).unwrap();
+    ring.sync().unwrap();
+    drop(ring);
+    let mut expected = Vec::new();
+    for pair in [[2, 3], [4, 5]] {
+        expected.push(vec![200; 10]);
+        expected.extend(pair.map(payload));
+    }
+    expected.extend([vec![200; 10], payload(6)]);
+    assert_eq!(open(&folder.0).1, expected);
+    let (mut ring, _) = open(&folder.0);
+    ring.set_preamble(vec![200; 200]);
+    assert!(matches!(ring.append(&[payload(1)]), Err(RingError::TooLarge)));
+}
+
+#[test]
+fn a_ring_of_another_version_is_refused() {
+    let folder = Folder::new("version");
+    let (mut ring, _) = open(&folder.0);
+    ring.append(&[payload(1)]).unwrap();
+    drop(ring);
+    let mut file = OpenOptions::new().write(true).open(folder.0.join("segment-000")).unwrap();
+    file.write_all(b"mstring1").unwrap();
+    let opened = Ring::open(&folder.0, SHAPE, &mut |_, _| {});
+    assert!(matches!(opened.map(|_| ()), Err(RingError::OtherVersion)));
+}
+
 #[test]
 fn a_torn_header_loses_only_what_was_not_synced() {
     let folder = Folder::new("header");
