--- a/crates/control/src/stores.rs
+++ b/crates/control/src/stores.rs
@@ -145,15 +145,15 @@
         }
     }
 
-    /// The store that should take over from one, if its disk is lost: one that isn't silent, if there is one, and of these
-    /// the one that owns least; then one of the same name, then the nearest.
+    /// The store that should take over from one, if its disk is lost: one that isn't silent or about to stop, if there is
+    /// one, and of these the one that owns least; then one of the same name, then the nearest.
     pub fn heir_for(&self, disk: u64, silent: &BTreeSet<u64>) -> Option<u64> {
         let lost = self.get(disk)?;
         let owned = |store: &Store| self.owners.iter().filter(|owner| **owner == store.disk).count();
         let others = self.staying().filter(|store| store.disk != disk);
         let order = |s: &&Store| {
             let distance = s.location.distance(&lost.location);
-            (silent.contains(&s.disk), owned(s), s.name != lost.name, distance, s.disk)
+            (s.leaving || silent.contains(&s.disk), owned(s), s.name != lost.name, distance, s.disk)
         };
         others.min_by_key(order).map(|store| store.disk)
     }
--- a/crates/node/src/control/census_tests.rs
+++ b/crates/node/src/control/census_tests.rs
@@ -335,3 +335,14 @@
     assert!(heirs.iter().all(|heir| heir % 2 == 1), "{heirs:?}");
     assert!(play.view.stores.iter().all(|store| store.heir.is_none_or(|heir| heir % 2 == 1)));
 }
+
+/// A store that has said that it stops is no heir, though it owns as little as the others and is the nearest.
+#[test]
+fn a_store_that_is_about_to_stop_is_no_heir() {
+    let mut play = Play::new(4);
+    play.pass(5_000);
+    play.leaving = Some(1);
+    play.up.retain(|(machine, _)| *machine != 2);
+    assert_eq!(play.pass(17_000), [2]);
+    assert!(play.view.final_heir(2).is_some_and(|heir| heir != 1));
+}
--- a/crates/node/src/store/mod.rs
+++ b/crates/node/src/store/mod.rs
@@ -5,6 +5,8 @@
 //! | [`log`](mod@log) | records to the ring of files, by a thread of their own |
 //! | [`bodies`] | damaged bodies are replaced by those of other stores |
 //! | [`intake`] | messages are taken |
+//! | `following` | what follows from each view of the stores |
+//! | `compaction` | the oldest files of the log are written anew |
 //! | [`copies`] | copies of each message at other stores |
 //! | [`ended`] | copies of messages that have ended and of which something is owed |
 //! | [`copier`] | the way to one other store: what it holds, and what it is told |
@@ -20,12 +22,14 @@
 //! | [`callbacks`] | call-backs about ends |
 pub mod bodies;
 pub mod callbacks;
+mod compaction;
 pub mod copier;
 pub mod copies;
 pub mod decided;
 pub mod deliver;
 pub mod ended;
 pub mod endpoints;
+mod following;
 pub mod intake;
 pub mod leaving;
 pub mod log;
@@ -45,7 +49,7 @@
 use net::rpc::{serve, Peers};
 use net::runtime;
 use net::wake::Notify;
-use queue::{custody, Entry, Message, Queue};
+use queue::{Entry, Message, Queue};
 use settings::{Location, ProcessSettings, Tolerance};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -54,12 +58,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-/// With less of the ring free, its oldest file is written anew.
-const COMPACT_BELOW: f64 = 0.3;
-/// So is one of which so much at the most still counts, so that a start doesn't read what is over.
-const COMPACT_SHARE: f64 = 0.5;
-/// How often it is looked how much that is.
-const COMPACT_LOOK: Duration = Duration::from_millis(2_000);
 /// How often repairs and the ring are looked after.
 const CARE: Duration = Duration::from_millis(200);
 /// How long recovered messages wait to hear whether others took them, in milliseconds.
@@ -295,89 +293,7 @@
         settled && !self.needs_repair.get() && !self.lacks_copies()
     }
 
-    /// Keeps a way to every other store, and takes over from lost ones.
-    async fn follow_stores(self: Rc<Self>) {
-        let mut seen = 0;
-        let mut unmet = None;
-        loop {
-            self.known.changes.changed(seen).await;
-            seen = self.known.changes.get();
-            let view = self.known.stores();
-            let me = view.get(self.disk);
-            if let Some(store) = me.filter(|store| store.gone) {
-                self.is_given_up(store.retiring);
-                continue;
-            }
-            if me.is_some_and(|store| store.retiring) && !self.retiring.replace(true) {
-                runtime::spawn(self.clone().retire(self.acts_by_a_view()));
-            }
-            let unmet_before = std::mem::replace(&mut unmet, self.unmet_tolerance());
-            if let Some(unmet) = unmet.as_ref().filter(|_| unmet != unmet_before) {
-                ::log::warn!("what may be lost at once can't be borne now: {unmet}");
-            }
-            self.keep_copiers(&view);
-            self.epoch.set(view.epoch);
-            for lost in view.inherited_by(self.disk) {
-                let known =
-                    self.inherited.borrow().contains(&lost) || self.inheriting.borrow().contains_key(&lost);
-                if !known {
-                    self.inheriting.borrow_mut().insert(lost, takeover::Inheriting::Collecting);
-                    runtime::spawn(self.clone().take_over(lost));
-                }
-            }
-        }
-    }
-
-    /// Others have taken over from this disk: nothing runs here any more. What only this store has is handed back, unless
-    /// it was retired: then others had all before.
-    fn is_given_up(self: &Rc<Self>, retired: bool) {
-        self.leaving.set(true);
-        self.paused.set(true);
-        if !retired && !self.given_up.replace(true) {
-            runtime::spawn(self.clone().hand_back());
-        }
-    }
-
-    /// Messages that were read from the disk at the start, that have not ended since by what is known here, and that aren't
-    /// among these.
-    fn recovered_and_not_among(&self, ids: &BTreeSet<String>) -> Vec<String> {
-        let (queue, mut recovered) = (self.queue.borrow(), self.recovered.borrow_mut());
-        recovered.retain(|id| queue.owned(id).is_some_and(|owned| owned.is_live()));
-        recovered.difference(ids).cloned().collect()
-    }
-
-    /// Whether this store has heard, since it started, that it is one, and acts by that.
-    pub fn acts_by_a_view(&self) -> bool {
-        self.epoch.get() > 0
-    }
-
-    /// Whether this store acts by the newest view that it has heard of: what it has to take over is known.
-    pub fn knows_its_part(&self) -> bool {
-        let epoch = self.known.stores().epoch;
-        epoch > 0 && self.epoch.get() == epoch
-    }
-
-    fn keep_copiers(self: &Rc<Self>, view: &control::StoreView) {
-        let mut copiers = self.copiers.borrow_mut();
-        copiers.retain(|disk, copier| {
-            let store = view.get(*disk).filter(|store| !store.gone);
-            let stays = store.is_some_and(|store| copier.address().ip() == store.ip);
-            if !stays {
-                copier.end();
-                self.needs_repair.set(true);
-            }
-            stays
-        });
-        for store in view.active().filter(|store| store.disk != self.disk) {
-            let address = SocketAddr::new(store.ip, self.port);
-            copiers
-                .entry(store.disk)
-                .or_insert_with(|| copier::Copier::start(self.clone(), store.disk, address));
-        }
-    }
-
     async fn care(self: Rc<Self>) {
-        let mut looked = runtime::now();
         loop {
             let _ = runtime::timeout(CARE, self.cared.notified()).await;
             self.look_for_absences();
@@ -385,13 +301,7 @@
             if self.needs_repair.get() {
                 self.repair().await;
             }
-            let looks = runtime::elapsed(looked) >= COMPACT_LOOK;
-            if looks {
-                looked = runtime::now();
-            }
-            if self.log.free_share() < COMPACT_BELOW || (looks && self.is_oldest_file_mostly_over()) {
-                self.compact().await;
-            }
+            self.keep_files_free().await;
         }
     }
 
@@ -420,41 +330,6 @@
         self.not_wanted.borrow_mut().retain(|_, at| now < *at + ttl);
         self.promised.borrow_mut().retain(|_, promise| now < promise.at + ttl);
     }
-
-    /// Writes what still counts in the oldest file of the ring anew, and frees it.
-    async fn compact(&self) {
-        let Some((segment, ids)) = self.log.oldest() else { return };
-        let entries: Vec<Entry> = ids.iter().flat_map(|id| self.entries_of(id)).collect();
-        if entries.is_empty() || self.log.write(&entries).await {
-            self.log.release(segment);
-        }
-    }
-
-    /// What still counts in the oldest file of the ring is little.
-    fn is_oldest_file_mostly_over(&self) -> bool {
-        let Some((_, ids)) = self.log.oldest() else { return false };
-        let most = (self.log.segment_bytes() as f64 * COMPACT_SHARE) as usize;
-        let mut counts = 0;
-        for id in ids {
-            counts += self.entries_of(&id).iter().map(log::written_bytes).sum::<usize>();
-            if counts > most {
-                return false;
-            }
-        }
-        true
-    }
-
-    /// The records that tell all that is known of a message; without an id, of the disk itself.
-    fn entries_of(&self, id: &str) -> Vec<Entry> {
-        let queue = self.queue.borrow();
-        if !id.is_empty() {
-            let left = self.not_wanted.borrow().contains_key(id);
-            let left = left.then(|| Entry::Dropped { owner: self.disk, id: id.to_string() });
-            return custody::records_of(&queue, id).into_iter().chain(left).collect();
-        }
-        let fences = queue.fenced().iter().map(|disk| Entry::Fenced { disk: *disk });
-        [Entry::Disk(self.disk)].into_iter().chain(fences).collect()
-    }
 }
 
 fn encode<T: borsh::BorshSerialize>(answer: &T) -> Vec<u8> {
--- a/crates/queue/src/entry.rs
+++ b/crates/queue/src/entry.rs
@@ -1,7 +1,6 @@
 //! The records of what happens to messages, and messages as one store gives them to another.
 use crate::ended::{End, EndedMessage};
 use crate::message::Message;
-use crate::replicas::Replica;
 use borsh::{BorshDeserialize, BorshSerialize};
 
 /// A message that has not ended, as one store gives it to another.
@@ -12,12 +11,6 @@
     pub attempts: u32,
 }
 
-impl From<&Replica> for Given {
-    fn from(replica: &Replica) -> Given {
-        Given { message: replica.message.clone(), attempts: replica.attempts }
-    }
-}
-
 /// A message that has ended, as one store gives it to another: in one piece with its end.
 #[derive(Clone, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
 pub struct GivenEnded {
--- a/crates/queue/src/replicas.rs
+++ b/crates/queue/src/replicas.rs
@@ -1,6 +1,6 @@
 //! What a store keeps for others: replicas of their messages, ends, and what is still owed of messages that have ended.
 use crate::ended::{End, EndedMessage};
-use crate::entry::GivenEnded;
+use crate::entry::{Given, GivenEnded};
 use crate::message::Message;
 use crate::WallMs;
 use std::collections::{BTreeMap, BTreeSet};
@@ -15,6 +15,12 @@
     pub attempts: u32,
 }
 
+impl From<&Replica> for Given {
+    fn from(replica: &Replica) -> Given {
+        Given { message: replica.message.clone(), attempts: replica.attempts }
+    }
+}
+
 /// What is known here of a message of other stores that has ended.
 #[derive(Clone, Debug)]
 enum Known {
--- a/crates/ringlog/src/files.rs
+++ b/crates/ringlog/src/files.rs
@@ -1,6 +1,5 @@
 //! Where the bytes of a ring are kept: files in a folder, or whatever a test puts in their place.
-use crate::segment::HEADER_BYTES;
-use crate::writer::SegmentId;
+use crate::segment::{SegmentId, HEADER_BYTES};
 use std::fs::{File, OpenOptions};
 use std::io::{self, Read, Seek, SeekFrom, Write};
 use std::path::{Path, PathBuf};
--- a/crates/ringlog/src/lib.rs
+++ b/crates/ringlog/src/lib.rs
@@ -12,5 +12,5 @@
 mod writer;
 
 pub use files::{Files, Folder};
-pub use segment::{read_segment, Record, HEADER_BYTES, RECORD_OVERHEAD};
-pub use writer::{read, Opened, Ring, RingError, SegmentId, Shape};
+pub use segment::{read_segment, Record, SegmentId, HEADER_BYTES, RECORD_OVERHEAD};
+pub use writer::{read, Opened, Ring, RingError, Shape};
--- a/crates/ringlog/src/segment.rs
+++ b/crates/ringlog/src/segment.rs
@@ -1,5 +1,8 @@
 //! The bytes of one file of the ring.
 
+/// The number of a file in its ring.
+pub type SegmentId = usize;
+
 /// Marks a file of a ring.
 const MAGIC: [u8; 7] = *b"mstring";
 /// The version of the header and the records, as a digit.
--- a/crates/ringlog/src/writer.rs
+++ b/crates/ringlog/src/writer.rs
@@ -1,12 +1,9 @@
 //! Opening a ring, and appending to it.
 use crate::files::{Files, Folder};
-use crate::segment::{encode, read_segment, Header, Record, Start, HEADER_BYTES, RECORD_OVERHEAD};
+use crate::segment::{encode, read_segment, Header, Record, SegmentId, Start, HEADER_BYTES, RECORD_OVERHEAD};
 use std::io;
 use std::path::{Path, PathBuf};
 
-/// The number of a file in its ring.
-pub type SegmentId = usize;
-
 /// How many files a ring has, and how large each is.
 #[derive(Clone, Copy, Debug)]
 pub struct Shape {
