--- a/crates/sender/src/lib.rs
+++ b/crates/sender/src/lib.rs
@@ -8,7 +8,8 @@
 //! `policy`, writes the outcome to the `journal` (`disk`), and acts: the client is answered, `calls` go out over
 //! `connections` (whose book is `pool`), or `notices` tell the platform. Their ends come back through the `inbox`.
 //! Around it: `discovery` follows the list, `handover` what other processes of this sender leave, `control` serves
-//! operators, `reload` takes new settings, `drain` leads from service to the end.
+//! operators, `reload` takes new settings, `drain` leads from service to the end. `hollow` is a sender without clients and
+//! journal, for the scale run.
 mod calls;
 mod classes;
 mod config;
@@ -24,6 +25,7 @@
 mod figures;
 mod fleet;
 mod handover;
+pub mod hollow;
 mod inbox;
 mod life;
 mod list;
