--- a/crates/control/src/stores.rs
+++ b/crates/control/src/stores.rs
@@ -4,8 +4,8 @@
 use std::collections::BTreeSet;
 use std::net::IpAddr;
 
-/// Keys are shared out by partitions; each has one owner.
-pub const PARTITIONS: usize = 64;
+/// Keys are shared out by partitions; each has one owner. Enough that the stores' shares of them differ little.
+pub const PARTITIONS: usize = 256;
 
 /// A store.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, BorshSerialize, BorshDeserialize)]
@@ -71,9 +71,9 @@
         self.stores.iter().rev().find(|store| store.retiring && store.name == name)
     }
 
-    /// Who owns a key.
-    pub fn owner(&self, key: &str) -> Option<&Store> {
-        let partition = xxhash_rust::xxh3::xxh3_64(key.as_bytes()) as usize % PARTITIONS;
+    /// Who owns a key, by a digest of it.
+    pub fn owner(&self, key: u64) -> Option<&Store> {
+        let partition = key as usize % PARTITIONS;
         self.owners.get(partition).and_then(|disk| self.get(*disk))
     }
 
--- a/crates/node/src/calls.rs
+++ b/crates/node/src/calls.rs
@@ -95,10 +95,10 @@
 }
 
 /// What became of a message that was handed to a store.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
 pub enum PutAnswer {
-    /// It is on two disks.
-    Taken,
+    /// It is on enough disks, under this id: that of an earlier request with the same operation key, if there was one.
+    Taken { id: String },
     /// It was not written anywhere: another store may take it.
     Refused(Refusal),
     /// It may have been written: nothing can be said.
@@ -116,6 +116,10 @@
     NoCopy,
     /// It holds as much as it may, or its disk doesn't keep up.
     Full,
+    /// The tenant has had as many messages accepted as its quota allows.
+    OverQuota,
+    /// Too few of the stores that count the tenant's messages answer.
+    NotCounted,
 }
 
 /// What a store knows of a message.
--- a/crates/node/src/edge/handover.rs
+++ b/crates/node/src/edge/handover.rs
@@ -76,7 +76,7 @@
                 Ok(PutAnswer::Refused(why)) => put.refused(disk, why),
                 Err(RpcError::Unreachable) => put.refused(disk, Refusal::NoCopy),
                 Ok(PutAnswer::Unclear) | Err(_) => put.unclear = true,
-                Ok(PutAnswer::Taken) => {}
+                Ok(PutAnswer::Taken { .. }) => {}
             }
             told.extend(answer.ok());
         }
@@ -117,8 +117,8 @@
                 let wait = if last { left } else { left.min(SWITCH) };
                 let seen = race.changed.get();
                 let told = race.take(&mut put);
-                if told.contains(&PutAnswer::Taken) {
-                    return PutAnswer::Taken;
+                if let Some(taken) = told.into_iter().find(|told| matches!(told, PutAnswer::Taken { .. })) {
+                    return taken;
                 }
                 if put.open == 0 {
                     break;
@@ -161,14 +161,14 @@
         });
     }
 
-    /// The owner of an ordered message's key; else the stores by their distance, those equally near by turns. A suspect gets nothing:
+    /// The owner of the key that the message is bound to, if it is bound to one; else the stores by their distance, those equally near by turns. A suspect gets nothing:
     /// what it would be given might be lost or not, and the client couldn't be told to come again.
     fn candidates(&self, message: &Message, stores: &StoreView) -> Vec<Store> {
         let suspected = |store: &Store| {
             self.health.is_suspect(SocketAddr::new(store.ip, self.process.settings.store_port()))
         };
-        if let Some(key) = message.envelope.order_key() {
-            let owner = stores.owner(key).filter(|store| !store.gone && !suspected(store));
+        if let Some(key) = message.envelope.home_key() {
+            let owner = stores.owner(key.digest()).filter(|store| !store.gone && !suspected(store));
             return owner.into_iter().cloned().collect();
         }
         let turn = self.turn.get();
--- a/crates/node/src/edge/mod.rs
+++ b/crates/node/src/edge/mod.rs
@@ -1,9 +1,10 @@
 //! The edge role: takes messages from clients, hands each to a store, and answers 202 once it is on two disks. What clients
-//! ask about messages is looked up at the stores (`lookup`).
+//! ask about messages is looked up at the stores (`lookup`). Whose requests they are is told by their keys (`tenants`).
 mod handover;
 mod lookup;
+mod tenants;
 
-use crate::calls::{Custody, Hello, PutAnswer, Role};
+use crate::calls::{Custody, Hello, PutAnswer, Refusal, Role};
 use crate::process::{self, stopped, wall_ms, Process};
 use crate::traffic;
 use crate::watch::{watch, Known};
@@ -192,20 +193,24 @@
         let configuration = self.known.configuration();
         let host = request.header("host").split(':').next().unwrap_or_default().to_string();
         match configuration.route(&host, &path) {
-            Some(route) => self.take(&request, route, &host).await,
+            Some(route) => match tenants::of_request(&configuration, route, &request) {
+                Ok(tenant) => self.take(&request, route, &host, tenant).await,
+                Err(unknown) => unknown.answer(),
+            },
             None => Answer::text(404, "no route has this host and path; see the configuration"),
         }
     }
 
-    async fn take(&self, request: &Request, route: &Route, host: &str) -> Answer {
-        let message = self.message(request, route, host);
+    async fn take(&self, request: &Request, route: &Route, host: &str, tenant: Option<String>) -> Answer {
+        let message = self.message(request, route, host, tenant);
         let deadline = request.header("x-deadline-ms").parse().map_or(LONGEST_PUT, Duration::from_millis);
         let patience = deadline.mul_f64(PATIENCE_SHARE);
-        let id = message.id().to_string();
+        let own_id = message.id().to_string();
         match self.put(message, patience.min(LONGEST_PUT)).await {
-            PutAnswer::Taken => Answer::empty(202).with("X-Queue-Message-Id", id),
+            PutAnswer::Taken { id } => Answer::empty(202).with("X-Queue-Message-Id", id),
+            PutAnswer::Refused(Refusal::OverQuota) => over_quota(),
             PutAnswer::Refused(refusal) => {
-                log::debug!("{id} not taken: {refusal:?}");
+                log::debug!("{own_id} not taken: {refusal:?}");
                 later("no store can take the message now; ask again")
                     .with("Retry-After", retry_after(deadline))
             }
@@ -215,7 +220,7 @@
         }
     }
 
-    fn message(&self, request: &Request, route: &Route, host: &str) -> Message {
+    fn message(&self, request: &Request, route: &Route, host: &str, tenant: Option<String>) -> Message {
         let now = wall_ms();
         let id = match request.header("x-request-id") {
             "" => format!("m-{:016x}", runtime::unique()),
@@ -223,6 +228,7 @@
         };
         let delay = request.header("x-delay-ms").parse().unwrap_or(0_u64);
         let key = request.header("x-ordering-key");
+        let operation_key = request.header("x-operation-key");
         let callback = request.header("x-callback-url");
         let envelope = Envelope {
             id,
@@ -230,6 +236,8 @@
             method: request.method.to_string(),
             target: request.target.clone(),
             content_type: request.header("content-type").to_string(),
+            tenant,
+            operation_key: (!operation_key.is_empty()).then(|| operation_key.to_string()),
             key: (!key.is_empty()).then(|| key.to_string()),
             ordered: route.ordered && !key.is_empty(),
             order: 0,
@@ -251,6 +259,11 @@
     Answer::text(503, why)
 }
 
+/// A request that its tenant's quota doesn't allow: it has not run and never will.
+fn over_quota() -> Answer {
+    Answer::text(429, "the tenant's quota is spent; ask again, or have it raised").with("Retry-After", "1")
+}
+
 /// When a client should come again, in whole seconds: later if it has the time.
 fn retry_after(deadline: Duration) -> &'static str {
     match deadline >= Duration::from_millis(1_150) {
--- a/crates/node/src/store/deliver.rs
+++ b/crates/node/src/store/deliver.rs
@@ -277,6 +277,9 @@
     if let Some(instance) = &call.instance {
         headers.push(("X-Expected-Instance", instance));
     }
+    if let Some(tenant) = &envelope.tenant {
+        headers.push(("X-Tenant", tenant));
+    }
     if let Some(key) = &envelope.key {
         headers.push(("X-Ordering-Key", key));
     }
--- a/crates/node/src/store/intake.rs
+++ b/crates/node/src/store/intake.rs
@@ -18,11 +18,11 @@
 impl Store {
     /// Why a message isn't taken.
     fn refusal(&self, message: &Message) -> Option<Refusal> {
-        let key = message.envelope.order_key();
+        let key = message.envelope.home_key();
         if self.paused.get() || (self.leaving.get() && key.is_none()) {
             return Some(Refusal::Stopping);
         }
-        let owner = key.map(|key| self.known.stores().owner(key).map(|store| store.disk));
+        let owner = key.map(|key| self.known.stores().owner(key.digest()).map(|store| store.disk));
         if owner.is_some_and(|owner| owner != Some(self.disk)) {
             return Some(Refusal::NotOwner);
         }
@@ -45,14 +45,22 @@
         order
     }
 
-    /// Takes a message: it is taken once it is on this disk and on another.
-    pub(super) async fn put(self: &Rc<Self>, mut message: Message) -> PutAnswer {
+    /// Answers an edge that hands in a message.
+    pub(super) async fn put(self: &Rc<Self>, message: Message) -> PutAnswer {
         if let Some(refusal) = self.refusal(&message) {
             return PutAnswer::Refused(refusal);
         }
         if self.not_wanted.borrow().contains_key(message.id()) {
             return PutAnswer::Refused(Refusal::NotOwner);
         }
+        match self.count(&message).await {
+            Ok(()) => self.take(message).await,
+            Err(refusal) => PutAnswer::Refused(refusal),
+        }
+    }
+
+    /// Takes a message: it is taken once it is on this disk and on as many others as may be lost.
+    async fn take(self: &Rc<Self>, mut message: Message) -> PutAnswer {
         let id = message.id().to_string();
         Rc::make_mut(&mut message.envelope).order = self.next_order();
         let entry = Entry::Message { owner: self.disk, message: message.clone() };
@@ -73,7 +81,7 @@
             return PutAnswer::Unclear;
         }
         runtime::spawn(self.clone().accept(message));
-        PutAnswer::Taken
+        PutAnswer::Taken { id }
     }
 
     /// A message is safe: it may run, unless a store that was given it before has begun with it.
--- a/crates/node/src/store/mod.rs
+++ b/crates/node/src/store/mod.rs
@@ -16,6 +16,7 @@
 //! | [`peers`] | what other members ask |
 //! | [`leaving`] | planned stops, retirement, and the return of a store that was given up |
 //! | [`takeover`] | what a lost store owned; ends of messages |
+//! | [`quota`] | messages are counted against their tenants' quotas |
 //! | [`rates`] | shares of the rates of services, and what stores lend each other |
 //! | [`endpoints`] | caps, doubts and choice of endpoints |
 //! | [`deliver`] | messages to endpoints |
@@ -35,6 +36,7 @@
 pub mod log;
 pub mod peers;
 pub mod preserve;
+mod quota;
 pub mod races;
 pub mod rates;
 pub mod takeover;
--- a/crates/queue/src/lib.rs
+++ b/crates/queue/src/lib.rs
@@ -31,7 +31,7 @@
 
 pub use ended::{End, EndedMessage, Outcome};
 pub use entry::{Entry, Given, GivenEnded};
-pub use message::{Body, DamagedBody, Envelope, Message};
+pub use message::{Body, DamagedBody, Envelope, Message, TenantKey};
 pub use owned::{OwnedMessage, Stage};
 pub use placement::Placement;
 pub use replicas::Replica;
--- a/crates/queue/src/message.rs
+++ b/crates/queue/src/message.rs
@@ -14,9 +14,13 @@
     /// Path with query.
     pub target: String,
     pub content_type: String,
+    /// The tenant whose key the request had; none where it needed no key.
+    pub tenant: Option<String>,
+    /// Names the operation: all requests of a tenant with one such key are one message.
+    pub operation_key: Option<String>,
     /// What it is about, as the client says.
     pub key: Option<String>,
-    /// It runs only once all of its key that were taken before it have ended.
+    /// It runs only once all of its tenant and key that were taken before it have ended.
     pub ordered: bool,
     /// Its place among the messages of its key: rises with each that an owner takes, and from owner to owner.
     pub order: u64,
@@ -36,9 +40,40 @@
 }
 
 impl Envelope {
-    /// The key by which order is kept, if it is: among all messages of one key, whatever their routes.
-    pub fn order_key(&self) -> Option<&str> {
-        self.key.as_deref().filter(|_| self.ordered)
+    /// The key by which order is kept, if it is: among all messages of one tenant and key, whatever their routes.
+    pub fn order_key(&self) -> Option<TenantKey> {
+        let key = self.key.as_ref().filter(|_| self.ordered)?;
+        Some(self.of_tenant(key))
+    }
+
+    /// The key by which repeats of one operation are known, if the client gave one.
+    pub fn operation(&self) -> Option<TenantKey> {
+        self.operation_key.as_ref().map(|key| self.of_tenant(key))
+    }
+
+    /// The key that says which store takes the message, if not every store may: all requests of one operation have to meet
+    /// at one store, and all messages of one ordering key.
+    pub fn home_key(&self) -> Option<TenantKey> {
+        self.order_key().or_else(|| self.operation())
+    }
+
+    fn of_tenant(&self, key: &str) -> TenantKey {
+        TenantKey { tenant: self.tenant.clone().unwrap_or_default(), key: key.to_string() }
+    }
+}
+
+/// A key that a client chose. Keys of different tenants are different.
+#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct TenantKey {
+    /// The tenant's name; empty where the request needed none.
+    pub tenant: String,
+    pub key: String,
+}
+
+impl TenantKey {
+    /// A digest that is the same on all machines.
+    pub fn digest(&self) -> u64 {
+        xxh3_64_with_seed(self.key.as_bytes(), xxh3_64(self.tenant.as_bytes()))
     }
 }
 
--- a/crates/queue/src/schedule.rs
+++ b/crates/queue/src/schedule.rs
@@ -1,6 +1,6 @@
 //! Which of the messages that a store owns may run: those of a key one after the other, those of a route in the order in
 //! which they are worth most.
-use crate::message::Envelope;
+use crate::message::{Envelope, TenantKey};
 use crate::owned::{OwnedMessage, Stage};
 use crate::ready::{Place, Ready};
 use crate::WallMs;
@@ -21,7 +21,7 @@
     /// Waiting messages by route; of those with a key only the first.
     ready: BTreeMap<String, Ready>,
     /// Messages of a key in the order in which they were taken.
-    lines: BTreeMap<String, VecDeque<String>>,
+    lines: BTreeMap<TenantKey, VecDeque<String>>,
 }
 
 impl Schedule {
@@ -38,19 +38,19 @@
     pub fn remove(&mut self, messages: &mut Messages, envelope: &Envelope) {
         self.unready(messages, &envelope.id);
         let Some(key) = envelope.order_key() else { return };
-        let Some(line) = self.lines.get_mut(key) else { return };
+        let Some(line) = self.lines.get_mut(&key) else { return };
         let was_first = line.front() == Some(&envelope.id);
         line.retain(|id| *id != envelope.id);
         match line.front().cloned() {
             Some(next) if was_first => self.make_ready(messages, &next),
             Some(_) => {}
-            None => drop(self.lines.remove(key)),
+            None => drop(self.lines.remove(&key)),
         }
     }
 
     /// Takes its place in the line of its key. Only the first of a line is ready; one that has begun stays first.
-    fn join_line(&mut self, messages: &mut Messages, key: &str, envelope: &Envelope) {
-        let line = self.lines.entry(key.to_string()).or_default();
+    fn join_line(&mut self, messages: &mut Messages, key: TenantKey, envelope: &Envelope) {
+        let line = self.lines.entry(key).or_default();
         let stage = |id: &String| messages.get(id).and_then(OwnedMessage::stage);
         let has_begun = line.front().and_then(stage) == Some(Stage::Running);
         let is_earlier = |id: &String| messages.get(id).is_some_and(|o| o.envelope().order < envelope.order);
@@ -96,7 +96,7 @@
     /// aim, and until when that is; late ones come after all of these.
     fn place_of(&self, messages: &Messages, id: &str, now: WallMs) -> Option<Place> {
         let envelope = messages.get(id)?.envelope();
-        let line = envelope.order_key().and_then(|key| self.lines.get(key));
+        let line = envelope.order_key().and_then(|key| self.lines.get(&key));
         let aim = |envelope: &Envelope| envelope.due_at + envelope.aim_ms;
         let in_line = line.into_iter().flatten().take(LONGEST_LOOK).enumerate();
         let fresh = match line {
--- a/crates/settings/src/configuration.rs
+++ b/crates/settings/src/configuration.rs
@@ -1,5 +1,6 @@
-//! The configuration that the operator sends: routes, services and limits.
+//! The configuration that the operator sends: routes, services, limits and tenants.
 use crate::declare::{above_zero, any, not_empty, not_negative, Faults, Readable};
+use crate::tenants::{check_tenants, Tenant};
 use serde_json::Value;
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -24,6 +25,8 @@
         /// Seconds for which a message is kept.
         "RetentionS" retention_s: f64 = [90.0], not_negative;
         "CallbackUrl" callback: bool = [false], any;
+        /// Requests need no key, even where tenants are configured.
+        "Public" public: bool = [false], any;
     }
 }
 
@@ -70,6 +73,8 @@
         "Routes" routes: Vec<Route> = [], any;
         "Backends" services: Vec<Service> = [], any;
         "Limits" limits: Limits = [Limits::default()], any;
+        /// Who may send requests, by key. Without a list of tenants, no request needs a key.
+        "Tenants" tenants: Option<Vec<Tenant>> = [None], any;
     }
 }
 
@@ -95,6 +100,7 @@
         if let Some(configuration) = &read {
             configuration.check_services(&mut faults);
             configuration.check_places(&mut faults);
+            check_tenants(configuration.tenants.as_deref().unwrap_or_default(), &mut faults);
         }
         match read {
             Some(configuration) if faults.0.is_empty() => Ok(configuration),
@@ -142,4 +148,19 @@
     pub fn service(&self, name: &str) -> Option<&Service> {
         self.services.iter().find(|s| s.name == name)
     }
+
+    /// Whether requests on a route need the key of a tenant.
+    pub fn needs_key(&self, route: &Route) -> bool {
+        self.tenants.is_some() && !route.public
+    }
+
+    /// The tenant that holds a key.
+    pub fn tenant_of_key(&self, key: &str) -> Option<&Tenant> {
+        self.tenants.iter().flatten().find(|tenant| tenant.holds(key))
+    }
+
+    /// The tenant of a name.
+    pub fn tenant(&self, name: &str) -> Option<&Tenant> {
+        self.tenants.iter().flatten().find(|tenant| tenant.name == name)
+    }
 }
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -8,16 +8,19 @@
 //! | [`declare`](mod@declare) | the macro and the types it can read |
 //! | [`location`] | zones, regions and distances |
 //! | [`process`] | the settings file of a process |
+//! | [`tenants`] | who may send requests, with which keys, and how many |
 //! | [`tolerance`] | what may be lost at once, and which sets of machines outlast it |
 //! | [`configuration`] | routes, services and limits, as the operator sends them |
 pub mod configuration;
 pub mod declare;
 pub mod location;
 pub mod process;
+pub mod tenants;
 pub mod tolerance;
 
 pub use configuration::{Configuration, Limits, Route, Service};
 pub use declare::{Fault, Faults};
 pub use location::{Distance, Location, Topology};
 pub use process::ProcessSettings;
+pub use tenants::{Quota, Tenant};
 pub use tolerance::Tolerance;
--- a/crates/settings/src/process.rs
+++ b/crates/settings/src/process.rs
@@ -53,7 +53,7 @@
 
 crate::declare! {
     /// Figures of the rules in force.
-    #[derive(Clone, Debug, Default)]
+    #[derive(Clone, Debug)]
     pub struct Bounds {
         /// Seconds from SIGTERM to SIGKILL.
         "GraceS" grace_s: f64 = [6.0], not_negative;
@@ -63,6 +63,26 @@
         "CeilingWindowS" ceiling_window_s: f64 = [5.0], not_negative;
         /// How far the wall clocks of two machines may be apart.
         "MaxSkewMs" max_skew_ms: u64 = [12_000], any;
+        /// Seconds for which repeats of an operation key are one message.
+        "KeyWindowS" key_window_s: f64 = [60.0], not_negative;
+        /// A machine that hears of no configuration for longer than `RevokeMs` refuses requests that need a key.
+        "Closed" closed: bool = [false], any;
+        /// Milliseconds for which a machine may go by the keys that it heard of last, where `Closed` is true.
+        "RevokeMs" revoke_ms: u64 = [5_000], any;
+    }
+}
+
+impl Default for Bounds {
+    fn default() -> Bounds {
+        Bounds {
+            grace_s: 6.0,
+            status_ttl_s: 120.0,
+            ceiling_window_s: 5.0,
+            max_skew_ms: 12_000,
+            key_window_s: 60.0,
+            closed: false,
+            revoke_ms: 5_000,
+        }
     }
 }
 
@@ -87,8 +107,7 @@
         "Limits" limits: MachineLimits = [], any;
         "DataDir" data_dir: Option<String> = [None], any;
         "FaultTolerance" tolerance: FaultTolerance = [FaultTolerance { machines: 1, zones: 0, regions: 0 }], any;
-        "Bounds" bounds: Bounds =
-            [Bounds { grace_s: 6.0, status_ttl_s: 120.0, ceiling_window_s: 5.0, max_skew_ms: 12_000 }], any;
+        "Bounds" bounds: Bounds = [Bounds::default()], any;
         "CloudApi" cloud: Option<CloudApi> = [None], any;
     }
 }
