The simulated world has tenants: keys, their history, and judges of UNASKED and ROUTE

Clients of the world sent no key, and nobody looked at what endpoints are told of a tenant, so neither symptom of the incident could show in simulated time. The configuration holds three tenants with two keys each; every client sends the key of one, now and then a key that nobody holds or none. The judge knows when each key was in force: a run whose endpoint isn't told the holder, a key in a head or body, a run by a key that never was in force or was taken away too long ago, and a 401 to a settled key are told. Clients send X-Tenant themselves: it must not get through.

--- a/crates/node/tests/model/control.rs
+++ b/crates/node/tests/model/control.rs
@@ -1,5 +1,7 @@
 //! The control group as stores and edges see it: one machine that is always there. Who is there and who is lost is
 //! decided by the program's own census and state.
+use super::endpoints::PUBLIC_ROUTE;
+use super::tenants::Tenants;
 use super::{ip_of_control, PORT};
 use control::{Command, State};
 use net::runtime::{sleep, timeout};
@@ -29,7 +31,7 @@
 }
 
 impl Control {
-    pub fn new(simulation: &Simulation, tolerance: Tolerance) -> Rc<Control> {
+    pub fn new(simulation: &Simulation, tenants: &Tenants, tolerance: Tolerance) -> Rc<Control> {
         let control = Rc::new(Control {
             simulation: simulation.clone(),
             census: RefCell::default(),
@@ -38,10 +40,16 @@
             tolerance,
             retires_at_once: Cell::new(false),
         });
-        control.change(Command::Configure { base: 0, body: configuration() });
+        control.configure(Some(tenants.as_json()));
         control
     }
 
+    /// The operator's next configuration, with these tenants; without any, no request needs a key.
+    pub fn configure(&self, tenants: Option<serde_json::Value>) {
+        let base = self.state.borrow().version;
+        self.change(Command::Configure { base, body: configuration(base + 1, tenants) });
+    }
+
     /// Carries out a command, if it changes anything.
     pub fn change(&self, command: Command) {
         let Ok(events) = self.state.borrow().decide(&command) else { return };
@@ -114,13 +122,21 @@
     (0..ENDPOINTS).map(endpoint).collect()
 }
 
-fn configuration() -> Vec<u8> {
+fn configuration(version: u64, tenants: Option<serde_json::Value>) -> Vec<u8> {
     let route = |name: &str, ordered: bool| {
         serde_json::json!({"Name": name, "Host": "h", "PathPrefix": format!("/{name}/"), "Type": "async",
             "TimeoutMs": 1500, "TargetLatencyMs": 100, "TargetStartMs": 1000, "Priority": 1, "Backend": "work",
-            "MaxAttempts": super::MAX_ATTEMPTS, "Ordered": ordered, "RetentionS": 600.0, "CallbackUrl": !ordered})
+            "MaxAttempts": super::MAX_ATTEMPTS, "Ordered": ordered, "RetentionS": 600.0, "CallbackUrl": !ordered,
+            "Public": name == PUBLIC_ROUTE})
     };
-    let routes = [route("free", false), route("ordered", true)];
+    let routes = [
+        route("free", false),
+        route("ordered", true),
+        route("ordered-too", true),
+        route(PUBLIC_ROUTE, false),
+    ];
     let service = serde_json::json!({"Name": "work", "HealthPath": "/health", "MaxConnections": 400, "Idempotent": false});
-    serde_json::json!({"Version": 1, "Routes": routes, "Backends": [service]}).to_string().into_bytes()
+    serde_json::json!({"Version": version, "Routes": routes, "Backends": [service], "Tenants": tenants})
+        .to_string()
+        .into_bytes()
 }
--- a/crates/node/tests/model/endpoints.rs
+++ b/crates/node/tests/model/endpoints.rs
@@ -1,4 +1,5 @@
 //! What clients were told and what endpoints ran: the judge of a run.
+use super::tenants::{Credential, Tenants};
 use super::{Ms, CONTACT, MAX_ATTEMPTS};
 use net::client::{CallError, Exchange, Service};
 use net::http::Response;
@@ -13,6 +14,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+/// The route whose requests need no key.
+pub const PUBLIC_ROUTE: &str = "public";
+
 /// Messages that no endpoint can ever do.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Doom {
@@ -26,6 +30,12 @@
 #[derive(Clone, Debug, Default)]
 pub struct Sent {
     pub key: Option<String>,
+    /// Whose key the client means to send.
+    pub credential: Credential,
+    /// The key that it sends.
+    pub api_key: Option<String>,
+    /// The route; if there is none, one that fits the message.
+    pub route: Option<&'static str>,
     /// A call-back about its end is owed to the client.
     pub wants_callback: bool,
     pub body: Vec<u8>,
@@ -34,12 +44,26 @@
     pub due: Ms,
 }
 
+impl Sent {
+    /// The route on which it is sent.
+    pub fn route(&self) -> &'static str {
+        self.route.unwrap_or(if self.key.is_some() { "ordered" } else { "free" })
+    }
+
+    /// Its route needs a key.
+    pub fn needs_key(&self) -> bool {
+        self.route() != PUBLIC_ROUTE
+    }
+}
+
 /// What became of a message.
 #[derive(Default)]
 pub struct Fate {
     message: Sent,
     sent: Ms,
     accepted: Option<Ms>,
+    /// The status that answered it.
+    status: Option<u16>,
     /// The client was told that it never runs.
     refused: bool,
     /// When an endpoint did it.
@@ -83,6 +107,8 @@
 pub struct Asked {
     pub id: String,
     pub body: Vec<u8>,
+    /// The key with which it was sent.
+    pub api_key: Option<String>,
     pub expected: Expected,
 }
 
@@ -110,6 +136,7 @@
 /// All endpoints, and what clients were told.
 pub struct Endpoints {
     simulation: Simulation,
+    tenants: Rc<Tenants>,
     lot: RefCell<Pcg64Mcg>,
     fates: RefCell<BTreeMap<String, Fate>>,
     /// No trouble that wasn't planned since then.
@@ -133,9 +160,10 @@
 }
 
 impl Endpoints {
-    pub fn new(simulation: &Simulation, seed: u64) -> Rc<Endpoints> {
+    pub fn new(simulation: &Simulation, tenants: Rc<Tenants>, seed: u64) -> Rc<Endpoints> {
         Rc::new(Endpoints {
             simulation: simulation.clone(),
+            tenants,
             lot: RefCell::new(Pcg64Mcg::seed_from_u64(seed)),
             fates: RefCell::default(),
             calm_from: Cell::new(0),
@@ -157,11 +185,18 @@
     pub fn told(&self, id: &str, status: u16) {
         let mut fates = self.fates.borrow_mut();
         let fate = fates.get_mut(id).expect("it was sent");
+        fate.status = Some(status);
         match status {
             202 => fate.accepted = Some(self.simulation.ms()),
-            503 | 429 => fate.refused = true,
+            503 | 429 | 401 => fate.refused = true,
             _ => {}
         }
+        let key = fate.message.api_key.as_deref();
+        let judged = fate.message.needs_key();
+        let fault = judged.then(|| self.tenants.fault_of_answer(key, fate.sent, status)).flatten();
+        if let Some(fault) = fault {
+            self.broke(format!("{fault}: {id}"));
+        }
         if fate.refused && !fate.begins.is_empty() {
             self.broke(format!("REFUSED: {id} ran, and was answered {status}: {:?}", fate.begins));
         }
@@ -188,7 +223,7 @@
         }
     }
 
-    fn begin(&self, id: &str, by: &str, body: &[u8]) -> End {
+    fn begin(&self, id: &str, by: &str, head: &str, body: &[u8]) -> End {
         let now = self.simulation.ms();
         self.runs.set(self.runs.get() + 1);
         let doom = self.fates.borrow().get(id).expect("it was sent").message.doom;
@@ -206,6 +241,7 @@
                 fate.begins
             ));
         }
+        self.judge_tenant(id, &fate.message, fate.sent, head);
         if fate.known && now >= self.calm_from.get() + CONTACT {
             self.broke(format!("TWICE: {id} ran again in calm: {:?}", fate.begins));
         }
@@ -213,9 +249,12 @@
             self.broke(format!("REFUSED: {id} runs, and was refused: {:?}", fate.begins));
         }
         let (key, sent) = (fate.message.key.clone(), fate.sent);
+        let tenant = self.tenant_of(&fate.message);
         let before = |(other, fate): (&String, &Fate)| {
             let earlier = fate.accepted.is_some_and(|at| at < sent) && !fate.has_ended();
-            (other != id && key.is_some() && fate.message.key == key && earlier).then(|| other.clone())
+            let same_key = key.is_some() && fate.message.key == key;
+            (other != id && same_key && earlier && self.tenant_of(&fate.message) == tenant)
+                .then(|| other.clone())
         };
         let first = fates.iter().find_map(before);
         if let Some(other) = first {
@@ -224,6 +263,21 @@
         end
     }
 
+    fn tenant_of(&self, message: &Sent) -> Option<String> {
+        message.api_key.as_ref().and_then(|key| self.tenants.holder(key))
+    }
+
+    /// A run is told its tenant, and came with a key that was in force.
+    fn judge_tenant(&self, id: &str, message: &Sent, sent: Ms, head: &str) {
+        if !message.needs_key() {
+            return;
+        }
+        let key = message.api_key.as_deref();
+        if let Some(fault) = self.tenants.fault_of_run(key, sent, head, &message.body) {
+            self.broke(format!("{fault}: {id}"));
+        }
+    }
+
     fn takes(&self) -> Duration {
         if let Some(ms) = self.all_take.get() {
             return Duration::from_millis(ms);
@@ -264,6 +318,16 @@
         }
     }
 
+    /// The status that answered a message's client, if it has an answer.
+    pub fn told_of(&self, id: &str) -> Option<u16> {
+        self.fates.borrow().get(id).and_then(|fate| fate.status)
+    }
+
+    /// The key with which a message was sent.
+    pub fn api_key_of(&self, id: &str) -> Option<String> {
+        self.fates.borrow().get(id).and_then(|fate| fate.message.api_key.clone())
+    }
+
     /// Each begin of a message: when, and by which store.
     pub fn begins(&self, id: &str) -> Vec<(Ms, String)> {
         self.fates.borrow().get(id).map_or(Vec::new(), |fate| fate.begins.clone())
@@ -276,6 +340,7 @@
         let asked = |(id, fate): (&String, &Fate)| Asked {
             id: id.clone(),
             body: fate.message.body.clone(),
+            api_key: fate.message.api_key.clone(),
             expected: match (fate.done.is_some(), fate.is_dead()) {
                 (true, _) => Expected::Completed,
                 (false, true) => Expected::DeadLetter,
@@ -361,11 +426,12 @@
         self: Rc<Self>,
         id: String,
         by: String,
+        head: String,
         body: Vec<u8>,
         within: Duration,
     ) -> Result<Response, CallError> {
         sleep(Duration::from_millis(1)).await;
-        let end = self.begin(&id, &by, &body);
+        let end = self.begin(&id, &by, &head, &body);
         if matches!(end, End::TurnedAway) {
             return Ok(answer(503, &id, &[("x-not-executed", "1")]));
         }
@@ -423,7 +489,7 @@
             return Box::pin(self.endpoints.clone().receive(text, within));
         }
         let id = head.lines().find_map(|line| line.strip_prefix("X-Request-Id: ")).unwrap().to_string();
-        Box::pin(self.endpoints.clone().run(id, self.store.clone(), body, within))
+        Box::pin(self.endpoints.clone().run(id, self.store.clone(), head, body, within))
     }
 }
 
--- a/crates/node/tests/model/mod.rs
+++ b/crates/node/tests/model/mod.rs
@@ -6,14 +6,16 @@
 mod machine;
 mod mistakes;
 mod quota;
+mod tenants;
 mod troubles;
 
-pub use endpoints::{Counts, Doom};
+pub use endpoints::{Counts, Doom, Sent, PUBLIC_ROUTE};
 pub use mistakes::{Brings, DamagesBodies, Mistake};
+pub use tenants::{Credential, Tenants, REVOKE};
 pub use troubles::Regime;
 
 use control::Control;
-use endpoints::{Asked, Endpoints, Expected, Sent};
+use endpoints::{Asked, Endpoints, Expected};
 use machine::Machine;
 use quota::Quota;
 
@@ -23,7 +25,7 @@
 use node::process::{Clock, Process};
 use rand::{RngExt as _, SeedableRng as _};
 use rand_pcg::Pcg64Mcg;
-use settings::{ProcessSettings, Tolerance};
+use settings::{ProcessSettings, Tenant, Tolerance};
 use simulation::clock::WORLD;
 use simulation::network::{Network, Tamper};
 use simulation::{ProcessId, Simulation};
@@ -61,6 +63,9 @@
 const EMPTY_BODY_SHARE: f64 = 0.05;
 /// Every body that isn't empty begins with it.
 pub const BODY_WORD: &[u8] = b"the words of ";
+/// Messages a step with a key that opens nothing, on average, and the share of them with none at all.
+const USELESS_KEYS: f64 = 0.02;
+const MISSING_SHARE: f64 = 0.3;
 /// The share of messages that can never be done.
 const DOOMED_SHARE: f64 = 0.1;
 /// The share of messages that are due after the run.
@@ -134,6 +139,10 @@
     simulation: Simulation,
     network: Network,
     control: Rc<Control>,
+    tenants: Rc<Tenants>,
+    /// Between two rotations of keys, if there are any.
+    rotates_every: Option<Ms>,
+    next_rotation: Ms,
     endpoints: Rc<Endpoints>,
     edges: Vec<(ProcessId, Rc<Edge>)>,
     machines: Vec<Machine>,
@@ -143,6 +152,8 @@
     mistake: Mistake,
     regime: Regime,
     messages: usize,
+    /// Messages that were sent with a key that nobody holds, or none.
+    useless: usize,
     cut_until: Ms,
     rough_until: Ms,
     /// Until when a machine counts as lost.
@@ -176,7 +187,8 @@
         if mistake != Mistake::None {
             network.set_tamper(Rc::new(mistake));
         }
-        let control = Control::new(&simulation, deployment.declared());
+        let tenants = Rc::new(Tenants::new(&simulation, seed ^ 0x7465_6e61));
+        let control = Control::new(&simulation, &tenants, deployment.declared());
         control.retires_at_once.set(mistake == Mistake::RetiresBeforeTheCopy);
         let answering = control.clone();
         let handler = move |_, bytes| -> std::pin::Pin<Box<dyn std::future::Future<Output = Vec<u8>>>> {
@@ -184,9 +196,12 @@
         };
         network.listen(SocketAddr::new(ip_of_control(), PORT), WORLD, Rc::new(handler));
         simulation.spawn_in(WORLD, control.clone().keep());
-        let endpoints = Endpoints::new(&simulation, seed ^ 0x656e_6473);
+        let endpoints = Endpoints::new(&simulation, tenants.clone(), seed ^ 0x656e_6473);
         let mut world = World {
             control,
+            tenants,
+            rotates_every: None,
+            next_rotation: FOUNDED,
             endpoints,
             edges: Vec::new(),
             machines: Vec::new(),
@@ -196,6 +211,7 @@
             mistake,
             regime,
             messages: 0,
+            useless: 0,
             cut_until: 0,
             rough_until: 0,
             lost_until: BTreeMap::new(),
@@ -249,7 +265,9 @@
     pub fn play(mut self, troubles_for: Ms) -> Seen {
         while self.now() < troubles_for && !self.is_broken() {
             self.trouble();
+            self.rotate_keys();
             self.hand_in();
+            self.hand_in_with_useless_key();
             self.ask_meanwhile();
             self.step();
         }
@@ -413,6 +431,11 @@
         broken
     }
 
+    /// The status that answered a message's client, if it has an answer.
+    pub fn told(&self, id: &str) -> Option<u16> {
+        self.endpoints.told_of(id)
+    }
+
     /// Each begin of a message: when, and by which store.
     pub fn begins(&self, id: &str) -> Vec<(Ms, String)> {
         self.endpoints.begins(id)
@@ -463,7 +486,40 @@
         };
         let wants_callback = key.is_none() && self.lot.random_bool(0.5);
         let body = Vec::new();
-        self.hand_over(&id, Sent { key, wants_callback, body, doom, due: self.now() + delay });
+        let due = self.now() + delay;
+        self.hand_over(&id, Sent { key, wants_callback, body, doom, due, ..Sent::default() });
+    }
+
+    /// Now and then a client sends a message with no key, or with one that nobody holds.
+    fn hand_in_with_useless_key(&mut self) {
+        if self.now() < FOUNDED || !self.tenants.happens(USELESS_KEYS) {
+            return;
+        }
+        let id = format!("u{}", self.useless);
+        self.useless += 1;
+        let credential = match self.tenants.happens(MISSING_SHARE) {
+            true => Credential::Missing,
+            false => Credential::Key(self.tenants.useless_key()),
+        };
+        let (edge, body) = (self.useless % self.edges.len(), id.clone().into_bytes());
+        self.hand_to(edge, &id, Sent { credential, body, ..Sent::default() });
+    }
+
+    /// From now on keys of tenants are taken away and added, one each.
+    pub fn rotate_keys_every(&mut self, span: Ms) {
+        self.rotates_every = Some(span);
+    }
+
+    fn rotate_keys(&mut self) {
+        let Some(span) = self.rotates_every.filter(|_| self.now() >= self.next_rotation) else { return };
+        self.next_rotation = self.now() + span;
+        self.configure(self.tenants.rotated());
+    }
+
+    /// The operator's next configuration has these tenants.
+    pub fn configure(&self, listed: Vec<Tenant>) {
+        self.tenants.enforce(listed);
+        self.control.configure(Some(self.tenants.as_json()));
     }
 
     /// A body that no other message has, unless it is empty.
@@ -479,7 +535,14 @@
 
     fn hand_over(&mut self, id: &str, mut message: Sent) {
         message.body = self.draw_body(id);
-        let (process, edge) = self.edges[self.lot.random_range(0..self.edges.len())].clone();
+        let edge = self.lot.random_range(0..self.edges.len());
+        self.hand_to(edge, id, message);
+    }
+
+    /// A client sends a message, as it is, through an edge.
+    pub fn hand_to(&mut self, edge: usize, id: &str, mut message: Sent) {
+        message.api_key = self.tenants.resolve(&message.credential);
+        let (process, edge) = self.edges[edge].clone();
         let request = request(id, &message, message.due.saturating_sub(self.now()));
         self.endpoints.sent(id, message);
         let (id, endpoints) = (id.to_string(), self.endpoints.clone());
@@ -498,17 +561,23 @@
         let (process, edge) = self.edges[self.lot.random_range(0..self.edges.len())].clone();
         let (endpoints, wants_body) = (self.endpoints.clone(), self.lot.random_bool(0.5));
         let asked_at = self.now();
+        let key = self.key_to_ask_with(self.endpoints.api_key_of(&id).as_deref());
         self.simulation.spawn_in(process, async move {
             if wants_body {
-                let answer = edge.answer(get(&format!("/v1/message-body/{id}"))).await;
+                let answer = edge.answer(get(&format!("/v1/message-body/{id}"), key.as_deref())).await;
                 endpoints.body_shown(&id, asked_at, answer.status, &answer.body);
             } else {
-                let answer = edge.answer(get(&format!("/v1/message/{id}"))).await;
+                let answer = edge.answer(get(&format!("/v1/message/{id}"), key.as_deref())).await;
                 endpoints.state_shown(&id, asked_at, answer.status, &String::from_utf8_lossy(&answer.body));
             }
         });
     }
 
+    /// A key that the tenant holds now that once sent this one.
+    fn key_to_ask_with(&self, sent: Option<&str>) -> Option<String> {
+        sent.and_then(|key| self.tenants.holder(key)).and_then(|name| self.tenants.key_of(&name))
+    }
+
     /// In calm the state of every message is told as it is, and the body of each that is live or dead comes back.
     pub fn check_answers(&mut self) {
         let taken = self.endpoints.taken();
@@ -516,8 +585,9 @@
             let (process, edge) = self.edges[turn % self.edges.len()].clone();
             for asked in asked.iter().cloned() {
                 let (edge, endpoints) = (edge.clone(), self.endpoints.clone());
+                let key = self.key_to_ask_with(asked.api_key.as_deref());
                 self.simulation
-                    .spawn_in(process, async move { check_answers_about(edge, endpoints, asked).await });
+                    .spawn_in(process, async move { check_answers_about(edge, endpoints, asked, key).await });
             }
             self.advance(400);
         }
@@ -526,9 +596,10 @@
 }
 
 /// Asks for the state and the body of a message, and compares both with what has to come.
-async fn check_answers_about(edge: Rc<Edge>, endpoints: Rc<Endpoints>, asked: Asked) {
-    let Asked { id, body, expected } = asked;
-    let state = edge.clone().answer(get(&format!("/v1/message/{id}"))).await;
+async fn check_answers_about(edge: Rc<Edge>, endpoints: Rc<Endpoints>, asked: Asked, key: Option<String>) {
+    let Asked { id, body, expected, .. } = asked;
+    let key = key.as_deref();
+    let state = edge.clone().answer(get(&format!("/v1/message/{id}"), key)).await;
     let told = String::from_utf8_lossy(&state.body).into_owned();
     let right = match expected {
         Expected::Queued => told.contains("queued"),
@@ -538,7 +609,7 @@
     if !right {
         endpoints.broke(format!("STATE: {id} is {expected:?}, told {} {told}", state.status));
     }
-    let shown = edge.answer(get(&format!("/v1/message-body/{id}"))).await;
+    let shown = edge.answer(get(&format!("/v1/message-body/{id}"), key)).await;
     endpoints.body_shown(&id, Ms::MAX, shown.status, &shown.body);
     let owed = expected != Expected::Completed;
     if owed && (shown.status != 200 || shown.body != body) {
@@ -550,8 +621,11 @@
     }
 }
 
-fn get(target: &str) -> Request {
-    let (headers, body) = (http::HeaderMap::new(), bytes::Bytes::new());
+fn get(target: &str, api_key: Option<&str>) -> Request {
+    let (mut headers, body) = (http::HeaderMap::new(), bytes::Bytes::new());
+    if let Some(key) = api_key {
+        headers.insert("authorization", format!("Bearer {key}").parse().unwrap());
+    }
     Request { method: http::Method::GET, target: target.to_string(), headers, body, keep_alive: true }
 }
 
@@ -569,7 +643,11 @@
     if message.wants_callback {
         headers.insert("x-callback-url", format!("http://10.0.9.200:{PORT}/done").parse().unwrap());
     }
-    let route = if message.key.is_some() { "ordered" } else { "free" };
-    let (target, body) = (format!("/{route}/{id}"), message.body.clone().into());
+    if let Some(key) = &message.api_key {
+        headers.insert("authorization", format!("Bearer {key}").parse().unwrap());
+    }
+    // Whoever sends it: the endpoints are told the tenant that holds the key.
+    headers.insert("x-tenant", "smuggled".parse().unwrap());
+    let (target, body) = (format!("/{}/{id}", message.route()), message.body.clone().into());
     Request { method: http::Method::POST, target, headers, body, keep_alive: true }
 }
--- a/crates/node/tests/stores.rs
+++ b/crates/node/tests/stores.rs
@@ -2,6 +2,8 @@
 //! what was refused never does, messages of a key run in their order, nothing that is known to have ended runs again in
 //! calm, and neither a stop, a replacement nor a retirement takes the only copy of anything, whatever is lost next.
 //! Planted mistakes are found.
+// Each file of tests uses its own part of it.
+#[allow(dead_code, unused_imports)]
 mod model;
 
 use borsh::BorshDeserialize as _;
