--- a/crates/node/src/calls.rs
+++ b/crates/node/src/calls.rs
@@ -122,16 +122,34 @@
     NotCounted,
 }
 
+/// Whose message it is, as far as a store knows.
+#[derive(Clone, Debug, Default, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub enum Holder {
+    /// The store doesn't have the message's envelope.
+    #[default]
+    Untold,
+    /// The request came without a tenant's key.
+    Nobody,
+    /// The tenant of this name.
+    Tenant(String),
+}
+
 /// What a store knows of a message.
 #[derive(Clone, Debug, Default, BorshSerialize, BorshDeserialize)]
 pub struct Found {
     pub known: bool,
+    pub holder: Holder,
     pub end: Option<End>,
     /// The body, where it was asked for and is here.
     pub body: Option<Body>,
 }
 
 impl Found {
+    /// Something is known of the message.
+    pub fn is_there(&self) -> bool {
+        self.known || self.end.is_some()
+    }
+
     /// The message is known to be completed: its body isn't kept.
     pub fn is_completed(&self) -> bool {
         self.end.as_ref().is_some_and(|end| end.outcome != Outcome::DeadLetter)
--- a/crates/node/src/edge/lookup.rs
+++ b/crates/node/src/edge/lookup.rs
@@ -1,6 +1,7 @@
 //! What clients ask about messages that were taken: states and bodies, looked up at all stores.
+use super::tenants::{Access, Asker};
 use super::{end_json, later, Edge};
-use crate::calls::{Call, Found};
+use crate::calls::{Call, Found, Holder};
 use net::http::Answer;
 use net::runtime;
 use std::cell::{Cell, RefCell};
@@ -12,29 +13,33 @@
 const FIND: Duration = Duration::from_millis(1_200);
 
 impl Edge {
-    /// The state of a message.
-    pub(super) async fn state(&self, id: &str) -> Answer {
-        let (found, sure) = self.find(id, false).await;
+    /// The state of a message, for who may see it.
+    pub(super) async fn state(&self, id: &str, asker: &Asker) -> Answer {
+        let (found, sure) = self.find(id, false, asker).await;
+        if let Some(refusal) = refusal(asker, &found) {
+            return refusal;
+        }
         match (&found.end, found.known) {
             (Some(end), _) => Answer::json(200, end_json(&end.outcome, None)),
             (None, true) => Answer::json(200, r#"{"State":"queued"}"#),
-            (None, false) if sure => Answer::text(404, "no store knows this message"),
+            (None, false) if sure => unknown(),
             (None, false) => unsure(),
         }
     }
 
-    /// The body of a message that is queued or dead.
-    pub(super) async fn body(&self, id: &str) -> Answer {
-        let (found, sure) = self.find(id, true).await;
+    /// The body of a message that is queued or dead, for who may see it.
+    pub(super) async fn body(&self, id: &str, asker: &Asker) -> Answer {
+        let (found, sure) = self.find(id, true, asker).await;
+        if let Some(refusal) = refusal(asker, &found) {
+            return refusal;
+        }
         if found.is_completed() {
             return Answer::text(404, "the message is completed; its bytes are not kept");
         }
         let body = found.body.as_ref().and_then(|body| body.verified(id).ok());
         match body {
             Some(body) => Answer { status: 200, headers: Vec::new(), body: body.to_vec() },
-            None if sure && !found.known && found.end.is_none() => {
-                Answer::text(404, "no store knows this message")
-            }
+            None if sure && !found.is_there() => unknown(),
             None => unsure(),
         }
     }
@@ -53,8 +58,8 @@
 
     /// Asks all stores. An end that any knows counts more than a copy that hasn't heard of it. Tells too whether what
     /// is not found isn't there: all stores have answered, and none was lost lately.
-    async fn find(&self, id: &str, body: bool) -> (Found, bool) {
-        let search = Rc::new(Search::new(id, body));
+    async fn find(&self, id: &str, body: bool, asker: &Asker) -> (Found, bool) {
+        let search = Rc::new(Search::new(id, body, asker));
         let stores = self.known.stores();
         let (waiting, answered) = (Rc::new(Cell::new(0)), Rc::new(Cell::new(0)));
         for store in stores.active() {
@@ -86,12 +91,13 @@
 struct Search {
     id: String,
     wants_body: bool,
+    asker: Asker,
     found: RefCell<Found>,
 }
 
 impl Search {
-    fn new(id: &str, wants_body: bool) -> Search {
-        Search { id: id.to_string(), wants_body, found: RefCell::default() }
+    fn new(id: &str, wants_body: bool, asker: &Asker) -> Search {
+        Search { id: id.to_string(), wants_body, asker: asker.clone(), found: RefCell::default() }
     }
 
     /// Takes a store's answer; a body that isn't the message's doesn't count.
@@ -99,6 +105,9 @@
         let mut found = self.found.borrow_mut();
         found.known |= answer.known;
         found.end = found.end.take().or(answer.end);
+        if found.holder == Holder::Untold {
+            found.holder = answer.holder;
+        }
         match answer.body.as_ref().map(|body| body.verified(&self.id)) {
             Some(Err(error)) => log::error!("shown by disk {disk:016x}: {error}"),
             Some(Ok(bytes)) => {
@@ -112,6 +121,11 @@
     /// Nothing that other stores may say changes the answer.
     fn is_done(&self) -> bool {
         let found = self.found.borrow();
+        match self.asker.access(&found) {
+            Access::Unknown => return false,
+            Access::Denied => return true,
+            Access::Granted => {}
+        }
         match self.wants_body {
             true => found.body.is_some() || found.is_completed(),
             false => found.end.is_some(),
@@ -119,6 +133,19 @@
     }
 }
 
+/// What an asker is told who may not see what was found, or of whom it isn't known: no more than if it weren't there.
+fn refusal(asker: &Asker, found: &Found) -> Option<Answer> {
+    match asker.access(found) {
+        Access::Denied => Some(unknown()),
+        Access::Unknown if found.is_there() => Some(unsure()),
+        Access::Unknown | Access::Granted => None,
+    }
+}
+
+fn unknown() -> Answer {
+    Answer::text(404, "no store knows this message as one of this key's tenant; ask with a key of its tenant")
+}
+
 /// What is asked for wasn't found, and may be where nobody answers from.
 fn unsure() -> Answer {
     later("a store that may know the message doesn't answer; ask again").with("Retry-After", "1")
--- a/crates/node/src/edge/mod.rs
+++ b/crates/node/src/edge/mod.rs
@@ -157,8 +157,10 @@
         Ok(())
     }
 
-    fn is_ready(&self) -> bool {
-        !self.leaving.get() && self.known.version() > 0 && self.known.stores().active().next().is_some()
+    /// Whether clients should come here.
+    pub fn is_ready(&self) -> bool {
+        let has_stores = self.known.stores().active().next().is_some();
+        !self.leaving.get() && self.known.version() > 0 && has_stores && self.knows_current_keys()
     }
 
     /// Says that it isn't ready, serves on until the platform has noticed, and answers what was begun.
@@ -184,18 +186,24 @@
         let path = request.path().to_string();
         if request.method == "GET" {
             if let Some(id) = path.strip_prefix("/v1/message/") {
-                return self.state(id).await;
+                return match self.keys().asker(&request) {
+                    Ok(asker) => self.state(id, &asker).await,
+                    Err(refusal) => refusal.answer(),
+                };
             }
             if let Some(id) = path.strip_prefix("/v1/message-body/") {
-                return self.body(id).await;
+                return match self.keys().asker(&request) {
+                    Ok(asker) => self.body(id, &asker).await,
+                    Err(refusal) => refusal.answer(),
+                };
             }
         }
         let configuration = self.known.configuration();
         let host = request.header("host").split(':').next().unwrap_or_default().to_string();
         match configuration.route(&host, &path) {
-            Some(route) => match tenants::of_request(&configuration, route, &request) {
+            Some(route) => match self.keys().tenant_of(route, &request) {
                 Ok(tenant) => self.take(&request, route, &host, tenant).await,
-                Err(unknown) => unknown.answer(),
+                Err(refusal) => refusal.answer(),
             },
             None => Answer::text(404, "no route has this host and path; see the configuration"),
         }
--- a/crates/node/src/store/peers.rs
+++ b/crates/node/src/store/peers.rs
@@ -1,10 +1,10 @@
 //! What other members ask of a store. Every answer is bounded: lists and messages go out piece by piece.
 use super::{encode, Store};
-use crate::calls::{Call, EndedPiece, Found, HeldFor, Piece};
+use crate::calls::{Call, EndedPiece, Found, HeldFor, Holder, Piece};
 use crate::process;
 use crate::traffic;
 use queue::custody;
-use queue::{End, Entry, Given, GivenEnded};
+use queue::{End, Entry, Given, GivenEnded, Queue};
 use std::net::IpAddr;
 use std::rc::Rc;
 
@@ -29,6 +29,18 @@
     (piece, false)
 }
 
+/// Whose message it is, where its envelope is here.
+fn holder(queue: &Queue, id: &str) -> Holder {
+    let owned = queue.owned(id).map(|owned| owned.envelope().clone());
+    let live = || queue.message(id).map(|message| message.envelope.clone());
+    let ended = || queue.ended_replica(id).map(|(_, given)| given.ended.envelope().clone());
+    match owned.or_else(live).or_else(ended).map(|envelope| envelope.tenant.clone()) {
+        Some(Some(tenant)) => Holder::Tenant(tenant),
+        Some(None) => Holder::Nobody,
+        None => Holder::Untold,
+    }
+}
+
 /// Messages that have not ended, as many as fit one answer.
 pub fn live_piece(messages: impl Iterator<Item = Given>) -> Piece {
     let (given, more) = piece(messages, |given| given.message.body.len());
@@ -196,7 +208,8 @@
         let queue = self.queue.borrow();
         let message = queue.message(id);
         let body = message.filter(|_| body).and_then(|message| self.sound_body(message));
-        Found { known: queue.owned(id).is_some() || message.is_some(), end: queue.end_of(id), body }
+        let known = queue.owned(id).is_some() || message.is_some();
+        Found { known, holder: holder(&queue, id), end: queue.end_of(id), body }
     }
 
     /// Those of some messages' ends that are known here.
--- a/crates/node/src/tools.rs
+++ b/crates/node/src/tools.rs
@@ -21,9 +21,13 @@
     if is_configuration {
         let configuration = Configuration::parse(text.as_bytes())?;
         let (routes, services) = (configuration.routes.len(), configuration.services.len());
+        let tenants = match &configuration.tenants {
+            Some(tenants) => format!("{} tenants", tenants.len()),
+            None => "no list of tenants, so no request needs a key".to_string(),
+        };
+        let version = configuration.version;
         return Ok(format!(
-            "a configuration, version {}: {routes} routes, {services} services",
-            configuration.version
+            "a configuration, version {version}: {routes} routes, {services} services, {tenants}"
         ));
     }
     let settings = ProcessSettings::parse(&text)?;
--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -13,7 +13,7 @@
 use std::collections::{BTreeSet, VecDeque};
 use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// The longest that a question waits for news.
 pub const HOLD: Duration = Duration::from_millis(1_000);
@@ -28,6 +28,8 @@
     pub stores: RefCell<Rc<StoreView>>,
     pub endpoints: RefCell<Rc<Vec<Endpoint>>>,
     seen: Cell<Seen>,
+    /// When the last question was sent that the primary answered.
+    current_at: Cell<Option<Instant>>,
     /// Rises with each change.
     pub changes: Watched,
     /// Addresses of the control group.
@@ -41,6 +43,7 @@
             stores: RefCell::default(),
             endpoints: RefCell::default(),
             seen: Cell::default(),
+            current_at: Cell::new(None),
             changes: Watched::default(),
             group: RefCell::new(seeds),
         })
@@ -81,6 +84,18 @@
         self.group.borrow().clone()
     }
 
+    /// How old what is known may be; none before the first news. An answer says what holds when the question arrives or
+    /// later, however long it lay in a socket while this process stood still: so the time of the question counts.
+    pub fn news_age(&self) -> Option<Duration> {
+        self.current_at.get().map(runtime::elapsed)
+    }
+
+    /// The primary has answered a question that was sent at this time.
+    fn current_as_of(&self, asked_at: Instant) {
+        let latest = self.current_at.get().map_or(asked_at, |before| before.max(asked_at));
+        self.current_at.set(Some(latest));
+    }
+
     /// Takes news; false if they come from the primary of an epoch that is over, of which nothing is taken.
     pub fn take(&self, news: News) -> bool {
         let mut seen = self.seen.get();
@@ -141,15 +156,22 @@
     }
 }
 
+/// What one member answered; nothing if it was silent.
+struct MemberAnswer {
+    from: IpAddr,
+    asked_at: Instant,
+    news: Option<News>,
+}
+
 /// The answers of members that were asked for the primary.
 #[derive(Default)]
 struct Answers {
-    come: RefCell<VecDeque<(IpAddr, Option<News>)>>,
+    come: RefCell<VecDeque<MemberAnswer>>,
     changed: Watched,
 }
 
 impl Answers {
-    fn next(&self) -> Option<(IpAddr, Option<News>)> {
+    fn next(&self) -> Option<MemberAnswer> {
         self.come.borrow_mut().pop_front()
     }
 }
@@ -178,8 +200,9 @@
         loop {
             let call = Call::Watch((self.hello)(), self.known.seen());
             let to = SocketAddr::new(primary, self.port);
-            let news = self.peers.call::<Call, News>(to, &call, PATIENCE).await;
-            if !matches!(self.hear(primary, news.ok()), Heard::Leads(_)) {
+            let asked_at = runtime::now();
+            let news = self.peers.call::<Call, News>(to, &call, PATIENCE).await.ok();
+            if !matches!(self.hear(MemberAnswer { from: primary, asked_at, news }), Heard::Leads(_)) {
                 return;
             }
         }
@@ -212,9 +235,9 @@
         loop {
             let seen = answers.changed.get();
             // One by one: what isn't looked at now is there for the next look.
-            while let Some((from, news)) = answers.next() {
-                waiting.remove(&from);
-                match self.hear(from, news) {
+            while let Some(answer) = answers.next() {
+                waiting.remove(&answer.from);
+                match self.hear(answer) {
                     Heard::Elsewhere(primary) if waiting.contains(&primary) => {}
                     Heard::Nothing => {}
                     heard => return heard,
@@ -230,15 +253,17 @@
     fn ask(&self, to: IpAddr, answers: Rc<Answers>) {
         let call = Call::Watch((self.hello)(), self.known.seen());
         let (peers, address) = (self.peers.clone(), SocketAddr::new(to, self.port));
+        let asked_at = runtime::now();
         runtime::spawn(async move {
-            let news = peers.call::<Call, News>(address, &call, PATIENCE).await;
-            answers.come.borrow_mut().push_back((to, news.ok()));
+            let news = peers.call::<Call, News>(address, &call, PATIENCE).await.ok();
+            answers.come.borrow_mut().push_back(MemberAnswer { from: to, asked_at, news });
             answers.changed.raise();
         });
     }
 
     /// Takes what a member answers, and what it says of the primary. One that led in an epoch that is over knows nothing.
-    fn hear(&self, from: IpAddr, news: Option<News>) -> Heard {
+    fn hear(&self, answer: MemberAnswer) -> Heard {
+        let MemberAnswer { from, asked_at, news } = answer;
         let Some(news) = news else { return Heard::Nothing };
         if !news.leads {
             self.known.take_group(&news);
@@ -249,7 +274,9 @@
             return Heard::Nothing;
         }
         self.known.take_group(&news);
-        self.known.take(news);
+        if self.known.take(news) {
+            self.known.current_as_of(asked_at);
+        }
         Heard::Leads(from)
     }
 
--- a/crates/settings/src/tenants.rs
+++ b/crates/settings/src/tenants.rs
@@ -1,14 +1,15 @@
 //! Tenants: who may send requests, with which keys, and how many.
-use crate::declare::{any, not_empty, Faults};
+use crate::declare::Faults;
 use std::collections::BTreeMap;
 
 crate::declare! {
     /// A customer whose requests are told from those of others by their keys.
     #[derive(Clone, Debug, Default, PartialEq)]
     pub struct Tenant {
-        "Name" name: String = [], not_empty;
+        /// Told to endpoints in `X-Tenant`.
+        "Name" name: String = [], usable_in_a_header;
         /// Each of these authenticates the tenant; none may be held by another one.
-        "ApiKeys" keys: Vec<String> = [Vec::new()], any;
+        "ApiKeys" keys: Vec<String> = [Vec::new()], usable_as_keys;
         /// Accepted messages a second, summed over all machines; without it there is no limit.
         "RatePerS" rate_per_s: Option<f64> = [None], not_negative_if_given;
         /// Accepted messages beyond the rate that may come at once; 0 where it is left out.
@@ -45,6 +46,26 @@
     }
 }
 
+/// The value of a header must not end it, nor be changed on its way.
+fn usable_in_a_header(name: &String) -> Result<(), &'static str> {
+    let is_plain = name.bytes().all(|byte| byte == b' ' || byte.is_ascii_graphic());
+    match !name.is_empty() && is_plain && name.trim() == name {
+        true => Ok(()),
+        false => Err("can't be told in a header; give a name of ASCII letters, digits and signs"),
+    }
+}
+
+/// A client has to be able to send each of them.
+fn usable_as_keys(keys: &Vec<String>) -> Result<(), &'static str> {
+    let is_usable = |key: &String| !key.is_empty() && key.bytes().all(|byte| byte.is_ascii_graphic());
+    match keys.iter().all(is_usable) {
+        true => Ok(()),
+        false => {
+            Err("has a key that no client can send; give ASCII letters, digits and signs, without spaces")
+        }
+    }
+}
+
 /// Names every tenant that can't be told from another one.
 pub(crate) fn check_tenants(tenants: &[Tenant], faults: &mut Faults) {
     let mut names = BTreeMap::new();
