Requests with one operation key are one message: the home decides, and the key stays with the envelope after the end

What callers saw: TWICE.

Cause: no part of the system read the key. Each request was a message of its own at whichever store its edge chose, and of a completed message nothing but its end was kept, at one store only and at holders without the envelope.

What is there now: the store that owns the operation's partition knows for each operation which message has it. An unknown one is reserved before anything is awaited, then counted, written and copied; a repeat is told the first one's id once that is on enough disks, waits for one that is on its way, and takes its place if it is refused. The envelope of a message with an operation key is owed after the end like a call-back that is open, so that repairs, planned stops, copies for the absent, take-overs, hand-backs and compaction carry it, until ends are forgotten: StatusTtlS or KeyWindowS after the end, whichever is longer, and MaxSkewMs. A store takes and runs nothing bound to a key before it has all that it inherits, live and ended. If two messages of one operation meet, the one that has come further stays, of those that have not begun the one taken later.

A message is not taken any more if its store was paused, or lost its part, while the message was counted. One whose record couldn't be written is taken once the disk can be, so that repeats of its operation don't wait for good.

Sight: `Status` tells how many requests with keys were taken, were repeats, waited, waited in vain or couldn't be decided, and how many messages were superseded; each superseded message is logged.

--- a/crates/node/src/store/copier.rs
+++ b/crates/node/src/store/copier.rs
@@ -301,8 +301,12 @@
             };
             ids.drain(..(asked as usize).clamp(1, ids.len()));
             let parted = store.part(given, Patience::UnlessAway).await;
+            let adopted: Vec<String> =
+                parted.open.iter().map(|given| given.message.id().to_string()).collect();
             store.adopt(parted.open, Some(self.disk)).await;
-            if !parted.elsewhere.is_empty() && !self.drop_copies(store, parted.elsewhere).await {
+            let superseded = adopted.into_iter().filter(|id| store.has_left(id));
+            let dropped: Vec<String> = parted.elsewhere.into_iter().chain(superseded).collect();
+            if !dropped.is_empty() && !self.drop_copies(store, dropped).await {
                 return false;
             }
         }
--- a/crates/node/src/store/copies.rs
+++ b/crates/node/src/store/copies.rs
@@ -168,6 +168,7 @@
         self.queue.borrow_mut().keep_copies_at(&id, |disk| copiers.contains_key(disk));
         self.copy_enough(&id, &entry, Store::placement).await;
         self.repairing.borrow_mut().remove(&id);
+        self.reservations.look_again();
     }
 
     /// Copies messages again that are at too few other stores that are there.
--- a/crates/node/src/store/deliver.rs
+++ b/crates/node/src/store/deliver.rs
@@ -144,7 +144,8 @@
         }
         // The end may be by the clock of another store.
         let bounds = &self.settings.bounds;
-        let keep = (bounds.status_ttl_s * 1_000.0) as u64 + bounds.max_skew_ms;
+        let told_for = bounds.status_ttl_s.max(bounds.key_window_s);
+        let keep = (told_for * 1_000.0) as u64 + bounds.max_skew_ms;
         self.queue.borrow_mut().forget(now.saturating_sub(keep));
     }
 
@@ -168,13 +169,11 @@
 
     /// Nothing runs before this store knows that it still owns what it recovered, and nothing whose time is over.
     fn may_run(&self, envelope: &Envelope, now: u64) -> bool {
-        let may = match envelope.ordered {
-            true => self.knows_its_part() && !self.lacks_inheritance(),
-            false => {
-                let is_elsewhere = self.leaving.get() || self.is_asked_for(&envelope.id);
-                !is_elsewhere && self.clock.ms() >= self.recovered_until.get()
-            }
-        };
+        let is_bound = envelope.home_key().is_some();
+        let key_may = !is_bound || self.key_may_run(envelope);
+        let is_elsewhere = (self.leaving.get() && !is_bound) || self.is_asked_for(&envelope.id);
+        let is_here = !is_elsewhere && self.clock.ms() >= self.recovered_until.get();
+        let may = key_may && (envelope.ordered || is_here);
         may && self.acts_by_a_view() && now < envelope.expires_at
     }
 
--- a/crates/node/src/store/ended.rs
+++ b/crates/node/src/store/ended.rs
@@ -65,6 +65,7 @@
                 any = true;
             }
         }
+        self.reservations.look_again();
         any
     }
 
--- a/crates/node/src/store/intake.rs
+++ b/crates/node/src/store/intake.rs
@@ -4,12 +4,14 @@
 use crate::calls::{PutAnswer, Refusal};
 use futures_channel::oneshot;
 use net::runtime;
-use queue::{Entry, Message};
+use queue::{Entry, Envelope, Message};
 use std::rc::Rc;
 use std::time::Duration;
 
 /// A disk that has been at one batch for so long doesn't keep up.
 const DISK_LAG: Duration = Duration::from_millis(250);
+/// After a failure of the disk.
+const PAUSE: Duration = Duration::from_millis(150);
 /// With less of the ring free, nothing is taken.
 const FULL_BELOW: f64 = 0.1;
 /// Share of the process's memory that messages may take.
@@ -17,13 +19,28 @@
 
 impl Store {
     /// Why a message isn't taken.
-    fn refusal(&self, message: &Message) -> Option<Refusal> {
-        let key = message.envelope.home_key();
-        if self.paused.get() || (self.leaving.get() && key.is_none()) {
+    fn refusal(&self, envelope: &Envelope) -> Option<Refusal> {
+        self.refusal_of_key(envelope).or_else(|| self.refusal_to_take(envelope))
+    }
+
+    /// Why this store can say nothing about a message: nothing is taken any more, or what it is bound to is another store's
+    /// to decide, or this one's only once it has all that it takes over.
+    pub(super) fn refusal_of_key(&self, envelope: &Envelope) -> Option<Refusal> {
+        if self.paused.get() {
             return Some(Refusal::Stopping);
         }
-        let owner = key.map(|key| self.known.stores().owner(key.digest()).map(|store| store.disk));
-        if owner.is_some_and(|owner| owner != Some(self.disk)) {
+        let key = envelope.home_key()?;
+        let owner = self.known.stores().owner(key.digest()).map(|store| store.disk);
+        let decides = owner == Some(self.disk) && self.knows_operations();
+        (!decides).then_some(Refusal::NotOwner)
+    }
+
+    /// Why a message isn't taken that could be.
+    pub(super) fn refusal_to_take(&self, envelope: &Envelope) -> Option<Refusal> {
+        if self.leaving.get() && envelope.home_key().is_none() {
+            return Some(Refusal::Stopping);
+        }
+        if self.has_left(&envelope.id) {
             return Some(Refusal::NotOwner);
         }
         if self.settled_copiers().len() < self.tolerance.copies() {
@@ -47,15 +64,24 @@
 
     /// Answers an edge that hands in a message.
     pub(super) async fn put(self: &Rc<Self>, message: Message) -> PutAnswer {
-        if let Some(refusal) = self.refusal(&message) {
-            return PutAnswer::Refused(refusal);
+        if let Some(operation) = message.envelope.operation() {
+            return self.put_once(operation, message).await;
         }
-        if self.not_wanted.borrow().contains_key(message.id()) {
-            return PutAnswer::Refused(Refusal::NotOwner);
+        match self.refusal(&message.envelope) {
+            Some(refusal) => PutAnswer::Refused(refusal),
+            None => self.count_and_take(message).await,
         }
-        match self.count(&message).await {
-            Ok(()) => self.take(message).await,
-            Err(refusal) => PutAnswer::Refused(refusal),
+    }
+
+    /// Takes a message if its tenant may have one more accepted.
+    pub(super) async fn count_and_take(self: &Rc<Self>, message: Message) -> PutAnswer {
+        self.taking.set(self.taking.get() + 1);
+        let counted = self.count(&message).await;
+        self.taking.set(self.taking.get() - 1);
+        // Whether the message is this store's to take may have changed meanwhile.
+        match counted.err().or_else(|| self.refusal(&message.envelope)) {
+            Some(refusal) => PutAnswer::Refused(refusal),
+            None => self.take(message).await,
         }
     }
 
@@ -77,13 +103,21 @@
         let written = self.log.write(std::slice::from_ref(&entry)).await;
         let _ = copied.await;
         if !written {
-            self.taking.set(self.taking.get() - 1);
+            // Others have it, and a repeat of its operation waits for it: it is taken once the disk can be written.
+            runtime::spawn(self.clone().accept_once_written(message, entry));
             return PutAnswer::Unclear;
         }
         runtime::spawn(self.clone().accept(message));
         PutAnswer::Taken { id }
     }
 
+    async fn accept_once_written(self: Rc<Self>, message: Message, entry: Entry) {
+        while !self.log.write(std::slice::from_ref(&entry)).await {
+            runtime::sleep(PAUSE).await;
+        }
+        self.accept(message).await;
+    }
+
     /// A message is safe: it may run, unless a store that was given it before has begun with it.
     pub async fn accept(self: Rc<Self>, message: Message) {
         match self.ask_to_leave(&message).await {
@@ -98,6 +132,7 @@
             Asked::Begun => self.leave_to_others(vec![message.id().to_string()], LeftBecause::Begun),
         }
         self.taking.set(self.taking.get() - 1);
+        self.reservations.look_again();
         self.work.notify();
     }
 }
--- a/crates/node/src/store/leaving.rs
+++ b/crates/node/src/store/leaving.rs
@@ -20,6 +20,8 @@
 const FAREWELL_PAUSE: Duration = Duration::from_millis(40);
 /// A store that doesn't answer so often isn't waited for.
 const FAREWELL_FAILURES: u32 = 3;
+/// Between two looks whether all is safe elsewhere: each goes through all messages that are owned.
+const LOOK_AGAIN: Duration = Duration::from_millis(20);
 /// How long an heir may take to make safe what it is given back.
 const HAND_BACK: Duration = Duration::from_millis(4_000);
 /// Between two attempts of that.
@@ -42,7 +44,7 @@
         self.tell_control();
         let dispensable = self.say_farewell(until);
         self.repair().await;
-        while self.running.get() > self.ordered_running() && self.clock.ms() < until {
+        while self.running.get() > self.bound_running() && self.clock.ms() < until {
             runtime::sleep(Duration::from_millis(5)).await;
         }
         self.paused.set(true);
@@ -51,7 +53,7 @@
             || self.needs_repair.get() || self.lacks_copies() || self.is_taking_over() || !self.all_told();
         let needed = || dispensable.get() > 0 || lacks();
         while (busy() || needed()) && self.clock.ms() < until {
-            runtime::sleep(Duration::from_millis(5)).await;
+            runtime::sleep(LOOK_AGAIN).await;
         }
         self.closing.set(true);
         self.log.write(&[]).await;
@@ -131,7 +133,7 @@
             self.paused.set(true);
         }
         self.needs_repair.set(true);
-        while self.running.get() > self.ordered_running() || self.needs_repair.get() {
+        while self.running.get() > self.bound_running() || self.needs_repair.get() {
             runtime::sleep(Duration::from_millis(10)).await;
         }
         self.paused.set(true);
@@ -151,10 +153,11 @@
         all && present.iter().all(|disk| copiers.get(disk).is_some_and(|copier| copier.is_idle()))
     }
 
-    fn ordered_running(&self) -> usize {
+    /// Deliveries of messages that are bound to this store by a key: they go on until it stops.
+    fn bound_running(&self) -> usize {
         let queue = self.queue.borrow();
         let runs = queue.all_owned().filter(|owned| owned.stage() == Some(Stage::Running));
-        runs.filter(|owned| owned.envelope().ordered).count()
+        runs.filter(|owned| owned.envelope().home_key().is_some()).count()
     }
 
     /// Others have taken over from this disk while it was away. What it holds may be nowhere else, if other disks were
--- a/crates/node/src/store/mod.rs
+++ b/crates/node/src/store/mod.rs
@@ -5,6 +5,7 @@
 //! | [`log`](mod@log) | records to the ring of files, by a thread of their own |
 //! | [`bodies`] | damaged bodies are replaced by those of other stores |
 //! | [`intake`] | messages are taken |
+//! | `operations` | requests with one operation key are one message |
 //! | `following` | what follows from each view of the stores |
 //! | `compaction` | the oldest files of the log are written anew |
 //! | [`copies`] | copies of each message at other stores |
@@ -34,6 +35,7 @@
 pub mod intake;
 pub mod leaving;
 pub mod log;
+mod operations;
 pub mod peers;
 pub mod preserve;
 mod quota;
@@ -98,6 +100,8 @@
     pub running: Cell<usize>,
     /// Messages that are being taken.
     pub taking: Cell<usize>,
+    /// Operations whose requests are being decided.
+    pub reservations: operations::Reservations,
     /// Bytes of messages that are owned and not ended, about.
     pub turn: Cell<usize>,
     pub needs_repair: Cell<bool>,
@@ -192,6 +196,7 @@
         }
         // Whose messages the others are is known by it: it is read first.
         log.begin_files_with(&Entry::Disk(queue.disk()));
+        let superseded = queue.settle_operations();
         let raced = queue.recovered();
         let live = queue.all_owned().filter(|owned| owned.is_live());
         let recovered = live.map(|owned| owned.id().to_string()).collect();
@@ -220,6 +225,7 @@
             cared: Notify::default(),
             running: Cell::new(0),
             taking: Cell::new(0),
+            reservations: operations::Reservations::default(),
             turn: Cell::new(0),
             needs_repair: Cell::new(true),
             location: settings.location(),
@@ -242,6 +248,7 @@
             closing: Cell::new(false),
             settings,
         });
+        store.record_superseded(superseded);
         let queue::Counts { waiting, ended, replicas, .. } = store.queue.borrow().counts();
         ::log::info!(
             "disk {:016x}: {waiting} messages waiting, {ended} ended, {replicas} copies",
--- a/crates/node/src/store/peers.rs
+++ b/crates/node/src/store/peers.rs
@@ -214,6 +214,7 @@
             "waiting": waiting, "running": running, "ended": ended, "copies": replicas,
             "oldest_ms": oldest, "backlog": self.backlog(), "free_ring": self.log.free_share(),
             "taking_over": self.inheriting.borrow().len(),
+            "operations": self.reservations.counts().as_json(),
             "zone": self.location.zone, "region": self.location.region,
             "tolerance_unmet": self.unmet_tolerance(), "traffic": traffic::as_json(&self.traffic()),
             "endpoints": self.endpoints.borrow().show(),
--- a/crates/node/src/store/races.rs
+++ b/crates/node/src/store/races.rs
@@ -39,6 +39,8 @@
     Asked(u64),
     /// Another store has begun to run it.
     Begun,
+    /// Another message of its operation stays.
+    Superseded,
 }
 
 impl std::fmt::Display for LeftBecause {
@@ -46,6 +48,7 @@
         match self {
             LeftBecause::TakenAt(disk) => write!(f, "taken at disk {disk:016x}"),
             LeftBecause::Asked(disk) => write!(f, "asked by disk {disk:016x}"),
+            LeftBecause::Superseded => f.write_str("another message of the operation stays"),
             LeftBecause::Begun => f.write_str("begun elsewhere"),
         }
     }
--- a/crates/node/src/store/takeover.rs
+++ b/crates/node/src/store/takeover.rs
@@ -18,6 +18,8 @@
     Collecting,
     /// The others are asked for messages that have ended.
     CollectingEnded,
+    /// All that the others kept is here; it is copied to as many stores as it has to be.
+    Copying,
     /// All is safe here; the others are told to drop what they kept.
     Releasing,
 }
@@ -56,6 +58,8 @@
         for disk in &asked {
             self.inherit_ended_from(*disk, lost).await;
         }
+        self.inheriting.borrow_mut().insert(lost, Inheriting::Copying);
+        self.work.notify();
         while self.lacks_copies() {
             self.needs_repair.set(true);
             runtime::sleep(PAUSE).await;
@@ -93,6 +97,13 @@
         self.inheriting.borrow().values().any(|step| *step == Inheriting::Collecting)
     }
 
+    /// Not all that lost stores owned is here yet, live or ended.
+    pub fn collects_inheritance(&self) -> bool {
+        let collects =
+            |step: &Inheriting| matches!(step, Inheriting::Collecting | Inheriting::CollectingEnded);
+        self.inheriting.borrow().values().any(collects)
+    }
+
     /// An active store that is not among these.
     fn next_active(&self, asked: &[u64]) -> Option<control::Store> {
         let stores = self.known.stores();
@@ -165,6 +176,7 @@
         };
         let (live, ended): (Vec<GivenEnded>, Vec<GivenEnded>) = given.into_iter().partition(is_live);
         live.iter().for_each(|given| self.finish(given.ended.end()));
+        self.leave_rivals_of(&ended);
         let (entries, new) = custody::adopt_ended(&mut self.queue.borrow_mut(), ended);
         while !entries.is_empty() && !self.log.write(&entries).await {
             runtime::sleep(PAUSE).await;
@@ -181,6 +193,7 @@
     /// Owns messages from now on, and lets them run; `copy` already holds them.
     pub async fn adopt(self: &Rc<Self>, given: Vec<Given>, copy: Option<u64>) {
         let given = self.with_sound_bodies(given, |given| Some(&mut given.message)).await;
+        let given = self.settle_operations(given);
         let (entries, ids) = custody::adopt(&mut self.queue.borrow_mut(), given);
         while !entries.is_empty() && !self.log.write(&entries).await {
             runtime::sleep(PAUSE).await;
--- a/crates/node/tests/model/endpoints.rs
+++ b/crates/node/tests/model/endpoints.rs
@@ -1,4 +1,5 @@
 //! What clients were told and what endpoints ran: the judge of a run.
+use super::operations::Operations;
 use super::{Ms, CONTACT, MAX_ATTEMPTS};
 use net::client::{CallError, Exchange, Service};
 use net::http::Response;
@@ -25,6 +26,7 @@
 /// What a client hands in.
 #[derive(Clone, Debug, Default)]
 pub struct Sent {
+    pub operation: Option<String>,
     pub key: Option<String>,
     /// A call-back about its end is owed to the client.
     pub wants_callback: bool,
@@ -112,6 +114,7 @@
     simulation: Simulation,
     lot: RefCell<Pcg64Mcg>,
     fates: RefCell<BTreeMap<String, Fate>>,
+    pub operations: RefCell<Operations>,
     /// No trouble that wasn't planned since then.
     pub calm_from: Cell<Ms>,
     /// The first rule that was broken.
@@ -138,6 +141,7 @@
             simulation: simulation.clone(),
             lot: RefCell::new(Pcg64Mcg::seed_from_u64(seed)),
             fates: RefCell::default(),
+            operations: RefCell::default(),
             calm_from: Cell::new(0),
             broken: RefCell::default(),
             runs: Cell::new(0),
@@ -149,16 +153,21 @@
 
     /// A client sends a message.
     pub fn sent(&self, id: &str, message: Sent) {
+        self.operations.borrow_mut().sent(id, &message, self.simulation.ms());
         let fate = Fate { message, sent: self.simulation.ms(), ..Fate::default() };
         self.fates.borrow_mut().insert(id.to_string(), fate);
     }
 
-    /// The client has its answer.
-    pub fn told(&self, id: &str, status: u16) {
+    /// The client has its answer, which names this message.
+    pub fn told(&self, id: &str, status: u16, named: &str) {
+        let wrong = self.operations.borrow_mut().told(id, status, named);
+        wrong.into_iter().for_each(|wrong| self.broke(wrong));
         let mut fates = self.fates.borrow_mut();
-        let fate = fates.get_mut(id).expect("it was sent");
+        // A repeat is told the first one's id: that one was taken.
+        let of = if status == 202 && fates.contains_key(named) { named } else { id };
+        let fate = fates.get_mut(of).expect("it was sent");
         match status {
-            202 => fate.accepted = Some(self.simulation.ms()),
+            202 => drop(fate.accepted.get_or_insert(self.simulation.ms())),
             503 | 429 => fate.refused = true,
             _ => {}
         }
@@ -199,6 +208,8 @@
         let mut fates = self.fates.borrow_mut();
         let fate = fates.get_mut(id).expect("it was sent");
         fate.begins.push((now, by.to_string()));
+        let twice = self.operations.borrow_mut().begun(id, now);
+        twice.into_iter().for_each(|twice| self.broke(twice));
         if fate.message.body != body {
             let (sent, ran) = (fate.message.body.len(), body.len());
             self.broke(format!(
--- a/crates/node/tests/model/machine.rs
+++ b/crates/node/tests/model/machine.rs
@@ -27,8 +27,8 @@
 const SLOW_SYNC_MS: std::ops::Range<u64> = 20..120;
 const SLOW_SHARE: f64 = 0.02;
 
-/// Whether a store forgets its fences at a restart, as a planted mistake does.
-pub type Forgets = fn(&Entry) -> bool;
+/// What a store remembers of a record at a restart; less than all with a planted mistake.
+pub type Remembers = fn(Entry) -> Option<Entry>;
 
 /// A process of a store.
 pub struct Running {
@@ -129,7 +129,7 @@
         endpoints: &Rc<Endpoints>,
         settings: ProcessSettings,
         seed: u64,
-        forgets: Forgets,
+        remembers: Remembers,
     ) {
         let id = simulation.new_process(&self.name);
         network.power_on(self.ip);
@@ -149,7 +149,7 @@
         simulation.spawn_in(id, async move {
             let mut queue = Queue::default();
             let mut fold = |entry| {
-                if !forgets(&entry) {
+                if let Some(entry) = remembers(entry) {
                     queue.recover(entry);
                 }
             };
--- a/crates/node/tests/model/mistakes.rs
+++ b/crates/node/tests/model/mistakes.rs
@@ -2,11 +2,16 @@
 //! answers are changed on their way, records are forgotten at a restart, or processes end too soon.
 use super::BODY_WORD;
 use borsh::BorshDeserialize as _;
-use node::calls::{Call, HeldFor, Piece};
-use queue::{Entry, HeldIds};
+use node::calls::{Call, EndedPiece, HeldFor, Piece};
+use queue::custody::Ids;
+use queue::{EndedMessage, Entry, Envelope, GivenEnded, HeldIds};
 use simulation::network::Tamper;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::rc::Rc;
+
+/// With a mistake planted, so many messages that have ended are taken over from each store.
+const FIRST_ENDED: usize = 3;
 
 /// A planted mistake.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -30,15 +35,57 @@
     RetiresBeforeTheCopy,
     /// A store that was given up begins anew without handing back what it has.
     DropsWhatItHas,
+    /// A restart forgets which operations the messages are of.
+    ForgetsOperations,
+    /// Holders forget an operation with the end of its message.
+    ForgetsOperationsWithEnds,
+    /// An heir decides on operations before others have told it of messages that have ended.
+    DecidesBeforeAllAnswered,
+    /// An heir leaves out what a store tells it beyond the first messages that have ended.
+    LeavesOutABatch,
+    /// Copies of messages that have ended aren't made whole while their owner is away.
+    PreservesNothingEnded,
+}
+
+/// The record without the operation key in it.
+fn without_operation(entry: Entry) -> Entry {
+    let strip = |envelope: &mut Rc<Envelope>| Rc::make_mut(envelope).operation_key = None;
+    match entry {
+        Entry::Message { owner, mut message } => {
+            strip(&mut message.envelope);
+            Entry::Message { owner, message }
+        }
+        Entry::EndedMessage { owner, mut given } => {
+            match &mut given.ended {
+                EndedMessage::Completed { envelope, .. } => strip(envelope),
+                EndedMessage::DeadLetter { message, .. } => strip(&mut message.envelope),
+            }
+            Entry::EndedMessage { owner, given }
+        }
+        other => other,
+    }
+}
+
+/// Changes a store's answer about messages of a lost one that have ended.
+fn change_ended(answer: Vec<u8>, change: impl Fn(&mut EndedPiece)) -> Vec<u8> {
+    let mut piece = Option::<EndedPiece>::try_from_slice(&answer).unwrap();
+    piece.iter_mut().for_each(change);
+    borsh::to_vec(&piece).unwrap()
+}
+
+/// Nothing is owed of it but that a repeat of its operation is known.
+fn is_known_for_its_operation(given: &GivenEnded) -> bool {
+    given.called_back && given.ended.dead_letter().is_none()
 }
 
 impl Mistake {
-    /// Whether a record is forgotten at a restart.
-    pub fn forgets(self) -> fn(&Entry) -> bool {
+    /// What is remembered of a record at a restart.
+    pub fn remembers(self) -> fn(Entry) -> Option<Entry> {
         match self {
-            Mistake::ForgetsFences => |entry| matches!(entry, Entry::Fenced { .. }),
-            Mistake::LosesEnds => |entry| matches!(entry, Entry::Ended(_)),
-            _ => |_| false,
+            Mistake::ForgetsFences => |entry| (!matches!(entry, Entry::Fenced { .. })).then_some(entry),
+            Mistake::LosesEnds => |entry| (!matches!(entry, Entry::Ended(_))).then_some(entry),
+            Mistake::ForgetsOperations => |entry| Some(without_operation(entry)),
+            _ => Some,
         }
     }
 }
@@ -67,6 +114,19 @@
             (Mistake::AsksOneStore, Call::Inherit { .. }) => {
                 borsh::to_vec(&Some(Piece { given: Vec::new(), more: false }))
             }
+            (Mistake::ForgetsOperationsWithEnds, Call::InheritEnded { .. }) => {
+                return change_ended(answer, |piece| piece.given.retain(|g| !is_known_for_its_operation(g)));
+            }
+            (Mistake::LeavesOutABatch, Call::InheritEnded { .. }) => {
+                return change_ended(answer, |piece| piece.given.truncate(FIRST_ENDED));
+            }
+            (Mistake::DecidesBeforeAllAnswered, Call::InheritEnded { .. }) => {
+                borsh::to_vec(&Some(EndedPiece { given: Vec::new(), more: false }))
+            }
+            (Mistake::PreservesNothingEnded, Call::Lacking { .. }) => {
+                let lacking = Ids::try_from_slice(&answer).unwrap();
+                borsh::to_vec(&Ids { ended: Vec::new(), ..lacking })
+            }
             _ => return answer,
         };
         changed.unwrap()
--- a/crates/node/tests/model/mod.rs
+++ b/crates/node/tests/model/mod.rs
@@ -1,10 +1,13 @@
 //! The program's own stores and edges in simulated time: their calls travel through a network that delays, stalls, cuts
 //! and breaks, their disks outlast their processes or don't. Clients hand in messages through the edges, endpoints run
 //! them, and both remember.
+// Each test file uses a part of it.
+#![allow(dead_code, unused_imports)]
 mod control;
 mod endpoints;
 mod machine;
 mod mistakes;
+mod operations;
 mod quota;
 mod troubles;
 
@@ -126,6 +129,9 @@
     pub retired: usize,
     pub given_up: usize,
     pub handed_back: usize,
+    /// Operations of clients, and requests that were told the id of an earlier one.
+    pub operations: usize,
+    pub operation_repeats: usize,
     pub broken: Option<String>,
 }
 
@@ -154,6 +160,8 @@
     next_roll: Ms,
     /// Shares of cores are quotas.
     quota: Option<Quota>,
+    /// Clients send operation keys, drawn from this lot, if it is there.
+    operations: Option<Pcg64Mcg>,
     seen: Seen,
 }
 
@@ -203,6 +211,7 @@
             roll: Vec::new(),
             next_roll: 0,
             quota: None,
+            operations: None,
             seen: Seen::default(),
             simulation,
             network,
@@ -228,7 +237,7 @@
         let (simulation, network, endpoints) = (&self.simulation, &self.network, &self.endpoints);
         let machine = &mut self.machines[i];
         let settings = self.deployment.settings(&machine.name, machine.ip, i);
-        machine.start(simulation, network, endpoints, settings, seed, self.mistake.forgets());
+        machine.start(simulation, network, endpoints, settings, seed, self.mistake.remembers());
     }
 
     fn add_edge(&mut self, number: u8) {
@@ -262,6 +271,7 @@
             self.endpoints.check_end();
             self.check_answers();
         }
+        (self.seen.operation_repeats, self.seen.operations) = self.repeats_and_operations();
         self.seen.counts = self.endpoints.counts();
         self.seen.given_up = self.control.state.borrow().stores.stores.iter().filter(|s| s.gone).count();
         self.seen.broken = self.endpoints.broken.borrow().clone();
@@ -463,7 +473,10 @@
         };
         let wants_callback = key.is_none() && self.lot.random_bool(0.5);
         let body = Vec::new();
-        self.hand_over(&id, Sent { key, wants_callback, body, doom, due: self.now() + delay });
+        let message = Sent { operation: None, key, wants_callback, body, doom, due: self.now() + delay };
+        if !self.hand_over_as_operation(&id, &message) {
+            self.hand_over(&id, message);
+        }
     }
 
     /// A body that no other message has, unless it is empty.
@@ -485,7 +498,7 @@
         let (id, endpoints) = (id.to_string(), self.endpoints.clone());
         self.simulation.spawn_in(process, async move {
             let answer = edge.answer(request).await;
-            endpoints.told(&id, answer.status);
+            endpoints.told(&id, answer.status, &queue_id(&answer));
         });
     }
 
@@ -550,6 +563,12 @@
     }
 }
 
+/// The message that a client's answer names.
+fn queue_id(answer: &net::http::Answer) -> String {
+    let named = answer.headers.iter().find(|(name, _)| name.eq_ignore_ascii_case("x-queue-message-id"));
+    named.map_or(String::new(), |(_, id)| id.to_string())
+}
+
 fn get(target: &str) -> Request {
     let (headers, body) = (http::HeaderMap::new(), bytes::Bytes::new());
     Request { method: http::Method::GET, target: target.to_string(), headers, body, keep_alive: true }
@@ -566,6 +585,9 @@
     if let Some(key) = &message.key {
         headers.insert("x-ordering-key", key.parse().unwrap());
     }
+    if let Some(operation) = &message.operation {
+        headers.insert("x-operation-key", operation.parse().unwrap());
+    }
     if message.wants_callback {
         headers.insert("x-callback-url", format!("http://10.0.9.200:{PORT}/done").parse().unwrap());
     }
--- a/crates/queue/src/ended.rs
+++ b/crates/queue/src/ended.rs
@@ -60,6 +60,11 @@
         }
     }
 
+    /// It is owed itself, whoever was called back: its body can be asked for, or a repeat of its operation has to be known.
+    pub fn is_owed(&self) -> bool {
+        self.dead_letter().is_some() || self.envelope().owes_operation()
+    }
+
     /// When it ended.
     pub fn at(&self) -> WallMs {
         match self {
--- a/crates/queue/src/lib.rs
+++ b/crates/queue/src/lib.rs
@@ -12,6 +12,7 @@
 //! | [`message`] | messages, their envelopes, and bodies with their digests |
 //! | [`ended`] | how messages end, and what is kept of one that has ended |
 //! | [`entry`] | the records |
+//! | [`operations`] | which message there is of each operation, and which of two stays |
 //! | [`owned`] | what is known of a message that this store owns |
 //! | [`replicas`] | messages and ends that are kept for other stores |
 //! | `ready`, `schedule` | what may run of a route, and in which order |
@@ -22,6 +23,7 @@
 pub mod ended;
 pub mod entry;
 pub mod message;
+pub mod operations;
 pub mod owned;
 pub mod placement;
 mod ready;
--- a/crates/queue/src/message.rs
+++ b/crates/queue/src/message.rs
@@ -57,6 +57,11 @@
         self.order_key().or_else(|| self.operation())
     }
 
+    /// The operation key is to be known for as long as ends are.
+    pub fn owes_operation(&self) -> bool {
+        self.operation_key.is_some()
+    }
+
     fn of_tenant(&self, key: &str) -> TenantKey {
         TenantKey { tenant: self.tenant.clone().unwrap_or_default(), key: key.to_string() }
     }
--- a/crates/queue/src/owned.rs
+++ b/crates/queue/src/owned.rs
@@ -119,9 +119,10 @@
         }
     }
 
-    /// Something is owed of it that must outlast this store, though it has ended: its body, or its call-back.
+    /// Something is owed of it that must outlast this store, though it has ended: its body, its call-back, or that a repeat
+    /// of its operation is known.
     pub fn owes_after_end(&self) -> bool {
-        self.ended_message().is_some_and(|ended| self.owes_callback || ended.dead_letter().is_some())
+        self.ended_message().is_some_and(|ended| self.owes_callback || ended.is_owed())
     }
 
     /// Disks that may hold a replica.
--- a/crates/queue/src/replicas.rs
+++ b/crates/queue/src/replicas.rs
@@ -72,8 +72,8 @@
 
     /// Keeps of the message only what is still owed.
     fn let_go(&mut self) {
-        let owes_body = self.message().is_some_and(|ended| ended.dead_letter().is_some());
-        if self.called_back && !owes_body {
+        let is_owed = self.message().is_some_and(EndedMessage::is_owed);
+        if self.called_back && !is_owed {
             self.known = Known::End(self.end());
         }
     }
--- a/crates/queue/src/view/mod.rs
+++ b/crates/queue/src/view/mod.rs
@@ -4,6 +4,7 @@
 use crate::ended::{End, EndedMessage};
 use crate::entry::{Entry, GivenEnded};
 use crate::message::{Envelope, Message};
+use crate::operations::Operations;
 use crate::owned::{OwnedMessage, Stage};
 use crate::replicas::Replicas;
 use crate::schedule::{Messages, Schedule};
@@ -31,6 +32,7 @@
     /// Bytes of the bodies of owned messages.
     bytes: usize,
     schedule: Schedule,
+    operations: Operations,
     replicas: Replicas,
     /// Disks of stores that were given up.
     fenced: BTreeSet<u64>,
@@ -112,9 +114,26 @@
 
     fn insert(&mut self, id: String, owned: OwnedMessage) {
         self.bytes += owned.body_bytes();
+        let rival = self.rival(owned.envelope());
+        if rival.is_none_or(|rival| rival.precedence() < owned.precedence()) {
+            self.operations.set(owned.envelope());
+        }
         self.owned.insert(id, owned);
     }
 
+    pub(crate) fn operations(&self) -> &Operations {
+        &self.operations
+    }
+
+    /// Finds the message that stays of each operation anew: which one it is may have changed with every record.
+    pub(crate) fn index_operations(&mut self) {
+        let mut by_precedence: Vec<&OwnedMessage> = self.owned.values().collect();
+        by_precedence.sort_by_key(|owned| owned.precedence());
+        let mut operations = Operations::default();
+        by_precedence.iter().for_each(|owned| operations.set(owned.envelope()));
+        self.operations = operations;
+    }
+
     /// A message is on enough disks: it may run, behind those of its key.
     pub fn accept(&mut self, id: &str) {
         let accepted = self.owned.get_mut(id).is_some_and(|o| o.advance(Stage::Copying, Stage::Waiting));
@@ -198,7 +217,7 @@
             }
             return ends;
         }
-        let owes_nothing = called_back && given.ended.dead_letter().is_none();
+        let owes_nothing = called_back && !given.ended.is_owed();
         if owes_nothing {
             return false;
         }
@@ -218,6 +237,7 @@
         let Some(owned) = self.owned.remove(id) else { return false };
         self.bytes -= owned.body_bytes();
         self.schedule.remove(&mut self.owned, owned.envelope());
+        self.operations.remove(owned.envelope());
         if let Some(message) = owned.live_message() {
             owned.kept_for.iter().for_each(|owner| self.keep(*owner, message.clone()));
         }
@@ -369,12 +389,13 @@
     /// Forgets ends older than a time, where nobody waits to be told of them.
     pub fn forget(&mut self, before: WallMs) {
         self.replicas.forget(before);
-        let bytes = &mut self.bytes;
+        let (bytes, operations) = (&mut self.bytes, &mut self.operations);
         self.owned.retain(|_, owned| {
             let Some(ended) = owned.ended_message() else { return true };
             let stays = ended.at() >= before || owned.owes_callback || !owned.untold.is_empty();
             if !stays {
                 *bytes -= owned.body_bytes();
+                operations.remove(owned.envelope());
             }
             stays
         });
