--- a/crates/node/tests/model/endpoints.rs
+++ b/crates/node/tests/model/endpoints.rs
@@ -1,4 +1,5 @@
 //! What clients were told and what endpoints ran: the judge of a run.
+use super::operations::Operations;
 use super::tenants::{Credential, Tenants};
 use super::{Ms, CONTACT, MAX_ATTEMPTS};
 use net::client::{CallError, Exchange, Service};
@@ -29,6 +30,7 @@
 /// What a client hands in.
 #[derive(Clone, Debug, Default)]
 pub struct Sent {
+    pub operation: Option<String>,
     pub key: Option<String>,
     /// Whose key the client means to send.
     pub credential: Credential,
@@ -136,9 +138,10 @@
 /// All endpoints, and what clients were told.
 pub struct Endpoints {
     simulation: Simulation,
-    tenants: Rc<Tenants>,
+    pub tenants: Rc<Tenants>,
     lot: RefCell<Pcg64Mcg>,
     fates: RefCell<BTreeMap<String, Fate>>,
+    pub operations: RefCell<Operations>,
     /// No trouble that wasn't planned since then.
     pub calm_from: Cell<Ms>,
     /// The first rule that was broken.
@@ -166,6 +169,7 @@
             tenants,
             lot: RefCell::new(Pcg64Mcg::seed_from_u64(seed)),
             fates: RefCell::default(),
+            operations: RefCell::default(),
             calm_from: Cell::new(0),
             broken: RefCell::default(),
             runs: Cell::new(0),
@@ -177,29 +181,35 @@
 
     /// A client sends a message.
     pub fn sent(&self, id: &str, message: Sent) {
+        self.operations.borrow_mut().sent(id, &message, self.simulation.ms());
         let fate = Fate { message, sent: self.simulation.ms(), ..Fate::default() };
         self.fates.borrow_mut().insert(id.to_string(), fate);
     }
 
-    /// The client has its answer.
-    pub fn told(&self, id: &str, status: u16) {
+    /// The client has its answer, which names this message.
+    pub fn told(&self, id: &str, status: u16, named: &str) {
+        let wrong = self.operations.borrow_mut().told(id, status, named);
+        wrong.into_iter().for_each(|wrong| self.broke(wrong));
         let mut fates = self.fates.borrow_mut();
-        let fate = fates.get_mut(id).expect("it was sent");
-        fate.status = Some(status);
+        fates.get_mut(id).expect("it was sent").status = Some(status);
+        // A repeat is told the first one's id: that one was taken.
+        let of = if status == 202 && fates.contains_key(named) { named } else { id };
+        let fate = fates.get_mut(of).expect("it was sent");
         match status {
-            202 => fate.accepted = Some(self.simulation.ms()),
+            202 => drop(fate.accepted.get_or_insert(self.simulation.ms())),
             503 | 429 | 401 => fate.refused = true,
             _ => {}
         }
-        let key = fate.message.api_key.as_deref();
-        let judged = fate.message.needs_key();
-        let fault = judged.then(|| self.tenants.fault_of_answer(key, fate.sent, status)).flatten();
-        if let Some(fault) = fault {
-            self.broke(format!("{fault}: {id}"));
-        }
         if fate.refused && !fate.begins.is_empty() {
             self.broke(format!("REFUSED: {id} ran, and was answered {status}: {:?}", fate.begins));
         }
+        let own = fates.get(id).expect("it was sent");
+        let key = own.message.api_key.as_deref();
+        let judged = own.message.needs_key();
+        let fault = judged.then(|| self.tenants.fault_of_answer(key, own.sent, status)).flatten();
+        if let Some(fault) = fault {
+            self.broke(format!("{fault}: {id}"));
+        }
     }
 
     /// A rule was broken.
@@ -234,6 +244,8 @@
         let mut fates = self.fates.borrow_mut();
         let fate = fates.get_mut(id).expect("it was sent");
         fate.begins.push((now, by.to_string()));
+        let twice = self.operations.borrow_mut().begun(id, now);
+        twice.into_iter().for_each(|twice| self.broke(twice));
         if fate.message.body != body {
             let (sent, ran) = (fate.message.body.len(), body.len());
             self.broke(format!(
--- a/crates/node/tests/model/tenants.rs
+++ b/crates/node/tests/model/tenants.rs
@@ -8,6 +8,8 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 
+/// The tenants of the first configuration.
+pub const TENANTS: [&str; 3] = ["large", "small", "other"];
 /// For so long a key that was taken away may still be taken, and one that was added may still be refused.
 pub const REVOKE: Ms = 5_000;
 /// The share of messages of the first tenant; the others share the rest.
@@ -68,7 +70,7 @@
             holdings: RefCell::default(),
             keys_made: Cell::new(0),
         };
-        let founding = ["large", "small", "other"].map(|name| Tenant {
+        let founding = TENANTS.map(|name| Tenant {
             name: name.to_string(),
             keys: vec![tenants.new_key(), tenants.new_key()],
             ..Tenant::default()
