Stores count accepted messages against their tenants' quotas

A tenant's clients had as many messages accepted as they sent: nothing counted, on any store. Each store now asks the tenant's counters (three stores, the same for all) for a quorum of tokens before it takes a message; each counter holds a token bucket of the quorum's share of the quota, so that all together can't grant more than the quota.

- crates/quota: buckets, choice of counters, ledger and the way of one message to its tokens; no I/O and no clock.
- A counter counts only while it heard of the control group lately, and one that is new to a tenant waits until all who don't know of it have stopped: two sets of counters with quorums of their own never grant at once.
- Call::Count carries all that waits for one counter, and tokens that weren't used; it is never repeated.
- A tenant beyond its quota is refused at the store for up to 50 ms without a call.
- mallowstep status shows tenants near their limits, for each counting store.

--- a/crates/node/src/calls.rs
+++ b/crates/node/src/calls.rs
@@ -168,6 +168,14 @@
     pub more: bool,
 }
 
+/// Requests to one counter that wait at one store.
+#[derive(Clone, Debug, Default, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub struct CountRequest {
+    pub wants: Vec<quota::Want>,
+    /// Tokens that no message used.
+    pub returns: Vec<quota::Return>,
+}
+
 /// A call from one member to another. Most are messages, so a box would only be one more allocation for each.
 #[allow(clippy::large_enum_variant)]
 #[derive(Clone, Debug, BorshSerialize, BorshDeserialize)]
@@ -222,6 +230,9 @@
     Owns { id: String },
     /// Store to store: lend me so many permits of your share of a service's rate. Answered with how many are lent.
     Lend { service: String, permits: u64 },
+    /// Store to store that counts for tenants: tokens for messages, and tokens that weren't used. Answered with a
+    /// [`quota::Counted`] for each want, in their order.
+    Count(CountRequest),
     /// Edge to store: do you answer?
     Ping,
     /// Edge to store; answered with [`Found`].
@@ -236,8 +247,8 @@
             Call::Lacking { .. } | Call::Decided { .. } | Call::Ping | Call::Find { .. } => Repeat::Freely,
             Call::Claim { .. } | Call::Claimed { .. } | Call::Leaving { .. } => Repeat::Freely,
             Call::InheritEnded { .. } | Call::Ends { .. } | Call::Owns { .. } => Repeat::Freely,
-            // What was lent for the first one is gone.
-            Call::Lend { .. } => Repeat::Never,
+            // What was lent or counted for the first one is gone.
+            Call::Lend { .. } | Call::Count(_) => Repeat::Never,
             // What the caller says of itself may have changed meanwhile: it asks anew.
             Call::Watch(..) => Repeat::SameIdentity,
             // Known by the epoch, by the message's id, or by the owner with the id.
@@ -262,6 +273,7 @@
             Call::Lacking { .. } | Call::Preserve { .. } => "copies for the absent",
             Call::Decided { .. } | Call::Leave { .. } | Call::Owns { .. } => "questions",
             Call::Lend { .. } => "permits",
+            Call::Count(_) => "quotas",
             Call::Status | Call::Group(_) | Call::Leaving { .. } | Call::Ping => "others",
         }
     }
--- a/crates/node/src/store/mod.rs
+++ b/crates/node/src/store/mod.rs
@@ -17,6 +17,7 @@
 //! | [`leaving`] | planned stops, retirement, and the return of a store that was given up |
 //! | [`takeover`] | what a lost store owned; ends of messages |
 //! | [`quota`] | messages are counted against their tenants' quotas |
+//! | [`quota_calls`] | calls to the stores that count, in batches |
 //! | [`rates`] | shares of the rates of services, and what stores lend each other |
 //! | [`endpoints`] | caps, doubts and choice of endpoints |
 //! | [`deliver`] | messages to endpoints |
@@ -36,7 +37,8 @@
 pub mod log;
 pub mod peers;
 pub mod preserve;
-mod quota;
+pub mod quota;
+pub mod quota_calls;
 pub mod races;
 pub mod rates;
 pub mod takeover;
@@ -88,6 +90,8 @@
     sessions: RefCell<BTreeMap<u64, u64>>,
     pub endpoints: RefCell<endpoints::Endpoints>,
     pub buckets: RefCell<BTreeMap<String, rates::Bucket>>,
+    /// Counts messages against tenants' quotas.
+    pub counting: quota::Counting,
     pub client: Client,
     pub callbacks: callbacks::Callbacks,
     /// Wakes the delivery sender.
@@ -202,6 +206,7 @@
             clock: process.clock,
             started,
             disk: queue.disk(),
+            counting: quota::Counting::new(queue.disk()),
             port: settings.store_port(),
             known: Known::new(settings.seed_ips()),
             peers: Rc::new(surroundings.peers),
@@ -261,6 +266,7 @@
             self.settings.seed_ips(),
         ));
         runtime::spawn(self.clone().follow_stores());
+        runtime::spawn(self.clone().follow_counters());
         runtime::spawn(self.clone().care());
         runtime::spawn(self.clone().log_traffic());
         runtime::spawn(deliver::deliver(self.clone()));
--- a/crates/node/src/store/peers.rs
+++ b/crates/node/src/store/peers.rs
@@ -66,6 +66,7 @@
             Call::Leave { id, to } => encode(&self.leave_one(&id, to)),
             Call::Owns { id } => encode(&self.queue.borrow().owned(&id).is_some()),
             Call::Lend { service, permits } => encode(&self.lend(&service, permits)),
+            Call::Count(request) => encode(&self.count_for(request)),
             Call::Ping => encode(&true),
             Call::Find { id, body } => encode(&self.find(&id, body)),
             Call::Status => encode(&self.status()),
@@ -217,6 +218,7 @@
             "zone": self.location.zone, "region": self.location.region,
             "tolerance_unmet": self.unmet_tolerance(), "traffic": traffic::as_json(&self.traffic()),
             "endpoints": self.endpoints.borrow().show(),
+            "tenants_near_limits": self.tenants_near_limits(),
         });
         status.to_string()
     }
--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -13,7 +13,7 @@
 use std::collections::{BTreeSet, VecDeque};
 use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// The longest that a question waits for news.
 pub const HOLD: Duration = Duration::from_millis(1_000);
@@ -28,6 +28,8 @@
     pub stores: RefCell<Rc<StoreView>>,
     pub endpoints: RefCell<Rc<Vec<Endpoint>>>,
     seen: Cell<Seen>,
+    /// When the last question was asked that the control group's primary has answered.
+    pub heard_at: Cell<Option<Instant>>,
     /// Rises with each change.
     pub changes: Watched,
     /// Addresses of the control group.
@@ -41,6 +43,7 @@
             stores: RefCell::default(),
             endpoints: RefCell::default(),
             seen: Cell::default(),
+            heard_at: Cell::default(),
             changes: Watched::default(),
             group: RefCell::new(seeds),
         })
@@ -178,10 +181,12 @@
         loop {
             let call = Call::Watch((self.hello)(), self.known.seen());
             let to = SocketAddr::new(primary, self.port);
+            let asked_at = runtime::now();
             let news = self.peers.call::<Call, News>(to, &call, PATIENCE).await;
             if !matches!(self.hear(primary, news.ok()), Heard::Leads(_)) {
                 return;
             }
+            self.known.heard_at.set(Some(asked_at));
         }
     }
 
--- a/crates/node/tests/model/mod.rs
+++ b/crates/node/tests/model/mod.rs
@@ -3,12 +3,14 @@
 //! them, and both remember.
 mod control;
 mod endpoints;
+mod hot;
 mod machine;
 mod mistakes;
 mod quota;
 mod troubles;
 
 pub use endpoints::{Counts, Doom};
+pub use hot::Tenant;
 pub use mistakes::{Brings, DamagesBodies, Mistake};
 pub use troubles::Regime;
 
--- /dev/null
+++ b/crates/quota/src/counters.rs
@@ -0,0 +1,62 @@
+//! Which stores count for a tenant: those that weigh most by a digest of tenant and disk, the same on every machine.
+use crate::bucket::Limit;
+use settings::Quota;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
+/// So many stores count for a tenant, where there are as many.
+pub const COUNTERS: usize = 3;
+/// A bucket holds at least what fills it in so long: with less, tokens are lost between two calls.
+const LEAST_DEPTH_S: f64 = 0.1;
+/// And at least so many tokens.
+const LEAST_DEPTH: f64 = 2.0;
+
+/// The stores that count for one tenant, by their disks.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Counters {
+    disks: Vec<u64>,
+}
+
+impl Counters {
+    /// Those of some disks that count for a tenant.
+    pub fn of(tenant: &str, disks: impl IntoIterator<Item = u64>) -> Counters {
+        let seed = xxh3_64(tenant.as_bytes());
+        let weight = |disk: u64| (xxh3_64_with_seed(&disk.to_le_bytes(), seed), disk);
+        let mut disks: Vec<u64> = disks.into_iter().collect();
+        disks.sort_by_key(|disk| std::cmp::Reverse(weight(*disk)));
+        disks.truncate(COUNTERS);
+        disks.sort_unstable();
+        Counters { disks }
+    }
+
+    /// Their disks, in order.
+    pub fn disks(&self) -> &[u64] {
+        &self.disks
+    }
+
+    /// Whether a disk's store counts.
+    pub fn has(&self, disk: u64) -> bool {
+        self.disks.contains(&disk)
+    }
+
+    /// So many of them have to give a token for one message: any two such sets share a counter.
+    pub fn quorum(&self) -> usize {
+        self.disks.len() / 2 + 1
+    }
+
+    /// The same for the same set alone.
+    pub fn digest(&self) -> u64 {
+        let bytes: Vec<u8> = self.disks.iter().flat_map(|disk| disk.to_le_bytes()).collect();
+        xxh3_64(&bytes)
+    }
+
+    /// The limit of each bucket, so that all together can't grant more messages than the quota.
+    pub fn limit(&self, quota: Quota) -> Limit {
+        let share = self.quorum() as f64 / self.disks.len().max(1) as f64;
+        let tokens_per_s = quota.rate_per_s * share;
+        let depth = (quota.burst * share).max(tokens_per_s * LEAST_DEPTH_S);
+        match quota.rate_per_s > 0.0 || quota.burst >= 1.0 {
+            true => Limit { tokens_per_s, depth: depth.max(LEAST_DEPTH) },
+            false => Limit { tokens_per_s: 0.0, depth: 0.0 },
+        }
+    }
+}
