--- a/crates/node/tests/model/mod.rs
+++ b/crates/node/tests/model/mod.rs
@@ -5,6 +5,7 @@
 #![allow(dead_code, unused_imports)]
 mod control;
 mod endpoints;
+mod hot;
 mod machine;
 mod mistakes;
 mod operations;
@@ -13,6 +14,7 @@
 mod troubles;
 
 pub use endpoints::{Counts, Doom, Sent, PUBLIC_ROUTE};
+pub use hot::Tenant as HotTenant;
 pub use mistakes::{Brings, DamagesBodies, Mistake};
 pub use tenants::{Credential, Tenants, REVOKE};
 pub use troubles::Regime;
