--- a/crates/node/src/store/mod.rs
+++ b/crates/node/src/store/mod.rs
@@ -190,7 +190,8 @@
         log: Rc<log::Log>,
         surroundings: Surroundings,
     ) -> anyhow::Result<Rc<Store>> {
-        if queue.disk() == 0 {
+        let is_new = queue.disk() == 0;
+        if is_new {
             let disk = runtime::unique();
             anyhow::ensure!(
                 log.write(&[Entry::Disk(disk)]).await,
@@ -211,7 +212,7 @@
             clock: process.clock,
             started,
             disk: queue.disk(),
-            counting: quota::Counting::new(queue.disk()),
+            counting: quota::Counting::new(queue.disk(), !is_new),
             port: settings.store_port(),
             known: Known::new(settings.seed_ips()),
             peers: Rc::new(surroundings.peers),
--- a/crates/node/src/store/quota.rs
+++ b/crates/node/src/store/quota.rs
@@ -36,10 +36,12 @@
 }
 
 impl Counting {
-    /// For the store of a disk.
-    pub fn new(disk: u64) -> Counting {
+    /// For the store of a disk; `resumes` if an earlier process was that store.
+    pub fn new(disk: u64, resumes: bool) -> Counting {
+        let life = runtime::unique();
+        let ledger = if resumes { Ledger::resumed(disk, life) } else { Ledger::new(disk, life) };
         Counting {
-            ledger: RefCell::new(Ledger::new(disk, runtime::unique())),
+            ledger: RefCell::new(ledger),
             lines: Lines::default(),
             short_until: RefCell::default(),
             turn: Cell::default(),
--- a/crates/quota/src/ledger.rs
+++ b/crates/quota/src/ledger.rs
@@ -11,10 +11,10 @@
 use std::collections::BTreeMap;
 
 /// A store that heard nothing of the control group for so long doesn't count any more.
-pub const COUNTS_WITHOUT_NEWS: Ms = 3_000;
+pub const COUNTS_WITHOUT_NEWS: Ms = 8_000;
 /// A counter that is new to a tenant begins after so long: when those that don't know of it have stopped, and a primary of
 /// the control group that is none any more has noticed.
-pub const NEW_COUNTER_WAITS: Ms = 4_500;
+pub const NEW_COUNTER_WAITS: Ms = 9_500;
 
 /// A caller asks for tokens of one tenant.
 #[derive(Clone, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
@@ -71,11 +71,12 @@
     Unknown,
 }
 
-/// The disks of the active stores, from a time on.
+/// The disks of the active stores.
 #[derive(Clone, Debug)]
 struct Members {
-    from: Ms,
     disks: Vec<u64>,
+    /// From then on those that are new among them count.
+    begins_at: Ms,
 }
 
 #[derive(Clone, Debug)]
@@ -89,6 +90,8 @@
 pub struct Ledger {
     disk: u64,
     life: u64,
+    /// An earlier process on this disk was a store: it isn't new among the first ones that it hears of.
+    resumes: bool,
     /// What was heard of the stores, as far back as it matters; the last is in force.
     members: Vec<Members>,
     heard_at: Option<Ms>,
@@ -100,7 +103,13 @@
     /// The ledger of the store of a disk; `life` is a number that no other process has.
     pub fn new(disk: u64, life: u64) -> Ledger {
         let (members, accounts, refused) = (Vec::new(), BTreeMap::new(), BTreeMap::new());
-        Ledger { disk, life, members, heard_at: None, accounts, refused }
+        Ledger { disk, life, resumes: false, members, heard_at: None, accounts, refused }
+    }
+
+    /// The same after a restart of the process: what it granted before isn't known, so its buckets are empty, but the other
+    /// stores reckon with it already.
+    pub fn resumed(disk: u64, life: u64) -> Ledger {
+        Ledger { resumes: true, ..Ledger::new(disk, life) }
     }
 
     /// The control group answered a question that was asked at a time: these are the active stores.
@@ -109,9 +118,11 @@
         if self.members.last().is_some_and(|members| members.disks == disks) {
             return;
         }
-        let old = self.members.iter().rposition(|members| members.from + NEW_COUNTER_WAITS <= now);
+        let old = self.members.iter().rposition(|members| members.begins_at <= now);
         self.members.drain(..old.unwrap_or(0));
-        self.members.push(Members { from: now, disks: disks.to_vec() });
+        let at_once = self.resumes && self.members.is_empty();
+        let begins_at = if at_once { now } else { now + NEW_COUNTER_WAITS };
+        self.members.push(Members { disks: disks.to_vec(), begins_at });
         let kept: Vec<String> =
             self.accounts.keys().filter(|tenant| self.has_stayed(tenant)).cloned().collect();
         self.accounts.retain(|tenant, _| kept.contains(tenant));
@@ -135,7 +146,7 @@
     /// From when on it may count for a tenant.
     fn begins_at(&self, tenant: &str) -> Option<Ms> {
         let counted = self.members.iter().rev().take_while(|members| self.counts_among(tenant, members));
-        counted.last().map(|members| members.from + NEW_COUNTER_WAITS)
+        counted.last().map(|members| members.begins_at)
     }
 
     fn hears(&self, now: Ms) -> bool {
