Configurations go to watchers as differences and in pieces; stores that come together are one change

What isn't there within the 1.5 s for which an answer is waited is dropped and sent again whole.

What came stays: the watcher says in its next question how far it is, and goes on with the version that it has begun. - A configuration or list that can't be read counted as seen: its number stood for the version before, which stayed in force. It is asked for again. - Stores that are heard together are one change of the view in place of one each 100 ms, each of which went to every watcher. - Who came after a silent store is looked for only where it is silent for long enough to matter.

--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -46,8 +46,8 @@
 pub enum Command {
     /// Replace the configuration that has the version `base`.
     Configure { base: u64, body: Vec<u8> },
-    /// A store with this disk is there, and says this of itself.
-    StoreSeen(Store),
+    /// Stores with these disks are there, and say this of themselves.
+    StoresSeen(Vec<Store>),
     /// A store's disk is lost; its heir is to be none of those that are silent, if another one is there.
     StoreLost { disk: u64, silent: BTreeSet<u64> },
     /// The first stores are known: share out the partitions.
@@ -112,7 +112,7 @@
     pub fn decide(&self, command: &Command) -> Result<Vec<Event>, Rejected> {
         match command {
             Command::Configure { base, body } => self.configure(*base, body),
-            Command::StoreSeen(store) => Ok(self.store_seen(store)),
+            Command::StoresSeen(stores) => Ok(self.stores_seen(stores)),
             Command::StoreLost { disk, silent } => match self.stores.get(*disk) {
                 Some(store) if !store.gone => {
                     let heir = self.stores.heir_for(*disk, silent);
@@ -177,6 +177,18 @@
         Ok(vec![Event::Configured { taken, body: body.to_vec() }])
     }
 
+    /// Each store is looked at by the view with those before it.
+    fn stores_seen(&self, stores: &[Store]) -> Vec<Event> {
+        let mut after = State { stores: self.stores.clone(), ..State::default() };
+        let mut all = Vec::new();
+        for store in stores {
+            let events = after.store_seen(store);
+            events.iter().for_each(|event| after.fold(event));
+            all.extend(events);
+        }
+        all
+    }
+
     fn store_seen(&self, store: &Store) -> Vec<Event> {
         match self.stores.get(store.disk) {
             Some(known) if known.gone || known.says_the_same(store) => Vec::new(),
--- a/crates/node/src/calls.rs
+++ b/crates/node/src/calls.rs
@@ -66,6 +66,17 @@
     pub stores: u64,
     /// The number of the list of endpoints.
     pub list: (u64, u64),
+    /// The version whose bytes are at hand for differences from it; 0 if none is.
+    pub base: u64,
+    /// What has come of the next configuration.
+    pub part: Part,
+}
+
+/// How much of a configuration has come.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub struct Part {
+    pub version: u64,
+    pub bytes: u64,
 }
 
 /// An endpoint of the platform's list.
@@ -88,10 +99,41 @@
     pub epoch: u64,
     pub primary: Option<IpAddr>,
     pub group: Vec<IpAddr>,
-    /// The version, and the configuration as [`crate::packed`] has it.
+    /// The version, and the next piece of the configuration as [`crate::packed`] has it.
     pub configuration: Option<(u64, Vec<u8>)>,
     pub stores: Option<StoreView>,
-    pub list: Option<((u64, u64), Vec<Endpoint>)>,
+    pub list: Option<EndpointList>,
+}
+
+/// The platform's list of endpoints.
+#[derive(Clone, Debug, Default, BorshSerialize, BorshDeserialize)]
+pub struct EndpointList {
+    pub number: (u64, u64),
+    /// The endpoints, compressed once for all watchers.
+    packed: Vec<u8>,
+}
+
+/// A list of endpoints can't be read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct UnreadableList;
+
+impl EndpointList {
+    /// A list as it is sent.
+    pub fn pack(number: (u64, u64), endpoints: &[Endpoint]) -> EndpointList {
+        let bytes = borsh::to_vec(endpoints).expect("writing to memory");
+        EndpointList { number, packed: lz4_flex::compress_prepend_size(&bytes) }
+    }
+
+    /// The endpoints on it.
+    pub fn unpack(&self) -> Result<Vec<Endpoint>, UnreadableList> {
+        let bytes = lz4_flex::decompress_size_prepended(&self.packed).map_err(|_| UnreadableList)?;
+        borsh::from_slice(&bytes).map_err(|_| UnreadableList)
+    }
+
+    /// How many bytes it takes on its way.
+    pub fn size(&self) -> usize {
+        self.packed.len()
+    }
 }
 
 /// What became of a message that was handed to a store.
--- a/crates/node/src/control/census.rs
+++ b/crates/node/src/control/census.rs
@@ -164,20 +164,27 @@
         Command::StoreLost { disk: store.disk, silent }
     }
 
-    /// A store that was heard lately and of which the view doesn't have what it says of itself.
-    fn unknown(&self, view: &StoreView, now: u64) -> Option<Store> {
-        let heard = self.stores().filter(|watcher| now < watcher.at + HEARD_LATELY);
-        let mut heard = heard.map(|watcher| watcher.hello.store());
-        heard
-            .find(|store| view.get(store.disk).is_none_or(|known| !known.gone && !known.says_the_same(store)))
+    /// Stores that were heard lately and of which the view doesn't have what they say of themselves. All of them are one
+    /// change: each change goes to every watcher, and hundreds of stores may come at once. Of several disks at one machine the
+    /// one that was heard first goes first, since a later one takes its place.
+    fn unknown(&self, view: &StoreView, now: u64) -> Vec<Store> {
+        let lately = self.stores().filter(|watcher| now < watcher.at + HEARD_LATELY);
+        let mut lately: Vec<&Watcher> = lately.collect();
+        lately.sort_by_key(|watcher| watcher.first);
+        let stores = lately.into_iter().map(|watcher| watcher.hello.store());
+        let is_news = |store: &Store| {
+            view.get(store.disk).is_none_or(|known| !known.gone && !known.says_the_same(store))
+        };
+        stores.filter(is_news).collect()
     }
 
     /// What should change in the view of the stores, where so much may be lost at once.
     pub fn wanted(&mut self, view: &StoreView, now: u64, tolerance: Tolerance) -> Option<Command> {
         self.note_losses(view, now);
         let since = *self.since.get_or_insert(now);
-        if let Some(store) = self.unknown(view, now) {
-            return Some(Command::StoreSeen(store));
+        let unknown = self.unknown(view, now);
+        if !unknown.is_empty() {
+            return Some(Command::StoresSeen(unknown));
         }
         if view.owners.is_empty() {
             let ready = self.first_store.is_some_and(|first| now >= first + FIRST_STORES);
@@ -190,8 +197,11 @@
             return None;
         }
         let alive = view.active().filter(|store| self.silent(store.disk, now) < HEARD_LATELY).count();
-        let lost =
-            view.active().find(|store| self.silent(store.disk, now) >= self.patience(store, view, now));
+        let lost = view.active().find(|store| {
+            let silent = self.silent(store.disk, now);
+            // Who came after it is looked for only where that matters: with hundreds of watchers it takes long.
+            silent >= REPLACED && silent >= self.patience(store, view, now)
+        });
         let lost = lost.filter(|store| alive >= 2 && self.is_dispensable(store, view, now, tolerance));
         lost.map(|store| self.loss_of(store, view, now))
     }
--- a/crates/node/src/control/census_tests.rs
+++ b/crates/node/src/control/census_tests.rs
@@ -29,6 +29,8 @@
     tolerance: Tolerance,
     /// In which region each machine stands.
     region: fn(u8) -> &'static str,
+    /// How often stores were noted.
+    notes: usize,
 }
 
 impl Play {
@@ -43,6 +45,7 @@
             heirs_are_slow: false,
             tolerance: Tolerance::of_machines(1),
             region: |_| "r",
+            notes: 0,
         }
     }
 
@@ -67,12 +70,16 @@
                 self.census.heard(&hello, Seen::default(), self.now);
             }
             match self.census.wanted(&self.view, self.now, self.tolerance) {
-                Some(Command::StoreSeen(store)) => {
-                    let before = self.view.active().find(|s| s.name == store.name && s.disk != store.disk);
-                    let before = before.map(|store| store.disk);
-                    self.view.put(store);
-                    before.into_iter().for_each(|disk| self.lose(disk, &BTreeSet::new()));
-                    lost.extend(before);
+                Some(Command::StoresSeen(stores)) => {
+                    self.notes += 1;
+                    for store in stores {
+                        let before =
+                            self.view.active().find(|s| s.name == store.name && s.disk != store.disk);
+                        let before = before.map(|store| store.disk);
+                        self.view.put(store);
+                        before.into_iter().for_each(|disk| self.lose(disk, &BTreeSet::new()));
+                        lost.extend(before);
+                    }
                 }
                 Some(Command::ShareOut) => self.view.share_out(),
                 Some(Command::StoreLost { disk, silent }) => {
@@ -95,6 +102,14 @@
     assert!((1..=3).all(|disk| owned(disk) >= 21));
 }
 
+/// Each store was a change of its own, which went to every watcher: 60 stores took 6 s, and 60 views to each of 300 watchers.
+#[test]
+fn stores_that_come_together_are_one_change() {
+    let mut play = Play::new(60);
+    play.pass(300);
+    assert_eq!((play.view.active().count(), play.notes), (60, 1));
+}
+
 /// A store that joined before another fell silent is not that one's successor.
 #[rstest]
 #[case(3_200)]
--- a/crates/node/src/control/listing.rs
+++ b/crates/node/src/control/listing.rs
@@ -42,10 +42,7 @@
 
 impl Control {
     fn publish_list(&self, number: (u64, u64), endpoints: Vec<Endpoint>) {
-        let mut published = self.published.borrow_mut();
-        if published.endpoints != endpoints || published.list.0 != number.0 {
-            published.list = number;
-            published.endpoints = endpoints;
+        if self.published.borrow_mut().publish_list(number, endpoints) {
             self.changes.raise();
         }
     }
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -6,13 +6,14 @@
 //! | [`api`] | the operator's API |
 //! | [`listing`] | the primary reads the platform's list of endpoints |
 //! | [`census`] | which stores are there, and whose disks are lost |
+//! | [`news`] | what watchers are told, packed once for all |
 pub mod api;
 pub mod census;
 pub mod disk;
 pub mod listing;
+pub mod news;
 
-use crate::calls::{Call, Endpoint, Hello, News, Role, Seen};
-use crate::packed::pack;
+use crate::calls::{Call, Hello, News, Seen};
 use crate::process::{self, stopped, Process};
 use crate::watch::HOLD;
 use anyhow::Context as _;
@@ -24,6 +25,7 @@
 use net::runtime;
 use net::server::{Server, ServerBounds};
 use net::wake::Watched;
+use news::{Bulletin, Newer};
 use ringlog::Folder;
 use std::cell::{Cell, RefCell};
 use std::net::{IpAddr, SocketAddr};
@@ -44,22 +46,12 @@
 /// How long an order waits for this machine to lead, where no other is known to, in milliseconds.
 const LEAD_SOON: u64 = 700;
 
-/// What the group has committed, as it is told to watchers.
-#[derive(Default)]
-struct Published {
-    state: Rc<State>,
-    list: (u64, u64),
-    endpoints: Vec<Endpoint>,
-}
-
 /// One control process.
 pub struct Control {
     process: Process,
     group: RefCell<Group<Disk<Folder>>>,
     peers: Rc<Peers>,
-    published: RefCell<Published>,
-    /// The configuration that was packed last.
-    packed: RefCell<Packed>,
+    published: RefCell<Bulletin>,
     /// Rises with all that is news to watchers.
     changes: Watched,
     /// A change is on its way; others wait for its end.
@@ -70,14 +62,6 @@
     unmet: RefCell<Option<String>>,
 }
 
-/// A configuration as watchers are sent it.
-#[derive(Default)]
-struct Packed {
-    epoch: u64,
-    version: u64,
-    bytes: Vec<u8>,
-}
-
 /// How a change that was asked for ended.
 #[derive(Debug)]
 pub enum Changed {
@@ -117,7 +101,6 @@
         group: RefCell::new(Group::new(group, durable, disk, now)),
         peers: Rc::new(Peers::default()),
         published: RefCell::default(),
-        packed: RefCell::default(),
         changes: Watched::default(),
         changing: Cell::new(false),
         census: RefCell::default(),
@@ -217,9 +200,7 @@
         if group.leads(self.now()).is_none() || group.committed() < group.last() {
             return;
         }
-        let mut published = self.published.borrow_mut();
-        if published.state.at != group.durable().state.at {
-            published.state = Rc::new(group.durable().state.clone());
+        if self.published.borrow_mut().publish(&group.durable().state) {
             self.changes.raise();
         }
     }
@@ -228,8 +209,8 @@
     fn committed_state(&self) -> Option<Rc<State>> {
         let published = self.published.borrow();
         let group = self.group.borrow();
-        let current = group.leads(self.now()).is_some_and(|view| published.state.at.epoch >= view.epoch);
-        current.then(|| published.state.clone())
+        let current = group.leads(self.now()).is_some_and(|view| published.state().at.epoch >= view.epoch);
+        current.then(|| published.state().clone())
     }
 
     /// Carries out a change, one at a time.
@@ -329,7 +310,6 @@
     /// Answers a watcher: at once if there is news, else when there is, or after a while.
     async fn news(self: &Rc<Self>, hello: Hello, seen: Seen) -> News {
         let until = self.now() + HOLD.as_millis() as u64;
-        let store = hello.role == Role::Store;
         self.census.borrow_mut().heard(&hello, seen, self.now());
         loop {
             let Some(state) = self.committed_state() else {
@@ -337,10 +317,10 @@
                 let primary = group.primary().filter(|ip| *ip != self.process.settings.own_ip());
                 return News { primary, group: group.addresses(), ..News::default() };
             };
-            let news = self.newer(&state, seen, store);
+            let newer = self.published.borrow().newer(seen, hello.role);
             let left = until.saturating_sub(self.now());
-            if news.configuration.is_some() || news.stores.is_some() || news.list.is_some() || left == 0 {
-                return news;
+            if !newer.is_empty() || left == 0 {
+                return self.news_of(state.at.epoch, newer);
             }
             let before = self.changes.get();
             // A primary that loses its place says so soon, and watchers go to the next.
@@ -349,28 +329,15 @@
         }
     }
 
-    /// The configuration as watchers are sent it; packed once for all of them.
-    fn packed(&self, state: &State) -> Vec<u8> {
-        let mut packed = self.packed.borrow_mut();
-        if (packed.epoch, packed.version) != (state.at.epoch, state.version) {
-            let bytes = pack(&state.body);
-            *packed = Packed { epoch: state.at.epoch, version: state.version, bytes };
-        }
-        packed.bytes.clone()
-    }
-
-    fn newer(&self, state: &State, seen: Seen, store: bool) -> News {
-        let published = self.published.borrow();
-        let configuration = state.version > seen.version && !state.body.is_empty();
-        let list = store && published.list > seen.list;
+    fn news_of(&self, epoch: u64, newer: Newer) -> News {
         News {
             leads: true,
-            epoch: state.at.epoch,
+            epoch,
             primary: Some(self.process.settings.own_ip()),
             group: self.group.borrow().addresses(),
-            configuration: configuration.then(|| (state.version, self.packed(state))),
-            stores: (state.stores.epoch > seen.stores).then(|| state.stores.clone()),
-            list: list.then(|| (published.list, published.endpoints.clone())),
+            configuration: newer.configuration,
+            stores: newer.stores,
+            list: newer.list,
         }
     }
 
@@ -391,7 +358,7 @@
             "version": state.version,
             "change": state.at.number,
             "stores": stores.collect::<Vec<_>>(),
-            "endpoints": self.published.borrow().endpoints.len(),
+            "endpoints": self.published.borrow().endpoint_count(),
             "watchers": self.census.borrow().watchers(),
         });
         status.to_string()
--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -2,8 +2,8 @@
 //!
 //! Each watcher asks with what it has, and is answered when there is something newer, or after a while. It asks the
 //! primary of the group; another member says who that is.
-use crate::calls::{Call, Endpoint, Hello, News, Seen};
-use crate::packed::unpack;
+use crate::calls::{Call, Endpoint, EndpointList, Hello, News, Seen};
+use crate::packed::{Download, Version};
 use control::{Store, StoreView};
 use net::rpc::Peers;
 use net::runtime;
@@ -21,10 +21,18 @@
 const PATIENCE: Duration = Duration::from_millis(1_500);
 /// Between two members that are asked who leads.
 const PAUSE: Duration = Duration::from_millis(100);
+/// After a configuration that can't be read here, before it is asked for again.
+const UNREADABLE: Duration = Duration::from_millis(500);
 
 /// What is known by now; versions of it never fall.
 pub struct Known {
     pub configuration: RefCell<Rc<Configuration>>,
+    /// The bytes of the configuration in force, of which the next ones are told as differences.
+    body: RefCell<Vec<u8>>,
+    /// The next configuration, as far as it has come.
+    download: RefCell<Download>,
+    /// What came last can't be read here.
+    unreadable: Cell<bool>,
     pub stores: RefCell<Rc<StoreView>>,
     pub endpoints: RefCell<Rc<Vec<Endpoint>>>,
     seen: Cell<Seen>,
@@ -38,6 +46,9 @@
     pub fn new(seeds: Vec<IpAddr>) -> Rc<Known> {
         Rc::new(Known {
             configuration: RefCell::default(),
+            body: RefCell::default(),
+            download: RefCell::default(),
+            unreadable: Cell::new(false),
             stores: RefCell::default(),
             endpoints: RefCell::default(),
             seen: Cell::default(),
@@ -89,29 +100,70 @@
         }
         let before = seen;
         seen.epoch = news.epoch;
-        if let Some((version, body)) = news.configuration.filter(|(version, _)| *version > seen.version) {
-            match unpack(&body).and_then(|body| Ok(Configuration::parse(&body)?)) {
-                Ok(configuration) => *self.configuration.borrow_mut() = Rc::new(configuration),
-                Err(error) => log::error!("version {version} cannot be read here: {error:#}"),
-            }
-            seen.version = version;
-            log::info!("version {version} is in force");
+        if let Some((version, piece)) = news.configuration.filter(|(version, _)| *version > seen.version) {
+            self.take_piece(version, &piece, &mut seen);
         }
         if let Some(stores) = news.stores.filter(|stores| stores.epoch > seen.stores) {
             seen.stores = stores.epoch;
             *self.stores.borrow_mut() = Rc::new(stores);
         }
-        if let Some((number, endpoints)) = news.list.filter(|(number, _)| *number > seen.list) {
-            seen.list = number;
-            *self.endpoints.borrow_mut() = Rc::new(endpoints);
+        if let Some(list) = news.list.filter(|list| list.number > seen.list) {
+            self.take_list(&list, &mut seen);
         }
         self.seen.set(seen);
-        if (Seen { epoch: before.epoch, ..seen }) != before {
+        if (Seen { epoch: before.epoch, base: before.base, part: before.part, ..seen }) != before {
             self.changes.raise();
         }
         true
     }
 
+    /// Takes the list of endpoints, if it can be read here.
+    fn take_list(&self, list: &EndpointList, seen: &mut Seen) {
+        match list.unpack() {
+            Ok(endpoints) => {
+                seen.list = list.number;
+                *self.endpoints.borrow_mut() = Rc::new(endpoints);
+            }
+            Err(error) => {
+                log::error!("the list of endpoints {:?} cannot be read here: {error:?}", list.number);
+                self.unreadable.set(true);
+            }
+        }
+    }
+
+    /// Takes a piece of a configuration; the last one puts it in force. One that can't be read here doesn't count as seen.
+    fn take_piece(&self, version: u64, piece: &[u8], seen: &mut Seen) {
+        let added = {
+            let body = self.body.borrow();
+            let base = Version { number: seen.base, body: &body };
+            self.download.borrow_mut().add(version, piece, base)
+        };
+        let read = added.and_then(|body| match body {
+            Some(body) => Ok(Some((Configuration::parse(&body)?, body))),
+            None => Ok(None),
+        });
+        match read {
+            Ok(Some((configuration, body))) => {
+                *self.configuration.borrow_mut() = Rc::new(configuration);
+                *self.body.borrow_mut() = body;
+                (seen.version, seen.base) = (version, version);
+                log::info!("version {version} is in force, told in epoch {}", seen.epoch);
+            }
+            Ok(None) => {}
+            Err(error) => {
+                log::error!(
+                    "version {version} cannot be read here, {} stays in force: {error:#}",
+                    seen.version
+                );
+                *self.download.borrow_mut() = Download::default();
+                // The next time it comes whole.
+                seen.base = 0;
+                self.unreadable.set(true);
+            }
+        }
+        seen.part = self.download.borrow().progress();
+    }
+
     fn take_group(&self, news: &News) {
         if !news.group.is_empty() {
             *self.group.borrow_mut() = news.group.clone();
@@ -182,6 +234,9 @@
             if !matches!(self.hear(primary, news.ok()), Heard::Leads(_)) {
                 return;
             }
+            if self.known.unreadable.take() {
+                runtime::sleep(UNREADABLE).await;
+            }
         }
     }
 
--- a/crates/node/tests/model/control.rs
+++ b/crates/node/tests/model/control.rs
@@ -4,7 +4,7 @@
 use control::{Command, State};
 use net::runtime::{sleep, timeout};
 use net::wake::Watched;
-use node::calls::{Call, Endpoint, News, Seen};
+use node::calls::{Call, Endpoint, EndpointList, News, Seen};
 use node::control::census::Census;
 use node::packed::pack;
 use settings::Tolerance;
@@ -97,7 +97,7 @@
             group: vec![ip_of_control()],
             configuration: (state.version > seen.version).then(|| (state.version, pack(&state.body))),
             stores: (state.stores.epoch > seen.stores).then(|| state.stores.clone()),
-            list: (seen.list < (1, 1)).then(|| ((1, 1), endpoints())),
+            list: (seen.list < (1, 1)).then(|| EndpointList::pack((1, 1), &endpoints())),
         }
     }
 }
--- a/crates/node/tests/watch.rs
+++ b/crates/node/tests/watch.rs
@@ -117,3 +117,26 @@
     assert_eq!(known.seen().epoch, 9, "{SOON} ms after both answered");
     runtime::simulate(None);
 }
+
+/// A version that cannot be read here counted as seen, and its number stood for the one before, which stayed in force for good.
+#[test]
+fn a_configuration_that_cannot_be_read_is_asked_for_again() {
+    let known = Known::new(Vec::new());
+    let news = |version: u64, body: Vec<u8>| News {
+        leads: true,
+        epoch: 7,
+        configuration: Some((version, body)),
+        ..News::default()
+    };
+    let whole = |version: u64| {
+        pack(format!(r#"{{"Version":{version},"Routes":[],"Backends":[],"Limits":{{}}}}"#).as_bytes())
+    };
+    known.take(news(3, whole(3)));
+    for unreadable in [pack(b"{"), whole(4)[1..].to_vec(), Vec::new()] {
+        known.take(news(4, unreadable));
+        assert_eq!((known.version(), known.seen().version), (3, 3));
+        assert_eq!(known.seen().base, 0, "the next time it comes whole");
+    }
+    known.take(news(4, whole(4)));
+    assert_eq!(known.version(), 4);
+}
