A store that left for good is waited for from its word, whoever leads

A store had stopped for good with no empty one to follow it; control changed its primary three times in 7 s, each primary counted 15 s of silence from its own beginning, and the retirement waited for that.

The view says of a store that it is stopping, and every machine that holds the state reads that. Each now notes when it first read it, by its own clock, also while another leads; a later primary that never heard the store counts from there. A note is dropped when a change of the view was missed, since the store may have been back. Nothing else of the wait changes: no primary gives up anybody in its first 4 s, and a planned restart has its 15 s from its word.

Test: a_store_that_left_is_waited_for_from_when_it_said_so_whoever_leads (failed before: nothing given up 18 s after the word).

--- a/crates/node/src/control/census.rs
+++ b/crates/node/src/control/census.rs
@@ -45,6 +45,38 @@
     since: Option<u64>,
     /// When each lost disk was heard last; 0 for those that were when this machine began to lead.
     losses: BTreeMap<u64, u64>,
+    /// Stores that say that they stop.
+    stops: PlannedStops,
+}
+
+/// Since when the view has said of stores that they stop as planned, by the clock of a machine that holds the state,
+/// whether it leads or not. A store that is away since an earlier primary is waited for from then on.
+#[derive(Default)]
+struct PlannedStops {
+    since: BTreeMap<u64, u64>,
+    /// The epoch of the view that was read last.
+    epoch: u64,
+}
+
+impl PlannedStops {
+    /// Reads the view that this machine holds now.
+    fn note(&mut self, view: &StoreView, now: u64) {
+        // To come back and stop again takes a store two changes. It may have, in a view that wasn't read.
+        if view.epoch > self.epoch + 1 {
+            self.since.clear();
+        }
+        self.epoch = view.epoch;
+        let leaving = |disk: u64| view.get(disk).is_some_and(|store| store.leaving && !store.gone);
+        self.since.retain(|disk, _| leaving(*disk));
+        for store in view.active().filter(|store| store.leaving) {
+            self.since.entry(store.disk).or_insert(now);
+        }
+    }
+
+    /// When the store of a disk said that it stops, if it hasn't been heard as running since.
+    fn said_at(&self, disk: u64) -> Option<u64> {
+        self.since.get(&disk).copied()
+    }
 }
 
 impl Census {
@@ -80,7 +112,8 @@
     fn silent(&self, disk: u64, now: u64) -> u64 {
         let heard =
             self.stores().filter(|watcher| watcher.hello.disk == disk).map(|watcher| watcher.at).max();
-        now.saturating_sub(heard.or(self.since).unwrap_or(now))
+        let known = heard.max(self.stops.said_at(disk));
+        now.saturating_sub(known.or(self.since).unwrap_or(now))
     }
 
     /// How long a store may be silent: less if an empty one came since.
@@ -172,8 +205,15 @@
             .find(|store| view.get(store.disk).is_none_or(|known| !known.gone && !known.says_the_same(store)))
     }
 
+    /// This machine doesn't lead. What the view that it holds says of planned stops counts once it does.
+    pub fn follows(&mut self, view: &StoreView, now: u64) {
+        (self.since, self.losses) = (None, BTreeMap::new());
+        self.stops.note(view, now);
+    }
+
     /// What should change in the view of the stores, where so much may be lost at once.
     pub fn wanted(&mut self, view: &StoreView, now: u64, tolerance: Tolerance) -> Option<Command> {
+        self.stops.note(view, now);
         self.note_losses(view, now);
         let since = *self.since.get_or_insert(now);
         if let Some(store) = self.unknown(view, now) {
@@ -203,8 +243,8 @@
     loop {
         runtime::sleep(EVERY).await;
         let Some(state) = control.committed_state() else {
-            let mut census = control.census.borrow_mut();
-            (census.since, census.losses) = (None, BTreeMap::new());
+            let group = control.group.borrow();
+            control.census.borrow_mut().follows(&group.durable().state.stores, control.now());
             continue;
         };
         let wanted = control.census.borrow_mut().wanted(&state.stores, control.now(), tolerance);
--- a/crates/node/src/control/census_tests.rs
+++ b/crates/node/src/control/census_tests.rs
@@ -19,6 +19,8 @@
 /// A census and a view in which time passes: those that are up are heard every 100 ms.
 struct Play {
     census: Census,
+    /// Censuses of machines that hold the state and don't lead.
+    followers: Vec<Census>,
     view: StoreView,
     now: u64,
     up: Vec<(u8, u64)>,
@@ -36,6 +38,7 @@
         let up = (1..=machines).map(|machine| (machine, u64::from(machine))).collect();
         Play {
             census: Census::default(),
+            followers: Vec::new(),
             view: StoreView::default(),
             now: 1,
             up,
@@ -82,9 +85,26 @@
                 Some(Command::Emptied(disk)) => self.view.empty(disk),
                 _ => {}
             }
+            for follower in &mut self.followers {
+                follower.follows(&self.view, self.now);
+            }
         }
         lost
     }
+
+    /// The primary stops; a machine that follows leads, and one with an empty memory follows in its place.
+    fn change_primary(&mut self) {
+        let next = self.followers.pop().unwrap_or_default();
+        self.census = next;
+        self.followers.insert(0, Census::default());
+    }
+
+    /// A store says that it stops, and goes soon after.
+    fn stop(&mut self, disk: u64) {
+        self.leaving = Some(disk);
+        self.pass(300);
+        self.up.retain(|(_, up)| *up != disk);
+    }
 }
 
 #[test]
@@ -346,3 +366,66 @@
     assert_eq!(play.pass(17_000), [2]);
     assert!(play.view.final_heir(2).is_some_and(|heir| heir != 1));
 }
+
+/// A store leaves for good, with no empty one to follow it, while the primary changes three times in 7 s: it was waited for
+/// 15 s from the last change, and a retirement that was under way waited with it (issue 44).
+#[test]
+fn a_store_that_left_is_waited_for_from_when_it_said_so_whoever_leads() {
+    let mut play = Play::new(5);
+    play.followers = vec![Census::default(), Census::default()];
+    play.pass(6_000);
+    play.stop(2);
+    for _ in 0..3 {
+        assert_eq!(play.pass(2_300), Vec::<u64>::new());
+        play.change_primary();
+    }
+    // By now 7.2 s have gone by since it said so.
+    assert_eq!(play.pass(7_500), Vec::<u64>::new());
+    assert_eq!(play.pass(3_000), [2]);
+}
+
+/// A later primary gives a planned restart the whole time since its word, not only the time since the change.
+#[rstest]
+#[case::before_its_time(14_000, &[])]
+#[case::after_it(15_500, &[2])]
+fn a_planned_restart_has_its_time_under_a_later_primary(#[case] since_word: u64, #[case] lost: &[u64]) {
+    let mut play = Play::new(5);
+    play.followers = vec![Census::default()];
+    play.pass(6_000);
+    play.stop(2);
+    play.change_primary();
+    assert_eq!(play.pass(since_word - 300), lost);
+}
+
+/// A primary that has just begun gives nobody up, though it knows of a planned stop of long ago.
+#[test]
+fn a_new_primary_waits_its_time_for_a_store_that_left_long_ago_too() {
+    let mut play = Play::new(5);
+    play.followers = vec![Census::default()];
+    play.pass(6_000);
+    play.stop(2);
+    play.pass(14_000);
+    play.change_primary();
+    assert_eq!(play.pass(REPLACED - 100), Vec::<u64>::new());
+    assert_eq!(play.pass(500), [2]);
+}
+
+/// A machine that was away sees a store stopping before and after: that may be another stop, with its own time.
+#[test]
+fn a_planned_stop_that_was_not_followed_counts_from_when_it_is_seen() {
+    let mut play = Play::new(5);
+    play.followers = vec![Census::default()];
+    play.pass(6_000);
+    play.stop(2);
+    play.pass(200);
+    let away = play.followers.pop().unwrap();
+    play.pass(10_000);
+    play.leaving = None;
+    play.up.push((2, 2));
+    play.pass(500);
+    play.stop(2);
+    play.followers.push(away);
+    play.pass(100);
+    play.change_primary();
+    assert_eq!(play.pass(14_000), Vec::<u64>::new());
+}
