--- a/tests/soak/judge/tenancy.rs
+++ b/tests/soak/judge/tenancy.rs
@@ -149,8 +149,30 @@
             format!("{tenant} {} of {:.0} in 5 s", window.accepted, window.bound)
         };
         let windows: Vec<String> = windows.iter().map(show).collect();
+        let answers = self.answers_summary();
         let operations = self.operations.lock().unwrap().summary();
-        format!("{operations}; {}; {}", self.denials_summary(), windows.join(", "))
+        format!("{operations}; {}; {}; {}", self.denials_summary(), windows.join(", "), answers.join(", "))
+    }
+
+    /// How the requests of each tenant were answered.
+    fn answers_summary(&self) -> Vec<String> {
+        let state = self.state.lock().unwrap();
+        let ledger = self.ledger();
+        let show = |tenant: String| {
+            let of_tenant =
+                state.fates.values().filter(|fate| ledger.holder(&fate.message.api_key) == Some(&tenant));
+            let statuses: Vec<u16> =
+                of_tenant.filter_map(|fate| fate.answer).map(|answer| answer.status).collect();
+            let count = |status| statuses.iter().filter(|other| **other == status).count();
+            format!(
+                "{tenant}: 202 {}, 401 {}, 429 {}, 503 {}",
+                count(202),
+                count(401),
+                count(429),
+                count(503)
+            )
+        };
+        ledger.names().into_iter().map(show).collect()
     }
 
     /// How many requests were answered 401, by what was known of their keys.
--- a/tests/soak/operator.rs
+++ b/tests/soak/operator.rs
@@ -45,6 +45,9 @@
     /// Makes a change; what kind it was.
     pub fn change(&mut self, rig: &Rig) -> &'static str {
         match self.lot.draw(7) {
+            1..=3 if self.without_keys().is_some() => {
+                self.change_keys(rig, "key given back", |keys, new| keys.push(new))
+            }
             0 => {
                 self.timeout_ms = 1_000 + self.lot.draw(500);
                 self.order(rig, self.tenants.clone());
@@ -82,6 +85,11 @@
         }
     }
 
+    /// A tenant that has lost its last key.
+    fn without_keys(&self) -> Option<usize> {
+        self.tenants.iter().position(|tenant| tenant.keys.is_empty())
+    }
+
     fn new_key(&mut self, tenant: &str) -> String {
         self.keys_made += 1;
         format!("{KEY_MARK}{tenant}-{}", self.keys_made)
@@ -93,7 +101,8 @@
         kind: &'static str,
         change: impl Fn(&mut Vec<String>, String),
     ) -> &'static str {
-        let at = self.lot.draw(self.tenants.len() as u64) as usize;
+        let drawn = self.lot.draw(self.tenants.len() as u64) as usize;
+        let at = self.without_keys().unwrap_or(drawn);
         let mut tenants = self.tenants.clone();
         let new = self.new_key(&tenants[at].name);
         change(&mut tenants[at].keys, new);
