--- a/crates/node/src/store/quota.rs
+++ b/crates/node/src/store/quota.rs
@@ -63,11 +63,13 @@
     /// Notes which stores there are, and when the control group was asked last.
     fn note_members(&self) {
         let Some(news_age) = self.known.news_age() else { return };
-        let mut disks: Vec<u64> = self.known.stores().active().map(|store| store.disk).collect();
-        disks.sort_unstable();
+        let stores = self.known.stores();
+        if stores.owners.is_empty() {
+            return;
+        }
         let now = self.clock.ms();
         let asked_ms = now.saturating_sub(news_age.as_millis() as Ms);
-        self.counting.ledger.borrow_mut().heard(&disks, asked_ms, now);
+        self.counting.ledger.borrow_mut().heard(&stores.owners, asked_ms, now);
     }
 
     fn limit_of(&self, tenant: &str) -> Known {
--- a/crates/quota/src/counters.rs
+++ b/crates/quota/src/counters.rs
@@ -1,7 +1,8 @@
-//! Which stores count for a tenant: those that weigh most by a digest of tenant and disk, the same on every machine.
+//! Which stores count for a tenant: the owners of a few partitions in a row, the first by a digest of the tenant. They are
+//! the same on every machine, and change only with the owners: a store that is added displaces none.
 use crate::bucket::Limit;
 use settings::Quota;
-use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+use xxhash_rust::xxh3::xxh3_64;
 
 /// So many stores count for a tenant, where there are as many.
 pub const COUNTERS: usize = 3;
@@ -17,13 +18,16 @@
 }
 
 impl Counters {
-    /// Those of some disks that count for a tenant.
-    pub fn of(tenant: &str, disks: impl IntoIterator<Item = u64>) -> Counters {
-        let seed = xxh3_64(tenant.as_bytes());
-        let weight = |disk: u64| (xxh3_64_with_seed(&disk.to_le_bytes(), seed), disk);
-        let mut disks: Vec<u64> = disks.into_iter().collect();
-        disks.sort_by_key(|disk| std::cmp::Reverse(weight(*disk)));
-        disks.truncate(COUNTERS);
+    /// Those that count for a tenant, by the disks of the owners of all partitions.
+    pub fn of(tenant: &str, owners: impl IntoIterator<Item = u64>) -> Counters {
+        let owners: Vec<u64> = owners.into_iter().collect();
+        let first = xxh3_64(tenant.as_bytes()) as usize % owners.len().max(1);
+        let mut disks = Vec::with_capacity(COUNTERS);
+        for owner in owners[first..].iter().chain(&owners[..first]) {
+            if disks.len() < COUNTERS && !disks.contains(owner) {
+                disks.push(*owner);
+            }
+        }
         disks.sort_unstable();
         Counters { disks }
     }
--- a/crates/quota/src/ledger.rs
+++ b/crates/quota/src/ledger.rs
@@ -11,10 +11,10 @@
 use std::collections::BTreeMap;
 
 /// A store that heard nothing of the control group for so long doesn't count any more.
-pub const COUNTS_WITHOUT_NEWS: Ms = 8_000;
+pub const COUNTS_WITHOUT_NEWS: Ms = 6_000;
 /// A counter that is new to a tenant begins after so long: when those that don't know of it have stopped, and a primary of
 /// the control group that is none any more has noticed.
-pub const NEW_COUNTER_WAITS: Ms = 9_500;
+pub const NEW_COUNTER_WAITS: Ms = 7_500;
 
 /// A caller asks for tokens of one tenant.
 #[derive(Clone, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
