An operation is looked up again after the quota was waited for; orders of a start lie above those of the life before

Found by review. A home that lost its record of a request took its repeat while a holder gave the first one back: between the look-up and the taking, the quota is waited for (TWICE). A repeat that was taken after a restart could be displaced by a first request with a higher order, though it had been acknowledged (LOST). The home of a message with an ordering key doesn't depend on whether the edge knows the route as ordered.

--- a/crates/node/src/store/intake.rs
+++ b/crates/node/src/store/intake.rs
@@ -73,20 +73,24 @@
         }
     }
 
-    /// Takes a message if its tenant may have one more accepted.
-    pub(super) async fn count_and_take(self: &Rc<Self>, message: Message) -> PutAnswer {
-        self.taking.set(self.taking.get() + 1);
-        let counted = self.count(&message).await;
-        self.taking.set(self.taking.get() - 1);
-        // Whether the message is this store's to take may have changed meanwhile.
-        match counted.err().or_else(|| self.refusal(&message.envelope)) {
+    async fn count_and_take(self: &Rc<Self>, message: Message) -> PutAnswer {
+        match self.refusal_once_counted(&message).await {
             Some(refusal) => PutAnswer::Refused(refusal),
             None => self.take(message).await,
         }
     }
 
+    /// Counts a message against its tenant's quota; why it isn't to be taken after that, if it isn't.
+    pub(super) async fn refusal_once_counted(self: &Rc<Self>, message: &Message) -> Option<Refusal> {
+        self.taking.set(self.taking.get() + 1);
+        let counted = self.count(message).await;
+        self.taking.set(self.taking.get() - 1);
+        // Whether the message is this store's to take may have changed meanwhile.
+        counted.err().or_else(|| self.refusal(&message.envelope))
+    }
+
     /// Takes a message: it is taken once it is on this disk and on as many others as may be lost.
-    async fn take(self: &Rc<Self>, mut message: Message) -> PutAnswer {
+    pub(super) async fn take(self: &Rc<Self>, mut message: Message) -> PutAnswer {
         let id = message.id().to_string();
         Rc::make_mut(&mut message.envelope).order = self.next_order();
         let entry = Entry::Message { owner: self.disk, message: message.clone() };
@@ -107,6 +111,11 @@
             runtime::spawn(self.clone().accept_once_written(message, entry));
             return PutAnswer::Unclear;
         }
+        if self.queue.borrow().owned(&id).is_none() {
+            // Another message of its operation has come from a store that held it, and stays.
+            self.taking.set(self.taking.get() - 1);
+            return PutAnswer::Unclear;
+        }
         runtime::spawn(self.clone().accept(message));
         PutAnswer::Taken { id }
     }
--- a/crates/node/src/store/mod.rs
+++ b/crates/node/src/store/mod.rs
@@ -68,6 +68,9 @@
 const CARE: Duration = Duration::from_millis(200);
 /// How long recovered messages wait to hear whether others took them, in milliseconds.
 const RECOVERED_WAIT: u64 = 1_200;
+/// So many messages at most can have been given their order, and sent to other stores, by an earlier process whose disk
+/// has no record of them.
+const ORDERS_NOT_SYNCED: u64 = 1 << 16;
 /// What is left of the grace when the process ends at the latest.
 const RESERVE_S: f64 = 0.9;
 
@@ -217,7 +220,7 @@
             known: Known::new(settings.seed_ips()),
             peers: Rc::new(surroundings.peers),
             log,
-            last_order: Cell::new(queue.highest_order()),
+            last_order: Cell::new(queue.highest_order() + ORDERS_NOT_SYNCED),
             queue: RefCell::new(queue),
             recovered: RefCell::new(recovered),
             raced: RefCell::new(raced),
--- a/crates/node/src/store/operations.rs
+++ b/crates/node/src/store/operations.rs
@@ -113,7 +113,11 @@
                     self.reservations.count(|counts| counts.repeats += 1);
                     return PutAnswer::Taken { id };
                 }
-                Known::Unknown => return self.put_reserved(operation, message).await,
+                Known::Unknown => {
+                    if let Some(answer) = self.put_reserved(&operation, &message).await {
+                        return answer;
+                    }
+                }
                 Known::OnItsWay if self.clock.ms() >= until => {
                     log::info!("{}: the first request of its operation isn't safe in time", message.id());
                     self.reservations.count(|counts| counts.unclear += 1);
@@ -138,17 +142,25 @@
         }
     }
 
-    async fn put_reserved(self: &Rc<Self>, operation: TenantKey, message: Message) -> PutAnswer {
+    /// Takes the first request of an operation; nothing if a message of it has come from another store meanwhile.
+    async fn put_reserved(self: &Rc<Self>, operation: &TenantKey, message: &Message) -> Option<PutAnswer> {
         if let Some(refusal) = self.refusal_to_take(&message.envelope) {
-            return PutAnswer::Refused(refusal);
+            return Some(PutAnswer::Refused(refusal));
         }
         self.reservations.taken.borrow_mut().insert(operation.clone());
-        let _reservation = Reservation { store: self.clone(), operation };
-        let answer = self.count_and_take(message).await;
+        let _reservation = Reservation { store: self.clone(), operation: operation.clone() };
+        if let Some(refusal) = self.refusal_once_counted(message).await {
+            return Some(PutAnswer::Refused(refusal));
+        }
+        // A holder may have given back one that this store's disk has lost.
+        if self.queue.borrow().of_operation(operation).is_some() {
+            return None;
+        }
+        let answer = self.take(message.clone()).await;
         if matches!(answer, PutAnswer::Taken { .. }) {
             self.reservations.count(|counts| counts.taken += 1);
         }
-        answer
+        Some(answer)
     }
 
     fn known_of(&self, operation: &TenantKey) -> Known {
@@ -169,10 +181,11 @@
         is_written && self.placement_to_take().missing(&owned.copies) == 0
     }
 
-    /// All that lost stores had, live or ended, has been told by those that kept it: whatever is known of an operation is
-    /// known here.
+    /// All that lost stores had, live or ended, has been told by those that kept it, and since the start all holders that
+    /// answer have told what they hold: whatever is known of an operation is known here.
     pub(super) fn knows_operations(&self) -> bool {
-        self.knows_its_part() && !self.collects_inheritance()
+        let has_compared = self.clock.ms() >= self.recovered_until.get();
+        has_compared && self.knows_its_part() && !self.collects_inheritance()
     }
 
     /// Whether a message may run as far as its key goes: others of its ordering key, or of its operation, may be among
--- a/crates/queue/src/message.rs
+++ b/crates/queue/src/message.rs
@@ -52,9 +52,12 @@
     }
 
     /// The key that says which store takes the message, if not every store may: all requests of one operation have to meet
-    /// at one store, and all messages of one ordering key.
+    /// at one store, and all messages of one ordering key, whether the route is known as ordered by then or not.
     pub fn home_key(&self) -> Option<TenantKey> {
-        self.order_key().or_else(|| self.operation())
+        match &self.key {
+            Some(key) => Some(self.of_tenant(key)),
+            None => self.operation(),
+        }
     }
 
     /// The operation key is to be known for as long as ends are.
