Copies that are missing are counted without collecting them where no zones or regions are asked for

Since envelopes with operation keys are owed after the end, more messages are looked through for missing copies, at planned stops again and again. Not measured; all tests of queue and node pass with it.

--- a/crates/queue/src/placement.rs
+++ b/crates/queue/src/placement.rs
@@ -76,9 +76,12 @@
 
     /// How many more copies a message needs at the least that has these.
     pub fn missing(&self, copies: &BTreeSet<u64>) -> usize {
-        let there: BTreeSet<u64> = copies.intersection(&self.present).copied().collect();
+        let there = copies.intersection(&self.present);
+        // Asked for each message that is owned, again and again: without a spread nothing is collected.
+        let Some(spread) = &self.spread else { return self.copies.saturating_sub(there.count()) };
+        let there: BTreeSet<u64> = there.copied().collect();
         let missing = self.copies.saturating_sub(there.len());
-        let (zones, regions) = self.spread.as_ref().map_or((0, 0), |spread| spread.missing(&there));
+        let (zones, regions) = spread.missing(&there);
         missing.max(zones).max(regions)
     }
 
