--- a/crates/node/tests/model/mod.rs
+++ b/crates/node/tests/model/mod.rs
@@ -19,7 +19,7 @@
 use machine::Machine;
 use quota::Quota;
 
-use net::http::Request;
+use net::http::{Answer, Request};
 use net::rpc::Peers;
 use node::edge::Edge;
 use node::process::{Clock, Process};
@@ -29,7 +29,7 @@
 use simulation::clock::WORLD;
 use simulation::network::{Network, Tamper};
 use simulation::{ProcessId, Simulation};
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::rc::Rc;
@@ -50,6 +50,8 @@
 /// A repeat counts as one in calm if there was no trouble for so long.
 pub const CONTACT: Ms = 4_000;
 const EDGES: u8 = 2;
+/// The longest that an edge works on an answer.
+const LONGEST_ANSWER: Ms = 4_000;
 /// A client's whole time for one message.
 const DEADLINE_MS: &str = "1200";
 /// Messages a step, on average.
@@ -80,6 +82,10 @@
     IpAddr::V4(Ipv4Addr::new(10, 0, 1, 1))
 }
 
+fn ip_of_edge(number: u8) -> IpAddr {
+    IpAddr::V4(Ipv4Addr::new(10, 0, 2, number + 1))
+}
+
 /// Where the machines stand, and what may be lost at once.
 #[derive(Clone, Copy, Debug)]
 pub struct Deployment {
@@ -87,6 +93,8 @@
     pub tolerance: usize,
     /// Machines stand in so many regions by turns, and one of these may be lost; in one zone, if there are none.
     pub regions: u8,
+    /// Edges without news for long let in nothing that needs a key.
+    pub closed: bool,
 }
 
 impl Deployment {
@@ -113,9 +121,10 @@
         let text = format!(
             "NodeName: {name}\nIp: {ip}\n{place}PortRange: [{PORT}, {}]\nSeeds: [\"{seed}\"]\nListenAddresses: {{}}\n\
              Bootstrap: true\nLimits: {{ MemoryMb: 256, MaxFds: 1024, DiskMb: 64 }}\n\
-             FaultTolerance: {{ Machines: {}{lost} }}\n",
+             FaultTolerance: {{ Machines: {}{lost} }}\nBounds: {{ Closed: {}, RevokeMs: {REVOKE} }}\n",
             PORT + 2,
-            self.tolerance
+            self.tolerance,
+            self.closed
         );
         ProcessSettings::parse(&text).unwrap()
     }
@@ -177,7 +186,7 @@
 impl World {
     /// All machines stand in one zone.
     pub fn new(seed: u64, count: usize, tolerance: usize, mistake: Mistake, regime: Regime) -> World {
-        World::of(seed, count, Deployment { tolerance, regions: 0 }, mistake, regime)
+        World::of(seed, count, Deployment { tolerance, regions: 0, closed: false }, mistake, regime)
     }
 
     pub fn of(seed: u64, count: usize, deployment: Deployment, mistake: Mistake, regime: Regime) -> World {
@@ -248,7 +257,7 @@
     }
 
     fn add_edge(&mut self, number: u8) {
-        let ip = IpAddr::V4(Ipv4Addr::new(10, 0, 2, number + 1));
+        let ip = ip_of_edge(number);
         let id = self.simulation.new_process(&format!("e{number}"));
         let process = Process {
             settings: self.deployment.settings(&format!("e{number}"), ip, usize::from(number)),
@@ -431,6 +440,75 @@
         broken
     }
 
+    /// The tenants in force, and what was in force before.
+    pub fn tenants(&self) -> Rc<Tenants> {
+        self.tenants.clone()
+    }
+
+    /// The operator's next configuration has no list of tenants.
+    pub fn configure_without_tenants(&self) {
+        self.tenants.enforce(Vec::new());
+        self.control.configure(None);
+    }
+
+    /// Clients ask an edge, which answers at once or after a while.
+    pub fn ask(&mut self, edge: usize, request: Request) -> Answer {
+        let (process, edge) = self.edges[edge].clone();
+        let answered = Rc::new(RefCell::new(None));
+        let told = answered.clone();
+        self.simulation.spawn_in(process, async move {
+            *told.borrow_mut() = Some(edge.answer(request).await);
+        });
+        let until = self.now() + LONGEST_ANSWER;
+        while answered.borrow().is_none() && self.now() < until {
+            self.step();
+        }
+        let answer = answered.borrow_mut().take();
+        answer.expect("an edge answers in time")
+    }
+
+    /// A client asks an edge for the state of a message, with a key or without.
+    pub fn ask_state(&mut self, edge: usize, id: &str, key: Option<&str>) -> Answer {
+        self.ask(edge, get(&format!("/v1/message/{id}"), key))
+    }
+
+    /// A client asks an edge for the body of a message, with a key or without.
+    pub fn ask_body(&mut self, edge: usize, id: &str, key: Option<&str>) -> Answer {
+        self.ask(edge, get(&format!("/v1/message-body/{id}"), key))
+    }
+
+    /// An edge hears nothing of control, and control nothing of it, until the network heals.
+    pub fn cut_off_from_control(&self, edge: usize) {
+        let (ip, control) = (ip_of_edge(edge as u8), ip_of_control());
+        self.network.cut(ip, control);
+        self.network.cut(control, ip);
+    }
+
+    /// All that was cut is joined again.
+    pub fn heal(&self) {
+        self.network.heal();
+    }
+
+    /// An edge stands still until it is thawed; what is sent to it waits.
+    pub fn freeze_edge(&self, edge: usize) {
+        self.simulation.freeze(self.edges[edge].0);
+    }
+
+    /// An edge goes on.
+    pub fn thaw_edge(&self, edge: usize) {
+        self.simulation.thaw(self.edges[edge].0);
+    }
+
+    /// Whether an edge calls itself ready.
+    pub fn is_ready(&self, edge: usize) -> bool {
+        let (process, edge) = self.edges[edge].clone();
+        let ready = Rc::new(Cell::new(false));
+        let told = ready.clone();
+        self.simulation.spawn_in(process, async move { told.set(edge.is_ready()) });
+        self.simulation.run_for(Duration::from_millis(1));
+        ready.get()
+    }
+
     /// The status that answered a message's client, if it has an answer.
     pub fn told(&self, id: &str) -> Option<u16> {
         self.endpoints.told_of(id)
@@ -621,7 +699,8 @@
     }
 }
 
-fn get(target: &str, api_key: Option<&str>) -> Request {
+/// A question of a client, with a key or without.
+pub fn get(target: &str, api_key: Option<&str>) -> Request {
     let (mut headers, body) = (http::HeaderMap::new(), bytes::Bytes::new());
     if let Some(key) = api_key {
         headers.insert("authorization", format!("Bearer {key}").parse().unwrap());
@@ -629,7 +708,8 @@
     Request { method: http::Method::GET, target: target.to_string(), headers, body, keep_alive: true }
 }
 
-fn request(id: &str, message: &Sent, delay: Ms) -> Request {
+/// A message as a client sends it.
+pub fn request(id: &str, message: &Sent, delay: Ms) -> Request {
     let mut headers = http::HeaderMap::new();
     headers.insert("host", "h".parse().unwrap());
     headers.insert("x-request-id", id.parse().unwrap());
--- a/crates/node/tests/stores.rs
+++ b/crates/node/tests/stores.rs
@@ -319,7 +319,7 @@
 
 /// Six stores; those that stand in the `region`th of three are lost at once.
 fn lose_region(regions: u8, region: usize) -> Option<String> {
-    let deployment = Deployment { tolerance: 1, regions };
+    let deployment = Deployment { tolerance: 1, regions, closed: false };
     let mut world = World::of(11, 6, deployment, Mistake::None, Regime::Planned);
     world.advance(5_000);
     for i in 0..60 {
--- a/crates/settings/tests/settings.rs
+++ b/crates/settings/tests/settings.rs
@@ -97,3 +97,59 @@
     }
     assert!(Configuration::parse(&whole).is_ok());
 }
+
+fn with_tenants(tenants: serde_json::Value) -> Result<Configuration, settings::Faults> {
+    let mut changed = configuration();
+    changed["Tenants"] = tenants;
+    parse(&changed)
+}
+
+/// Guards against a key that opens two tenants, and against names that break the head of a delivery.
+#[rstest]
+#[case::one_key_of_two(serde_json::json!([{"Name": "a", "ApiKeys": ["k", "l"]}, {"Name": "b", "ApiKeys": ["m", "l"]}]),
+    "Tenants[1].ApiKeys: has a key that Tenants[0] holds too")]
+#[case::one_name_of_two(serde_json::json!([{"Name": "a", "ApiKeys": ["k"]}, {"Name": "a", "ApiKeys": ["l"]}]),
+    "Tenants[1].Name: is that of Tenants[0]")]
+#[case::negative_rate(serde_json::json!([{"Name": "a", "ApiKeys": [], "RatePerS": -1.0}]), "Tenants[0].RatePerS: is below 0")]
+#[case::negative_burst(serde_json::json!([{"Name": "a", "ApiKeys": [], "RatePerS": 1, "Burst": -0.5}]),
+    "Tenants[0].Burst: is below 0")]
+#[case::no_name(serde_json::json!([{"ApiKeys": ["k"]}]), "Tenants[0].Name: is missing")]
+#[case::empty_name(serde_json::json!([{"Name": "", "ApiKeys": ["k"]}]), "Tenants[0].Name: can't be told in a header")]
+#[case::name_of_two_lines(serde_json::json!([{"Name": "a\r\nX-Tenant: b", "ApiKeys": ["k"]}]),
+    "Tenants[0].Name: can't be told in a header")]
+#[case::name_beyond_ascii(serde_json::json!([{"Name": "büro", "ApiKeys": ["k"]}]), "Tenants[0].Name: can't be told")]
+#[case::name_with_space_at_its_end(serde_json::json!([{"Name": "a ", "ApiKeys": ["k"]}]), "Tenants[0].Name: can't be told")]
+#[case::empty_key(serde_json::json!([{"Name": "a", "ApiKeys": [""]}]), "Tenants[0].ApiKeys: has a key that no client can send")]
+#[case::key_of_two_lines(serde_json::json!([{"Name": "a", "ApiKeys": ["k\n"]}]), "Tenants[0].ApiKeys: has a key that no client")]
+#[case::keys_are_no_list(serde_json::json!([{"Name": "a", "ApiKeys": "k"}]), "Tenants[0].ApiKeys: is not a list")]
+#[case::tenants_are_no_list(serde_json::json!({"Name": "a"}), "Tenants: is not a list")]
+fn invalid_tenants_are_told_with_place_and_remedy(#[case] tenants: serde_json::Value, #[case] told: &str) {
+    let faults = with_tenants(tenants).unwrap_err().to_string();
+    assert!(faults.contains(told) && faults.contains(';'), "{faults}");
+}
+
+#[test]
+fn a_key_twice_within_one_tenant_is_valid() {
+    let configuration = with_tenants(serde_json::json!([{"Name": "a", "ApiKeys": ["k", "k"]}])).unwrap();
+    assert_eq!(configuration.tenant_of_key("k").map(|tenant| tenant.name.as_str()), Some("a"));
+}
+
+#[test]
+fn limits_may_be_left_out() {
+    let tenants = serde_json::json!([{"Name": "a"}, {"Name": "b", "RatePerS": 5}, {"Name": "c", "Burst": 2}]);
+    let configuration = with_tenants(tenants).unwrap();
+    let quota = |name| configuration.tenant(name).unwrap().quota();
+    assert_eq!(quota("a"), None);
+    assert_eq!(quota("b"), Some(settings::Quota { rate_per_s: 5.0, burst: 0.0 }));
+    assert_eq!(quota("c"), None, "a burst of no rate limits nothing");
+}
+
+/// Guards against an empty list that is read as none: then everybody would get through.
+#[rstest]
+#[case::no_list(serde_json::json!(null), false)]
+#[case::empty_list(serde_json::json!([]), true)]
+fn only_a_list_of_tenants_makes_keys_needed(#[case] tenants: serde_json::Value, #[case] needed: bool) {
+    let configuration = with_tenants(tenants).unwrap();
+    assert_eq!(configuration.needs_key(&configuration.routes[0]), needed);
+    assert!(parse(&self::configuration()).is_ok_and(|older| !older.needs_key(&older.routes[0])));
+}
