--- a/crates/settings/src/tenants.rs
+++ b/crates/settings/src/tenants.rs
@@ -47,7 +47,7 @@
 }
 
 /// The value of a header must not end it, nor be changed on its way.
-fn usable_in_a_header(name: &String) -> Result<(), &'static str> {
+fn usable_in_a_header(name: &str) -> Result<(), &'static str> {
     let is_plain = name.bytes().all(|byte| byte == b' ' || byte.is_ascii_graphic());
     match !name.is_empty() && is_plain && name.trim() == name {
         true => Ok(()),
@@ -56,7 +56,7 @@
 }
 
 /// A client has to be able to send each of them.
-fn usable_as_keys(keys: &Vec<String>) -> Result<(), &'static str> {
+fn usable_as_keys(keys: &[String]) -> Result<(), &'static str> {
     let is_usable = |key: &String| !key.is_empty() && key.bytes().all(|byte| byte.is_ascii_graphic());
     match keys.iter().all(is_usable) {
         true => Ok(()),
