--- a/crates/node/src/store/quota.rs
+++ b/crates/node/src/store/quota.rs
@@ -161,7 +161,7 @@
         }
     }
 
-    fn order(&self, tenant: &str, counters: &Counters) -> Vec<u64> {
+    fn order(&self, tenant: &str, counters: &Counters) -> Vec<Candidate> {
         let stores = self.known.stores();
         let now = self.clock.ms();
         let candidate = |disk: &u64| {
--- a/crates/node/src/store/quota_calls.rs
+++ b/crates/node/src/store/quota_calls.rs
@@ -13,7 +13,7 @@
 use std::rc::Rc;
 
 /// A counter that didn't answer in time is asked after the others for so long, in milliseconds.
-const SILENT_FOR: Ms = 1_000;
+const SILENT_FOR: Ms = 300;
 
 /// The answers that came to one message's requests for tokens.
 #[derive(Default)]
--- a/crates/node/tests/model/mod.rs
+++ b/crates/node/tests/model/mod.rs
@@ -215,7 +215,7 @@
         world
     }
 
-    fn now(&self) -> Ms {
+    pub fn now(&self) -> Ms {
         self.simulation.ms()
     }
 
--- a/crates/quota/src/grant.rs
+++ b/crates/quota/src/grant.rs
@@ -47,7 +47,7 @@
 pub struct Grant {
     quorum: usize,
     /// Counters that were not asked yet, the next one last.
-    unasked: Vec<u64>,
+    unasked: Vec<Candidate>,
     /// Asked, without an answer.
     open: Vec<u64>,
     /// Of these, those that are late: another one was asked in their place.
@@ -73,7 +73,7 @@
 
 /// The counters in the order in which they are asked. Near ones come first as long as all have plenty; else it is each
 /// one's turn: a counter that is seldom asked leaves its part of the quota unused.
-pub fn order(mut candidates: Vec<Candidate>, turn: usize) -> Vec<u64> {
+pub fn order(mut candidates: Vec<Candidate>, turn: usize) -> Vec<Candidate> {
     let count = candidates.len().max(1);
     candidates.rotate_left(turn % count);
     let all_plenty = candidates.iter().all(|candidate| candidate.plenty || candidate.silent);
@@ -81,12 +81,12 @@
         candidates.sort_by_key(|candidate| candidate.distance);
     }
     candidates.sort_by_key(|candidate| candidate.silent);
-    candidates.into_iter().map(|candidate| candidate.disk).collect()
+    candidates
 }
 
 impl Grant {
     /// Nobody was asked yet; `order` has all counters.
-    pub fn new(counters: &Counters, order: &[u64]) -> Grant {
+    pub fn new(counters: &Counters, order: &[Candidate]) -> Grant {
         let unasked = order.iter().rev().copied().collect();
         let (open, late, tokens) = (Vec::new(), Vec::new(), Vec::new());
         Grant { quorum: counters.quorum(), unasked, open, late, tokens, free: 0, short_ms: None }
@@ -98,15 +98,16 @@
         let expected = self.given() + self.open.len() - self.late.len();
         while self.can_be_granted() && expected + asked.len() < self.quorum {
             let Some(next) = self.unasked.pop() else { break };
-            asked.push(next);
+            asked.push(next.disk);
         }
         self.open.extend(&asked);
         asked
     }
 
-    /// A counter answered. A token that comes when all is decided isn't taken: it has to be given back.
+    /// A counter that was asked has answered.
     pub fn heard(&mut self, disk: u64, reply: Reply) {
-        self.open.retain(|open| *open != disk);
+        let Some(place) = self.open.iter().position(|open| *open == disk) else { return };
+        self.open.swap_remove(place);
         self.late.retain(|late| *late != disk);
         match reply {
             Reply::Token(stamp) => self.tokens.push(Token { disk, stamp }),
@@ -114,12 +115,24 @@
             Reply::Short(ms) => self.short_ms = Some(self.short_ms.map_or(ms, |before| before.min(ms))),
             Reply::NotCounted => {}
         }
+        self.leave_out_silent();
     }
 
     /// All that were asked and didn't answer are late: others are asked in their place.
     pub fn late(&mut self) -> Vec<u64> {
-        self.late = self.open.clone();
-        self.late.clone()
+        let late = self.open.clone();
+        self.late = late.clone();
+        self.leave_out_silent();
+        late
+    }
+
+    /// Where one counter is short, those that are late or silent aren't waited for: tokens of the others would lie idle.
+    fn leave_out_silent(&mut self) {
+        if self.short_ms.is_some() {
+            self.unasked.retain(|candidate| !candidate.silent);
+            let late = std::mem::take(&mut self.late);
+            self.open.retain(|disk| !late.contains(disk));
+        }
     }
 
     /// Where the message stands.
--- a/crates/quota/src/ledger.rs
+++ b/crates/quota/src/ledger.rs
@@ -117,10 +117,14 @@
         self.accounts.retain(|tenant, _| kept.contains(tenant));
     }
 
+    /// The disks of the active stores, by what this store has heard.
+    pub fn members(&self) -> &[u64] {
+        self.members.last().map_or(&[], |members| &members.disks)
+    }
+
     /// The counters of a tenant, by what this store has heard.
     pub fn counters(&self, tenant: &str) -> Counters {
-        let disks = self.members.last().map_or(&[][..], |members| &members.disks);
-        Counters::of(tenant, disks.iter().copied())
+        Counters::of(tenant, self.members().iter().copied())
     }
 
     fn counts_among(&self, tenant: &str, members: &Members) -> bool {
--- /dev/null
+++ b/crates/quota/tests/model/mod.rs
@@ -0,0 +1,480 @@
+//! Stores that count for tenants, in simulated time: calls are delayed and lost, processes stand still and restart, the
+//! network splits, stores are lost and new ones come, limits change.
+use quota::grant::{order, Candidate, Reply};
+use quota::ledger::Known;
+use quota::{Counted, Counters, Grant, Ledger, Ms, Progress, Return, Want};
+use rand::{RngExt as _, SeedableRng as _};
+use rand_pcg::Pcg64Mcg;
+use settings::Quota;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+
+pub const WINDOW: Ms = 5_000;
+const LATE: Ms = 60;
+const PATIENCE: Ms = 250;
+const SILENT_FOR: Ms = 300;
+const POLL: Ms = 300;
+/// Configurations reach all stores within it.
+pub const CONFIG_LAG: Ms = 1_000;
+
+/// A planted mistake.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Mistake {
+    None,
+    /// A call is sent again after its answer was late, and counted again.
+    CountsBatchesTwice,
+    ReturnsTwice,
+    StartsFull,
+    QuorumOfOne,
+    FullRateEach,
+}
+
+#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    Arrive { store: usize, tenant: usize, count: u32 },
+    Call { from: usize, to: usize, batch: usize, grants: Vec<usize> },
+    Answer { from: usize, to: usize, batch: usize, grants: Vec<usize>, counted: Answered },
+    Return { to: usize, tenant: usize, tokens: u32, life: u64, at: Ms },
+    Late { store: usize, batch: usize },
+    Expire { store: usize, batch: usize },
+    Poll { store: usize },
+    News { store: usize, asked_at: Ms, members: Vec<u64> },
+    Limit { store: usize, tenant: usize, quota: usize },
+    Thaw,
+}
+
+/// A [`Counted`], in an order for the queue of events.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Answered {
+    Taken { tokens: u32, life: u64, at: Ms, short_ms: u32 },
+    No,
+}
+
+struct Batch {
+    tenant: usize,
+    begun: Ms,
+    grants: Vec<Grant>,
+    decided: Vec<bool>,
+}
+
+struct StoreProcess {
+    disk: u64,
+    ledger: Ledger,
+    quotas: Vec<usize>,
+    frozen_until: Ms,
+    down_until: Ms,
+    lost: bool,
+    side: usize,
+    short_until: BTreeMap<usize, Ms>,
+    /// Counters that were late, and until when they are asked last.
+    silent_until: BTreeMap<u64, Ms>,
+}
+
+/// All stores, and what was accepted.
+pub struct World {
+    pub now: Ms,
+    pub lot: Pcg64Mcg,
+    mistake: Mistake,
+    stores: Vec<StoreProcess>,
+    members: Vec<u64>,
+    events: BinaryHeap<Reverse<(Ms, u64, Event)>>,
+    number: u64,
+    batches: Vec<Batch>,
+    split_until: Ms,
+    /// The quotas of all times, by number.
+    quotas: Vec<Quota>,
+    /// For each tenant: from when on which quota is in force.
+    pub history: Vec<Vec<(Ms, Quota)>>,
+    /// For each tenant: when messages were accepted.
+    pub accepted: Vec<Vec<Ms>>,
+}
+
+pub fn name(tenant: usize) -> String {
+    format!("tenant-{tenant}")
+}
+
+impl World {
+    pub fn new(seed: u64, stores: usize, quotas: &[Quota], mistake: Mistake) -> World {
+        let members: Vec<u64> = (1..=stores as u64).collect();
+        let mut world = World {
+            now: 0,
+            lot: Pcg64Mcg::seed_from_u64(seed),
+            mistake,
+            stores: Vec::new(),
+            members: members.clone(),
+            events: BinaryHeap::new(),
+            number: 0,
+            batches: Vec::new(),
+            split_until: 0,
+            quotas: quotas.to_vec(),
+            history: quotas.iter().map(|quota| vec![(0, *quota)]).collect(),
+            accepted: vec![Vec::new(); quotas.len()],
+        };
+        members.into_iter().for_each(|disk| world.add_store(disk));
+        world
+    }
+
+    fn add_store(&mut self, disk: u64) {
+        let ledger = Ledger::new(disk, self.lot.random_range(0..u64::MAX));
+        let quotas = (0..self.history.len()).map(|tenant| self.current_quota(tenant)).collect();
+        let (frozen_until, down_until, lost, side) = (0, 0, false, 0);
+        let (short_until, silent_until) = (BTreeMap::new(), BTreeMap::new());
+        let process = StoreProcess {
+            disk,
+            ledger,
+            quotas,
+            frozen_until,
+            down_until,
+            lost,
+            side,
+            short_until,
+            silent_until,
+        };
+        self.stores.push(process);
+        self.at(self.now, Event::Poll { store: self.stores.len() - 1 });
+    }
+
+    fn current_quota(&self, tenant: usize) -> usize {
+        let (_, quota) = self.history[tenant].last().unwrap();
+        self.quotas.iter().rposition(|known| known == quota).unwrap()
+    }
+
+    fn at(&mut self, at: Ms, event: Event) {
+        self.number += 1;
+        self.events.push(Reverse((at.max(self.now), self.number, event)));
+    }
+
+    fn index(&self, disk: u64) -> Option<usize> {
+        self.stores.iter().position(|store| store.disk == disk)
+    }
+
+    pub fn store_count(&self) -> usize {
+        self.stores.len()
+    }
+
+    /// Messages of a tenant come to a store.
+    pub fn arrive(&mut self, store: usize, tenant: usize, count: u32) {
+        self.at(self.now, Event::Arrive { store, tenant, count });
+    }
+
+    /// Time passes.
+    pub fn run_until(&mut self, until: Ms) {
+        while self.events.peek().is_some_and(|Reverse((at, ..))| *at <= until) {
+            let Some(Reverse((at, _, event))) = self.events.pop() else { break };
+            self.now = at;
+            self.handle(event);
+        }
+        self.now = until;
+    }
+
+    fn owner(event: &Event) -> Option<usize> {
+        match event {
+            Event::Arrive { store, .. } | Event::Late { store, .. } | Event::Expire { store, .. } => {
+                Some(*store)
+            }
+            Event::Poll { store } | Event::News { store, .. } | Event::Limit { store, .. } => Some(*store),
+            Event::Call { to, .. } | Event::Answer { to, .. } | Event::Return { to, .. } => Some(*to),
+            Event::Thaw => None,
+        }
+    }
+
+    fn handle(&mut self, event: Event) {
+        if let Some(owner) = World::owner(&event) {
+            let store = &self.stores[owner];
+            if store.lost {
+                return;
+            }
+            let still = store.frozen_until.max(store.down_until);
+            if still > self.now {
+                // A process that is down loses what comes, but polls again when it is back.
+                let lost =
+                    store.down_until > self.now && !matches!(event, Event::Poll { .. } | Event::Limit { .. });
+                if !lost {
+                    self.at(still, event);
+                }
+                return;
+            }
+        }
+        match event {
+            Event::Arrive { store, tenant, count } => self.begin(store, tenant, count),
+            Event::Call { from, to, batch, grants } => self.count(from, to, batch, grants),
+            Event::Answer { from, to, batch, grants, counted } => {
+                self.answered(from, to, batch, grants, counted)
+            }
+            Event::Return { to, tenant, tokens, life, at } => {
+                let returned = Return { tenant: name(tenant), tokens, taken: quota::Stamp { life, at } };
+                self.stores[to].ledger.take_back(&returned, self.now);
+            }
+            Event::Late { store, batch } => {
+                let Batch { grants, decided, .. } = &mut self.batches[batch];
+                let undecided = grants.iter_mut().zip(decided.iter()).filter(|(_, decided)| !**decided);
+                let late: Vec<u64> = undecided.flat_map(|(grant, _)| grant.late()).collect();
+                let silent_until = self.now + SILENT_FOR;
+                for disk in late {
+                    self.stores[store].silent_until.insert(disk, silent_until);
+                }
+                self.go_on(store, batch);
+            }
+            Event::Expire { store, batch } => self.expire(store, batch),
+            Event::Poll { store } => self.poll(store),
+            Event::News { store, asked_at, members } => self.news(store, asked_at, &members),
+            Event::Limit { store, tenant, quota } => {
+                // Versions that are known never fall.
+                let known = &mut self.stores[store].quotas[tenant];
+                *known = quota.max(*known);
+            }
+            Event::Thaw => {}
+        }
+    }
+
+    fn apart(&self, one: usize, other: usize) -> bool {
+        self.now < self.split_until && self.stores[one].side != self.stores[other].side
+    }
+
+    fn delay(&mut self) -> Ms {
+        match self.lot.random_bool(0.02) {
+            true => self.lot.random_range(10..70),
+            false => self.lot.random_range(1..5),
+        }
+    }
+
+    /// Something goes from one store to another: late, or never.
+    fn send(&mut self, from: usize, to: usize, event: Event) {
+        if from == to {
+            return self.at(self.now, event);
+        }
+        if self.lot.random_bool(0.002) {
+            return;
+        }
+        let held = if self.apart(from, to) { self.split_until } else { self.now };
+        let delay = self.delay();
+        self.at(held + delay, event);
+    }
+
+    fn poll(&mut self, store: usize) {
+        self.at(self.now + POLL, Event::Poll { store });
+        let cut = self.now < self.split_until && self.stores[store].side != 0;
+        if !cut {
+            let (members, asked_at, delay) = (self.members.clone(), self.now, self.delay());
+            self.at(self.now + delay, Event::News { store, asked_at, members });
+        }
+    }
+
+    fn news(&mut self, store: usize, asked_at: Ms, members: &[u64]) {
+        let now = match self.mistake {
+            Mistake::StartsFull => self.now.saturating_sub(60_000),
+            _ => self.now,
+        };
+        self.stores[store].ledger.heard(members, asked_at, now);
+    }
+
+    fn begin(&mut self, store: usize, tenant: usize, count: u32) {
+        if self.stores[store].short_until.get(&tenant).is_some_and(|until| self.now < *until) {
+            return;
+        }
+        let counters = self.stores[store].ledger.counters(&name(tenant));
+        let turn = self.lot.random_range(0..6);
+        let silent_until = &self.stores[store].silent_until;
+        let candidate = |disk: &u64| {
+            let silent = silent_until.get(disk).is_some_and(|until| self.now < *until);
+            Candidate { disk: *disk, silent, plenty: false, distance: 0 }
+        };
+        let in_order = order(counters.disks().iter().map(candidate).collect(), turn);
+        let grants = (0..count).map(|_| Grant::new(&counters, &in_order)).collect();
+        let (begun, decided) = (self.now, vec![false; count as usize]);
+        self.batches.push(Batch { tenant, begun, grants, decided });
+        let batch = self.batches.len() - 1;
+        self.at(self.now + LATE, Event::Late { store, batch });
+        self.at(self.now + PATIENCE, Event::Expire { store, batch });
+        self.go_on(store, batch);
+    }
+
+    fn progress(&self, grant: &Grant, heard_token: bool) -> Progress {
+        match self.mistake == Mistake::QuorumOfOne && heard_token {
+            true => Progress::Granted,
+            false => grant.progress(),
+        }
+    }
+
+    /// Asks whom each message of a batch has to ask next.
+    fn go_on(&mut self, store: usize, batch: usize) {
+        let mut asks: BTreeMap<u64, Vec<usize>> = BTreeMap::new();
+        let Batch { grants, decided, .. } = &mut self.batches[batch];
+        for (place, grant) in grants.iter_mut().enumerate().filter(|(place, _)| !decided[*place]) {
+            for disk in grant.to_ask() {
+                asks.entry(disk).or_default().push(place);
+            }
+        }
+        for (disk, grants) in asks {
+            let Some(to) = self.index(disk) else { continue };
+            if self.mistake == Mistake::CountsBatchesTwice {
+                self.send(store, to, Event::Call { from: store, to, batch, grants: grants.clone() });
+            }
+            self.send(store, to, Event::Call { from: store, to, batch, grants });
+        }
+        (0..self.batches[batch].grants.len()).for_each(|place| self.decide(store, batch, place, false));
+    }
+
+    fn count(&mut self, from: usize, to: usize, batch: usize, grants: Vec<usize>) {
+        let tenant = self.batches[batch].tenant;
+        let caller = self.stores[from].ledger.counters(&name(tenant));
+        let mut quota = self.quotas[self.stores[to].quotas[tenant]];
+        if self.mistake == Mistake::FullRateEach {
+            quota = Quota { rate_per_s: quota.rate_per_s * 1.5, burst: quota.burst * 1.5 };
+        }
+        let want = Want { tenant: name(tenant), counters: caller.digest(), tokens: grants.len() as u32 };
+        let counted = self.stores[to].ledger.count(&want, Known::Limited(quota), self.now);
+        let counted = match counted {
+            Counted::Taken { tokens, stamp, short_ms, .. } => {
+                Answered::Taken { tokens, life: stamp.life, at: stamp.at, short_ms }
+            }
+            Counted::NoLimit | Counted::NotHere => Answered::No,
+        };
+        self.send(to, from, Event::Answer { from: to, to: from, batch, grants, counted });
+    }
+
+    fn answered(&mut self, from: usize, to: usize, batch: usize, grants: Vec<usize>, counted: Answered) {
+        let disk = self.stores[from].disk;
+        self.stores[to].silent_until.remove(&disk);
+        for (turn, place) in grants.into_iter().enumerate() {
+            let reply = match counted {
+                Answered::Taken { tokens, life, at, .. } if (turn as u32) < tokens => {
+                    Reply::Token(quota::Stamp { life, at })
+                }
+                Answered::Taken { short_ms, .. } => Reply::Short(short_ms),
+                Answered::No => Reply::NotCounted,
+            };
+            if let (true, Reply::Token(stamp)) = (self.batches[batch].decided[place], reply) {
+                let twice = self.mistake == Mistake::CountsBatchesTwice;
+                if !twice {
+                    self.give_back(to, batch, disk, stamp);
+                }
+                continue;
+            }
+            self.batches[batch].grants[place].heard(disk, reply);
+            self.decide(to, batch, place, matches!(reply, Reply::Token(_)));
+        }
+        self.go_on(to, batch);
+    }
+
+    fn decide(&mut self, store: usize, batch: usize, place: usize, heard_token: bool) {
+        if self.batches[batch].decided[place] {
+            return;
+        }
+        let in_time = self.now <= self.batches[batch].begun + PATIENCE;
+        if !in_time {
+            self.batches[batch].grants[place].give_up();
+        }
+        let progress = self.progress(&self.batches[batch].grants[place], heard_token && in_time);
+        if progress == Progress::Open {
+            return;
+        }
+        self.batches[batch].decided[place] = true;
+        let tenant = self.batches[batch].tenant;
+        if progress == Progress::Granted {
+            self.accepted[tenant].push(self.now);
+        }
+        if let Progress::Denied(quota::Denial::OverQuota { for_ms }) = progress {
+            self.stores[store].short_until.insert(tenant, self.now + for_ms);
+        }
+        if self.mistake != Mistake::QuorumOfOne {
+            let unused = self.batches[batch].grants[place].to_give_back();
+            unused.into_iter().for_each(|token| self.give_back(store, batch, token.disk, token.stamp));
+        }
+    }
+
+    fn give_back(&mut self, from: usize, batch: usize, disk: u64, stamp: quota::Stamp) {
+        let (Some(to), tenant) = (self.index(disk), self.batches[batch].tenant) else { return };
+        let times = if self.mistake == Mistake::ReturnsTwice { 2 } else { 1 };
+        for _ in 0..times {
+            self.send(from, to, Event::Return { to, tenant, tokens: 1, life: stamp.life, at: stamp.at });
+        }
+    }
+
+    fn expire(&mut self, store: usize, batch: usize) {
+        for place in 0..self.batches[batch].grants.len() {
+            if !self.batches[batch].decided[place] {
+                self.batches[batch].grants[place].give_up();
+                self.decide(store, batch, place, false);
+            }
+        }
+    }
+
+    /// The process of a store stands still.
+    pub fn freeze(&mut self, store: usize, span: Ms) {
+        self.stores[store].frozen_until = self.now + span;
+        self.at(self.now + span, Event::Thaw);
+    }
+
+    /// A store restarts: its ledger is empty.
+    pub fn restart(&mut self, store: usize, span: Ms) {
+        let life = self.lot.random_range(0..u64::MAX);
+        let process = &mut self.stores[store];
+        process.ledger = Ledger::new(process.disk, life);
+        process.down_until = self.now + span;
+    }
+
+    /// Two halves don't hear of each other; control is with the first.
+    pub fn split(&mut self, span: Ms) {
+        for store in &mut self.stores {
+            store.side = usize::from(self.lot.random_bool(0.5));
+        }
+        self.split_until = self.now + span;
+    }
+
+    /// Control gives a store up, whether it is there or not, and another one comes in its place.
+    pub fn replace(&mut self, store: usize, stays: bool) {
+        let disk = self.stores[store].disk;
+        self.members.retain(|member| *member != disk);
+        self.stores[store].lost = !stays;
+        let new = self.stores.len() as u64 + 1;
+        self.members.push(new);
+        self.members.sort_unstable();
+        self.add_store(new);
+    }
+
+    /// A tenant's quota changes, and the stores hear of it one after the other.
+    pub fn set_quota(&mut self, tenant: usize, quota: Quota) {
+        self.quotas.push(quota);
+        self.history[tenant].push((self.now, quota));
+        let number = self.quotas.len() - 1;
+        for store in 0..self.stores.len() {
+            let at = self.now + self.lot.random_range(0..CONFIG_LAG / 2);
+            self.at(at, Event::Limit { store, tenant, quota: number });
+        }
+    }
+
+    /// The counters of a tenant, as control knows them.
+    pub fn counters(&self, tenant: usize) -> Counters {
+        Counters::of(&name(tenant), self.members.iter().copied())
+    }
+
+    /// The store of a disk.
+    pub fn store_of(&self, disk: u64) -> usize {
+        self.index(disk).unwrap()
+    }
+
+    /// By how much, at the worst, more was accepted in a window than a share of the quota, as (accepted, allowed).
+    pub fn worst_window(&self, tenant: usize, allowed: impl Fn(Quota) -> f64) -> (usize, f64) {
+        let times = &self.accepted[tenant];
+        let over = |(accepted, allowed): &(usize, f64)| *accepted as f64 - allowed;
+        let window = |i: usize| {
+            let until = times[i] + WINDOW;
+            let accepted = times.partition_point(|at| *at <= until) - i;
+            (accepted, allowed(self.highest_quota(tenant, times[i], until)))
+        };
+        let windows = (0..times.len()).map(window);
+        windows.max_by(|one, other| over(one).total_cmp(&over(other))).unwrap_or((0, 0.0))
+    }
+
+    /// The highest limits in force in a window, with the time that a change takes to be heard.
+    fn highest_quota(&self, tenant: usize, from: Ms, until: Ms) -> Quota {
+        let history = &self.history[tenant];
+        let ended = |i: usize| history.get(i + 1).map_or(Ms::MAX, |(at, _)| at + CONFIG_LAG);
+        let in_force = (0..history.len()).filter(|i| history[*i].0 <= until && ended(*i) >= from);
+        in_force.fold(Quota { rate_per_s: 0.0, burst: 0.0 }, |highest, i| Quota {
+            rate_per_s: highest.rate_per_s.max(history[i].1.rate_per_s),
+            burst: highest.burst.max(history[i].1.burst),
+        })
+    }
+}
