--- a/crates/node/tests/model/mod.rs
+++ b/crates/node/tests/model/mod.rs
@@ -3,6 +3,8 @@
 //! them, and both remember.
 mod control;
 mod endpoints;
+// Not every test that shares the model has tenants.
+#[allow(dead_code)]
 mod hot;
 mod machine;
 mod mistakes;
@@ -10,6 +12,7 @@
 mod troubles;
 
 pub use endpoints::{Counts, Doom};
+#[allow(unused_imports)]
 pub use hot::Tenant;
 pub use mistakes::{Brings, DamagesBodies, Mistake};
 pub use troubles::Regime;
