--- a/crates/node/tests/model/mod.rs
+++ b/crates/node/tests/model/mod.rs
@@ -249,7 +249,7 @@
         world
     }
 
-    fn now(&self) -> Ms {
+    pub fn now(&self) -> Ms {
         self.simulation.ms()
     }
 
