--- a/crates/control/src/group/mod.rs
+++ b/crates/control/src/group/mod.rs
@@ -80,6 +80,12 @@
     fn save(&mut self, durable: &Durable);
 }
 
+impl Storage for Box<dyn Storage> {
+    fn save(&mut self, durable: &Durable) {
+        self.as_mut().save(durable);
+    }
+}
+
 /// What is known from the start.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Settings {
--- a/crates/node/src/control/census.rs
+++ b/crates/node/src/control/census.rs
@@ -59,11 +59,13 @@
         self.watchers.retain(|_, watcher| now < watcher.at + 60_000);
     }
 
-    /// All watchers with what they have, for an operator's tool.
-    pub fn watchers(&self) -> Vec<serde_json::Value> {
+    /// All watchers with what they have, and when they were heard, for an operator's tool.
+    pub fn watchers(&self, now: u64) -> Vec<serde_json::Value> {
         let show = |w: &Watcher| {
             let role = if w.hello.role == Role::Store { "store" } else { "edge" };
-            serde_json::json!({"name": w.hello.name, "role": role, "version": w.seen.version, "stores": w.seen.stores})
+            serde_json::json!({"name": w.hello.name, "role": role, "version": w.seen.version, "stores": w.seen.stores,
+                "part_version": w.seen.part.version, "part_bytes": w.seen.part.bytes,
+                "heard_ms_ago": now.saturating_sub(w.at)})
         };
         self.watchers.values().map(show).collect()
     }
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -17,8 +17,7 @@
 use crate::process::{self, stopped, Process};
 use crate::watch::HOLD;
 use anyhow::Context as _;
-use control::disk::Disk;
-use control::{Command, Group, Leave, Member, Message, Out, Rejected, Reply, Stage, State};
+use control::{Command, Durable, Group, Leave, Member, Message, Out, Rejected, Reply, Stage, State, Storage};
 use monoio::net::TcpListener;
 use net::http::Bounds;
 use net::rpc::{serve, Peers};
@@ -26,7 +25,6 @@
 use net::server::{Server, ServerBounds};
 use net::wake::Watched;
 use news::{Bulletin, Newer};
-use ringlog::Folder;
 use std::cell::{Cell, RefCell};
 use std::net::{IpAddr, SocketAddr};
 use std::path::Path;
@@ -49,7 +47,7 @@
 /// One control process.
 pub struct Control {
     process: Process,
-    group: RefCell<Group<Disk<Folder>>>,
+    group: RefCell<Group<Box<dyn Storage>>>,
     peers: Rc<Peers>,
     published: RefCell<Bulletin>,
     /// Rises with all that is news to watchers.
@@ -75,48 +73,19 @@
 /// Runs the role.
 pub async fn run(process: Process) -> anyhow::Result<()> {
     let folder = process.settings.data_dir.clone().context("DataDir is missing; give control a disk")?;
-    let (mut durable, disk) = disk::open(Path::new(&folder))?;
-    let fresh = durable.disk == 0;
-    if fresh {
-        durable.disk = runtime::unique();
-    }
+    let (durable, disk) = disk::open(Path::new(&folder))?;
     let settings = &process.settings;
-    let me = Member {
-        disk: durable.disk,
-        name: settings.node_name.clone(),
-        ip: settings.own_ip(),
-        location: settings.location(),
-    };
-    let group = control::Settings {
-        me,
-        founders: settings.seed_ips(),
-        founder: fresh && settings.bootstrap && settings.seed_ips().contains(&settings.own_ip()),
-        tolerance: settings.tolerance(),
-    };
-    let now = process.clock.ms();
     let member_address = SocketAddr::new(settings.own_ip(), settings.control_port());
     let api_address =
         settings.listen.control.clone().context("ListenAddresses.Control is missing; add it")?;
-    let control = Rc::new(Control {
-        group: RefCell::new(Group::new(group, durable, disk, now)),
-        peers: Rc::new(Peers::default()),
-        published: RefCell::default(),
-        changes: Watched::default(),
-        changing: Cell::new(false),
-        census: RefCell::default(),
-        stage: Cell::new(Stage::Follows),
-        unmet: RefCell::default(),
-        process,
-    });
+    let control = Control::new(process, durable, Box::new(disk), Peers::default());
     let listener = TcpListener::bind(member_address).context("the members' port is taken; free it")?;
     let answering = control.clone();
     runtime::spawn(serve(
         listener,
         Rc::new(move |from, bytes| Box::pin(answering.clone().answer(from, bytes))),
     ));
-    runtime::spawn(control.clone().pass_time());
-    runtime::spawn(listing::read_list(control.clone()));
-    runtime::spawn(census::keep(control.clone()));
+    control.clone().work();
     control.clone().serve_operator(&api_address)?;
     stopped(&control.process.stopping).await;
     control.leave().await;
@@ -124,6 +93,46 @@
 }
 
 impl Control {
+    /// A machine of the group with what is on its disk.
+    pub fn new(process: Process, mut durable: Durable, disk: Box<dyn Storage>, peers: Peers) -> Rc<Control> {
+        let fresh = durable.disk == 0;
+        if fresh {
+            durable.disk = runtime::unique();
+        }
+        let settings = &process.settings;
+        let me = Member {
+            disk: durable.disk,
+            name: settings.node_name.clone(),
+            ip: settings.own_ip(),
+            location: settings.location(),
+        };
+        let group = control::Settings {
+            me,
+            founders: settings.seed_ips(),
+            founder: fresh && settings.bootstrap && settings.seed_ips().contains(&settings.own_ip()),
+            tolerance: settings.tolerance(),
+        };
+        let now = process.clock.ms();
+        Rc::new(Control {
+            group: RefCell::new(Group::new(group, durable, disk, now)),
+            peers: Rc::new(peers),
+            published: RefCell::default(),
+            changes: Watched::default(),
+            changing: Cell::new(false),
+            census: RefCell::default(),
+            stage: Cell::new(Stage::Follows),
+            unmet: RefCell::default(),
+            process,
+        })
+    }
+
+    /// Does for good what no call asks for.
+    pub fn work(self: Rc<Self>) {
+        runtime::spawn(self.clone().pass_time());
+        runtime::spawn(listing::read_list(self.clone()));
+        runtime::spawn(census::keep(self));
+    }
+
     fn now(&self) -> u64 {
         self.process.clock.ms()
     }
@@ -291,7 +300,8 @@
         }
     }
 
-    async fn answer(self: Rc<Self>, from: IpAddr, bytes: Vec<u8>) -> Vec<u8> {
+    /// Answers a call of another machine.
+    pub async fn answer(self: Rc<Self>, from: IpAddr, bytes: Vec<u8>) -> Vec<u8> {
         let Ok(call) = borsh::from_slice::<Call>(&bytes) else { return Vec::new() };
         match call {
             Call::Group(message) => encode(&self.group_message(from, message)),
@@ -359,7 +369,7 @@
             "change": state.at.number,
             "stores": stores.collect::<Vec<_>>(),
             "endpoints": self.published.borrow().endpoint_count(),
-            "watchers": self.census.borrow().watchers(),
+            "watchers": self.census.borrow().watchers(self.now()),
         });
         status.to_string()
     }
--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -13,7 +13,7 @@
 use std::collections::{BTreeSet, VecDeque};
 use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// The longest that a question waits for news.
 pub const HOLD: Duration = Duration::from_millis(1_000);
@@ -147,7 +147,7 @@
                 *self.configuration.borrow_mut() = Rc::new(configuration);
                 *self.body.borrow_mut() = body;
                 (seen.version, seen.base) = (version, version);
-                log::info!("version {version} is in force, told in epoch {}", seen.epoch);
+                log::info!("version {version} is in force");
             }
             Ok(None) => {}
             Err(error) => {
@@ -186,7 +186,8 @@
     port: u16,
     seeds: Vec<IpAddr>,
 ) {
-    let watcher = Watcher { known, peers, hello, port, seeds, turn: Cell::new(0) };
+    let (turn, heard) = (Cell::new(0), Cell::new(runtime::now()));
+    let watcher = Watcher { known, peers, hello, port, seeds, turn, heard };
     loop {
         let primary = watcher.find().await;
         watcher.follow(primary).await;
@@ -222,6 +223,8 @@
     port: u16,
     seeds: Vec<IpAddr>,
     turn: Cell<usize>,
+    /// When a primary was heard last.
+    heard: Cell<Instant>,
 }
 
 impl<H: Fn() -> Hello> Watcher<H> {
@@ -304,7 +307,15 @@
             return Heard::Nothing;
         }
         self.known.take_group(&news);
+        let before = self.known.version();
         self.known.take(news);
+        let silent_ms = runtime::elapsed(self.heard.replace(runtime::now())).as_millis();
+        let (version, epoch) = (self.known.version(), self.known.seen().epoch);
+        if version > before {
+            log::info!(
+                "version {version} came from {from} in epoch {epoch}, {silent_ms} ms after its last word"
+            );
+        }
         Heard::Leads(from)
     }
 
