--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -101,6 +101,12 @@
         self.current_at.get().map(runtime::elapsed)
     }
 
+    /// A newer configuration than the one in force here is known to be there.
+    fn is_behind(&self) -> bool {
+        let seen = self.seen.get();
+        seen.part.version > seen.version || self.unreadable.get()
+    }
+
     /// The primary has answered a question that was sent at this time.
     fn current_as_of(&self, asked_at: Instant) {
         let latest = self.current_at.get().map_or(asked_at, |before| before.max(asked_at));
@@ -162,7 +168,7 @@
                 *self.configuration.borrow_mut() = Rc::new(configuration);
                 *self.body.borrow_mut() = body;
                 (seen.version, seen.base) = (version, version);
-                log::info!("version {version} is in force, told in epoch {}", seen.epoch);
+                log::info!("version {version} is in force");
             }
             Ok(None) => {}
             Err(error) => {
@@ -201,7 +207,8 @@
     port: u16,
     seeds: Vec<IpAddr>,
 ) {
-    let watcher = Watcher { known, peers, hello, port, seeds, turn: Cell::new(0) };
+    let (turn, heard) = (Cell::new(0), Cell::new(runtime::now()));
+    let watcher = Watcher { known, peers, hello, port, seeds, turn, heard };
     loop {
         let primary = watcher.find().await;
         watcher.follow(primary).await;
@@ -244,6 +251,8 @@
     port: u16,
     seeds: Vec<IpAddr>,
     turn: Cell<usize>,
+    /// When a primary was heard last.
+    heard: Cell<Instant>,
 }
 
 impl<H: Fn() -> Hello> Watcher<H> {
@@ -329,9 +338,17 @@
             return Heard::Nothing;
         }
         self.known.take_group(&news);
-        if self.known.take(news) {
+        let before = self.known.version();
+        if self.known.take(news) && !self.known.is_behind() {
             self.known.current_as_of(asked_at);
         }
+        let silent_ms = runtime::elapsed(self.heard.replace(runtime::now())).as_millis();
+        let (version, epoch) = (self.known.version(), self.known.seen().epoch);
+        if version > before {
+            log::info!(
+                "version {version} came from {from} in epoch {epoch}, {silent_ms} ms after its last word"
+            );
+        }
         Heard::Leads(from)
     }
 
