--- a/tests/soak/troubles.rs
+++ b/tests/soak/troubles.rs
@@ -6,7 +6,8 @@
 use crate::Plan;
 use std::collections::{BTreeMap, BTreeSet};
 use std::os::unix::process::ExitStatusExt as _;
-use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Weak};
 use std::time::{Duration, Instant};
 
 /// A process that was told to stop has ended by then.
@@ -80,12 +81,29 @@
     operator: Operator,
     lot: Lot,
     happened: Vec<&'static str>,
+    /// How many processes stand still.
+    frozen: Arc<AtomicUsize>,
+}
+
+/// Notes trouble as long as any process stands still, also while the operator waits for an answer.
+fn note_frozen(frozen: &Weak<AtomicUsize>, judge: &Judge) {
+    while let Some(frozen) = frozen.upgrade() {
+        if frozen.load(Ordering::Relaxed) > 0 {
+            judge.trouble();
+        }
+        drop(frozen);
+        pause(TICK_MS);
+    }
 }
 
 impl Troubles {
     pub fn new(rig: Rig, plan: Plan, judge: Arc<Judge>, operator: Operator) -> Troubles {
+        let frozen = Arc::new(AtomicUsize::new(0));
+        let (watched, told) = (Arc::downgrade(&frozen), judge.clone());
+        std::thread::spawn(move || note_frozen(&watched, &told));
         Troubles {
             rig,
+            frozen,
             plan,
             judge,
             doing: Vec::new(),
@@ -229,6 +247,7 @@
             0 => {
                 self.rig.freeze(role, machine);
                 self.doing.push(Doing::Frozen { role, machine, until });
+                self.frozen.fetch_add(1, Ordering::Relaxed);
                 self.happened.push("freeze");
             }
             1 if role == Role::Store && !self.is_retiring() => {
@@ -288,6 +307,8 @@
                 self.doing.push(doing);
             }
         }
+        let frozen = self.doing.iter().filter(|doing| matches!(doing, Doing::Frozen { .. })).count();
+        self.frozen.store(frozen, Ordering::Relaxed);
         let next = self.series.last().copied();
         if let Some((role, machine)) = next.filter(|(role, _)| self.may_go(*role)) {
             self.series.pop();
