--- a/crates/node/tests/operations.rs
+++ b/crates/node/tests/operations.rs
@@ -229,6 +229,28 @@
     repeat_until_accepted(&mut world, &operations);
 }
 
+// Guards against an heir that asks all stores again after a restart for what it has taken over long ago, and refuses all
+// requests with keys until each has answered.
+#[test]
+fn an_heir_that_restarts_decides_while_another_store_is_away() {
+    let mut world = World::new(6, 5, 1, Mistake::None, Regime::Planned);
+    let operations = accepted(&mut world, 0);
+    let owner = world.owner_of(&operations[0]);
+    world.power_off(owner, 1_000, true);
+    world.advance(10_000);
+    let heir = world.owner_of(&operations[0]);
+    world.power_off(heir, 300, false);
+    world.freeze((heir + 1) % 5, 10_000);
+    world.advance(4_000);
+    world.attempt(&operations[0], 1, 0);
+    world.advance(1_000);
+    let attempts = world.attempts(&operations[0]);
+    let told = attempts.last().and_then(|attempt| attempt.answer.clone());
+    assert_eq!(told, Some((202, attempts[0].id.clone())), "{attempts:?}");
+    world.advance(20_000);
+    assert_eq!(world.broken(), None);
+}
+
 // Guards against a key that goes with a store that is retired, and with the disk of its heir after that.
 #[rstest]
 fn a_repeat_after_the_owner_is_retired(#[values(false, true)] heir_is_lost: bool) {
--- a/crates/quota/tests/model/mod.rs
+++ b/crates/quota/tests/model/mod.rs
@@ -320,7 +320,8 @@
         let caller = self.stores[from].ledger.counters(&name(tenant));
         let mut quota = self.quotas[self.stores[to].quotas[tenant]];
         if self.mistake == Mistake::FullRateEach {
-            quota = Quota { rate_per_s: quota.rate_per_s * 1.5, burst: quota.burst * 1.5 };
+            let whole = caller.disks().len() as f64 / caller.quorum() as f64;
+            quota = Quota { rate_per_s: quota.rate_per_s * whole, burst: quota.burst * whole };
         }
         let want = Want { tenant: name(tenant), counters: caller.digest(), tokens: grants.len() as u32 };
         let counted = self.stores[to].ledger.count(&want, Known::Limited(quota), self.now);
@@ -410,7 +411,7 @@
     pub fn restart(&mut self, store: usize, span: Ms) {
         let life = self.lot.random_range(0..u64::MAX);
         let process = &mut self.stores[store];
-        process.ledger = Ledger::new(process.disk, life);
+        process.ledger = Ledger::resumed(process.disk, life);
         process.down_until = self.now + span;
     }
 
