--- a/crates/node/src/store/operations.rs
+++ b/crates/node/src/store/operations.rs
@@ -6,7 +6,7 @@
 use crate::calls::{PutAnswer, Refusal};
 use net::runtime;
 use net::wake::Watched;
-use queue::operations::{self, Settled};
+use queue::rivals::{self, Settled};
 use queue::{Entry, Envelope, Given, GivenEnded, Message, OwnedMessage, Stage, TenantKey};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeSet;
@@ -199,7 +199,7 @@
 
     /// Leaves out messages whose operations have another one that stays, and leaves own ones that one of these supersedes.
     pub(super) fn settle_operations(&self, given: Vec<Given>) -> Vec<Given> {
-        let Settled { open, superseded, displaced } = operations::settle(&self.queue.borrow(), given);
+        let Settled { open, superseded, displaced } = rivals::settle(&self.queue.borrow(), given);
         self.reservations.count(|counts| counts.superseded += displaced.len());
         self.leave_to_others(displaced, LeftBecause::Superseded);
         self.record_superseded(superseded);
--- a/crates/queue/src/lib.rs
+++ b/crates/queue/src/lib.rs
@@ -16,6 +16,7 @@
 //! | [`owned`] | what is known of a message that this store owns |
 //! | [`replicas`] | messages and ends that are kept for other stores |
 //! | `ready`, `schedule` | what may run of a route, and in which order |
+//! | [`rivals`] | which of several messages of one operation stays |
 //! | [`view`] | the fold of all records; what is kept for other stores, as they ask for it |
 //! | [`placement`] | at which stores the copies of a message lie |
 //! | [`custody`] | what is decided about replicas at other stores, and about those kept for them |
@@ -28,6 +29,7 @@
 pub mod placement;
 mod ready;
 pub mod replicas;
+pub mod rivals;
 mod schedule;
 pub mod view;
 
--- a/crates/queue/tests/operations.rs
+++ b/crates/queue/tests/operations.rs
@@ -1,6 +1,6 @@
 //! Which message a store has for an operation, and for how long that is known.
 use queue::custody;
-use queue::operations::{settle, Settled};
+use queue::rivals::{settle, Settled};
 use queue::{
     End, EndedMessage, Entry, Envelope, Given, GivenEnded, Message, Outcome, Placement, Queue, TenantKey,
 };
