--- a/crates/node/src/calls.rs
+++ b/crates/node/src/calls.rs
@@ -66,6 +66,17 @@
     pub stores: u64,
     /// The number of the list of endpoints.
     pub list: (u64, u64),
+    /// The version whose bytes are at hand for differences from it; 0 if none is.
+    pub base: u64,
+    /// What has come of the next configuration.
+    pub part: Part,
+}
+
+/// How much of a configuration has come.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub struct Part {
+    pub version: u64,
+    pub bytes: u64,
 }
 
 /// An endpoint of the platform's list.
@@ -88,17 +99,48 @@
     pub epoch: u64,
     pub primary: Option<IpAddr>,
     pub group: Vec<IpAddr>,
-    /// The version, and the configuration as [`crate::packed`] has it.
+    /// The version, and the next piece of the configuration as [`crate::packed`] has it.
     pub configuration: Option<(u64, Vec<u8>)>,
     pub stores: Option<StoreView>,
-    pub list: Option<((u64, u64), Vec<Endpoint>)>,
+    pub list: Option<EndpointList>,
+}
+
+/// The platform's list of endpoints.
+#[derive(Clone, Debug, Default, BorshSerialize, BorshDeserialize)]
+pub struct EndpointList {
+    pub number: (u64, u64),
+    /// The endpoints, compressed once for all watchers.
+    packed: Vec<u8>,
+}
+
+/// A list of endpoints can't be read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct UnreadableList;
+
+impl EndpointList {
+    /// A list as it is sent.
+    pub fn pack(number: (u64, u64), endpoints: &[Endpoint]) -> EndpointList {
+        let bytes = borsh::to_vec(endpoints).expect("writing to memory");
+        EndpointList { number, packed: lz4_flex::compress_prepend_size(&bytes) }
+    }
+
+    /// The endpoints on it.
+    pub fn unpack(&self) -> Result<Vec<Endpoint>, UnreadableList> {
+        let bytes = lz4_flex::decompress_size_prepended(&self.packed).map_err(|_| UnreadableList)?;
+        borsh::from_slice(&bytes).map_err(|_| UnreadableList)
+    }
+
+    /// How many bytes it takes on its way.
+    pub fn size(&self) -> usize {
+        self.packed.len()
+    }
 }
 
 /// What became of a message that was handed to a store.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
 pub enum PutAnswer {
-    /// It is on two disks.
-    Taken,
+    /// It is on enough disks, under this id: that of an earlier request with the same operation key, if there was one.
+    Taken { id: String },
     /// It was not written anywhere: another store may take it.
     Refused(Refusal),
     /// It may have been written: nothing can be said.
@@ -116,18 +158,40 @@
     NoCopy,
     /// It holds as much as it may, or its disk doesn't keep up.
     Full,
+    /// The tenant has had as many messages accepted as its quota allows.
+    OverQuota,
+    /// Too few of the stores that count the tenant's messages answer.
+    NotCounted,
+}
+
+/// Whose message it is, as far as a store knows.
+#[derive(Clone, Debug, Default, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub enum Holder {
+    /// The store doesn't have the message's envelope.
+    #[default]
+    Untold,
+    /// The request came without a tenant's key.
+    Nobody,
+    /// The tenant of this name.
+    Tenant(String),
 }
 
 /// What a store knows of a message.
 #[derive(Clone, Debug, Default, BorshSerialize, BorshDeserialize)]
 pub struct Found {
     pub known: bool,
+    pub holder: Holder,
     pub end: Option<End>,
     /// The body, where it was asked for and is here.
     pub body: Option<Body>,
 }
 
 impl Found {
+    /// Something is known of the message.
+    pub fn is_there(&self) -> bool {
+        self.known || self.end.is_some()
+    }
+
     /// The message is known to be completed: its body isn't kept.
     pub fn is_completed(&self) -> bool {
         self.end.as_ref().is_some_and(|end| end.outcome != Outcome::DeadLetter)
@@ -164,6 +228,14 @@
     pub more: bool,
 }
 
+/// Requests to one counter that wait at one store.
+#[derive(Clone, Debug, Default, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub struct CountRequest {
+    pub wants: Vec<quota::Want>,
+    /// Tokens that no message used.
+    pub returns: Vec<quota::Return>,
+}
+
 /// A call from one member to another. Most are messages, so a box would only be one more allocation for each.
 #[allow(clippy::large_enum_variant)]
 #[derive(Clone, Debug, BorshSerialize, BorshDeserialize)]
@@ -218,6 +290,9 @@
     Owns { id: String },
     /// Store to store: lend me so many permits of your share of a service's rate. Answered with how many are lent.
     Lend { service: String, permits: u64 },
+    /// Store to store that counts for tenants: tokens for messages, and tokens that weren't used. Answered with a
+    /// [`quota::Counted`] for each want, in their order.
+    Count(CountRequest),
     /// Edge to store: do you answer?
     Ping,
     /// Edge to store; answered with [`Found`].
@@ -232,8 +307,8 @@
             Call::Lacking { .. } | Call::Decided { .. } | Call::Ping | Call::Find { .. } => Repeat::Freely,
             Call::Claim { .. } | Call::Claimed { .. } | Call::Leaving { .. } => Repeat::Freely,
             Call::InheritEnded { .. } | Call::Ends { .. } | Call::Owns { .. } => Repeat::Freely,
-            // What was lent for the first one is gone.
-            Call::Lend { .. } => Repeat::Never,
+            // What was lent or counted for the first one is gone.
+            Call::Lend { .. } | Call::Count(_) => Repeat::Never,
             // What the caller says of itself may have changed meanwhile: it asks anew.
             Call::Watch(..) => Repeat::SameIdentity,
             // Known by the epoch, by the message's id, or by the owner with the id.
@@ -258,6 +333,7 @@
             Call::Lacking { .. } | Call::Preserve { .. } => "copies for the absent",
             Call::Decided { .. } | Call::Leave { .. } | Call::Owns { .. } => "questions",
             Call::Lend { .. } => "permits",
+            Call::Count(_) => "quotas",
             Call::Status | Call::Group(_) | Call::Leaving { .. } | Call::Ping => "others",
         }
     }
--- a/crates/node/src/control/census.rs
+++ b/crates/node/src/control/census.rs
@@ -45,6 +45,38 @@
     since: Option<u64>,
     /// When each lost disk was heard last; 0 for those that were when this machine began to lead.
     losses: BTreeMap<u64, u64>,
+    /// Stores that say that they stop.
+    stops: PlannedStops,
+}
+
+/// Since when the view has said of stores that they stop as planned, by the clock of a machine that holds the state,
+/// whether it leads or not. A store that is away since an earlier primary is waited for from then on.
+#[derive(Default)]
+struct PlannedStops {
+    since: BTreeMap<u64, u64>,
+    /// The epoch of the view that was read last.
+    epoch: u64,
+}
+
+impl PlannedStops {
+    /// Reads the view that this machine holds now.
+    fn note(&mut self, view: &StoreView, now: u64) {
+        // To come back and stop again takes a store two changes. It may have, in a view that wasn't read.
+        if view.epoch > self.epoch + 1 {
+            self.since.clear();
+        }
+        self.epoch = view.epoch;
+        let leaving = |disk: u64| view.get(disk).is_some_and(|store| store.leaving && !store.gone);
+        self.since.retain(|disk, _| leaving(*disk));
+        for store in view.active().filter(|store| store.leaving) {
+            self.since.entry(store.disk).or_insert(now);
+        }
+    }
+
+    /// When the store of a disk said that it stops, if it hasn't been heard as running since.
+    fn said_at(&self, disk: u64) -> Option<u64> {
+        self.since.get(&disk).copied()
+    }
 }
 
 impl Census {
@@ -59,11 +91,13 @@
         self.watchers.retain(|_, watcher| now < watcher.at + 60_000);
     }
 
-    /// All watchers with what they have, for an operator's tool.
-    pub fn watchers(&self) -> Vec<serde_json::Value> {
+    /// All watchers with what they have, and when they were heard, for an operator's tool.
+    pub fn watchers(&self, now: u64) -> Vec<serde_json::Value> {
         let show = |w: &Watcher| {
             let role = if w.hello.role == Role::Store { "store" } else { "edge" };
-            serde_json::json!({"name": w.hello.name, "role": role, "version": w.seen.version, "stores": w.seen.stores})
+            serde_json::json!({"name": w.hello.name, "role": role, "version": w.seen.version, "stores": w.seen.stores,
+                "part_version": w.seen.part.version, "part_bytes": w.seen.part.bytes,
+                "heard_ms_ago": now.saturating_sub(w.at)})
         };
         self.watchers.values().map(show).collect()
     }
@@ -80,7 +114,8 @@
     fn silent(&self, disk: u64, now: u64) -> u64 {
         let heard =
             self.stores().filter(|watcher| watcher.hello.disk == disk).map(|watcher| watcher.at).max();
-        now.saturating_sub(heard.or(self.since).unwrap_or(now))
+        let known = heard.max(self.stops.said_at(disk));
+        now.saturating_sub(known.or(self.since).unwrap_or(now))
     }
 
     /// How long a store may be silent: less if an empty one came since.
@@ -164,20 +199,34 @@
         Command::StoreLost { disk: store.disk, silent }
     }
 
-    /// A store that was heard lately and of which the view doesn't have what it says of itself.
-    fn unknown(&self, view: &StoreView, now: u64) -> Option<Store> {
-        let heard = self.stores().filter(|watcher| now < watcher.at + HEARD_LATELY);
-        let mut heard = heard.map(|watcher| watcher.hello.store());
-        heard
-            .find(|store| view.get(store.disk).is_none_or(|known| !known.gone && !known.says_the_same(store)))
+    /// Stores that were heard lately and of which the view doesn't have what they say of themselves. All of them are one
+    /// change: each change goes to every watcher, and hundreds of stores may come at once. Of several disks at one machine the
+    /// one that was heard first goes first, since a later one takes its place.
+    fn unknown(&self, view: &StoreView, now: u64) -> Vec<Store> {
+        let lately = self.stores().filter(|watcher| now < watcher.at + HEARD_LATELY);
+        let mut lately: Vec<&Watcher> = lately.collect();
+        lately.sort_by_key(|watcher| watcher.first);
+        let stores = lately.into_iter().map(|watcher| watcher.hello.store());
+        let is_news = |store: &Store| {
+            view.get(store.disk).is_none_or(|known| !known.gone && !known.says_the_same(store))
+        };
+        stores.filter(is_news).collect()
+    }
+
+    /// This machine doesn't lead. What the view that it holds says of planned stops counts once it does.
+    pub fn follows(&mut self, view: &StoreView, now: u64) {
+        (self.since, self.losses) = (None, BTreeMap::new());
+        self.stops.note(view, now);
     }
 
     /// What should change in the view of the stores, where so much may be lost at once.
     pub fn wanted(&mut self, view: &StoreView, now: u64, tolerance: Tolerance) -> Option<Command> {
+        self.stops.note(view, now);
         self.note_losses(view, now);
         let since = *self.since.get_or_insert(now);
-        if let Some(store) = self.unknown(view, now) {
-            return Some(Command::StoreSeen(store));
+        let unknown = self.unknown(view, now);
+        if !unknown.is_empty() {
+            return Some(Command::StoresSeen(unknown));
         }
         if view.owners.is_empty() {
             let ready = self.first_store.is_some_and(|first| now >= first + FIRST_STORES);
@@ -190,8 +239,11 @@
             return None;
         }
         let alive = view.active().filter(|store| self.silent(store.disk, now) < HEARD_LATELY).count();
-        let lost =
-            view.active().find(|store| self.silent(store.disk, now) >= self.patience(store, view, now));
+        let lost = view.active().find(|store| {
+            let silent = self.silent(store.disk, now);
+            // Who came after it is looked for only where that matters: with hundreds of watchers it takes long.
+            silent >= REPLACED && silent >= self.patience(store, view, now)
+        });
         let lost = lost.filter(|store| alive >= 2 && self.is_dispensable(store, view, now, tolerance));
         lost.map(|store| self.loss_of(store, view, now))
     }
@@ -203,8 +255,8 @@
     loop {
         runtime::sleep(EVERY).await;
         let Some(state) = control.committed_state() else {
-            let mut census = control.census.borrow_mut();
-            (census.since, census.losses) = (None, BTreeMap::new());
+            let group = control.group.borrow();
+            control.census.borrow_mut().follows(&group.durable().state.stores, control.now());
             continue;
         };
         let wanted = control.census.borrow_mut().wanted(&state.stores, control.now(), tolerance);
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -6,25 +6,25 @@
 //! | [`api`] | the operator's API |
 //! | [`listing`] | the primary reads the platform's list of endpoints |
 //! | [`census`] | which stores are there, and whose disks are lost |
+//! | [`news`] | what watchers are told, packed once for all |
 pub mod api;
 pub mod census;
 pub mod disk;
 pub mod listing;
+pub mod news;
 
-use crate::calls::{Call, Endpoint, Hello, News, Role, Seen};
-use crate::packed::pack;
+use crate::calls::{Call, Hello, News, Seen};
 use crate::process::{self, stopped, Process};
 use crate::watch::HOLD;
 use anyhow::Context as _;
-use control::disk::Disk;
-use control::{Command, Group, Leave, Member, Message, Out, Rejected, Reply, Stage, State};
+use control::{Command, Durable, Group, Leave, Member, Message, Out, Rejected, Reply, Stage, State, Storage};
 use monoio::net::TcpListener;
 use net::http::Bounds;
 use net::rpc::{serve, Peers};
 use net::runtime;
 use net::server::{Server, ServerBounds};
 use net::wake::Watched;
-use ringlog::Folder;
+use news::{Bulletin, Newer};
 use std::cell::{Cell, RefCell};
 use std::net::{IpAddr, SocketAddr};
 use std::path::Path;
@@ -44,22 +44,12 @@
 /// How long an order waits for this machine to lead, where no other is known to, in milliseconds.
 const LEAD_SOON: u64 = 700;
 
-/// What the group has committed, as it is told to watchers.
-#[derive(Default)]
-struct Published {
-    state: Rc<State>,
-    list: (u64, u64),
-    endpoints: Vec<Endpoint>,
-}
-
 /// One control process.
 pub struct Control {
     process: Process,
-    group: RefCell<Group<Disk<Folder>>>,
+    group: RefCell<Group<Box<dyn Storage>>>,
     peers: Rc<Peers>,
-    published: RefCell<Published>,
-    /// The configuration that was packed last.
-    packed: RefCell<Packed>,
+    published: RefCell<Bulletin>,
     /// Rises with all that is news to watchers.
     changes: Watched,
     /// A change is on its way; others wait for its end.
@@ -70,14 +60,6 @@
     unmet: RefCell<Option<String>>,
 }
 
-/// A configuration as watchers are sent it.
-#[derive(Default)]
-struct Packed {
-    epoch: u64,
-    version: u64,
-    bytes: Vec<u8>,
-}
-
 /// How a change that was asked for ended.
 #[derive(Debug)]
 pub enum Changed {
@@ -91,49 +73,19 @@
 /// Runs the role.
 pub async fn run(process: Process) -> anyhow::Result<()> {
     let folder = process.settings.data_dir.clone().context("DataDir is missing; give control a disk")?;
-    let (mut durable, disk) = disk::open(Path::new(&folder))?;
-    let fresh = durable.disk == 0;
-    if fresh {
-        durable.disk = runtime::unique();
-    }
+    let (durable, disk) = disk::open(Path::new(&folder))?;
     let settings = &process.settings;
-    let me = Member {
-        disk: durable.disk,
-        name: settings.node_name.clone(),
-        ip: settings.own_ip(),
-        location: settings.location(),
-    };
-    let group = control::Settings {
-        me,
-        founders: settings.seed_ips(),
-        founder: fresh && settings.bootstrap && settings.seed_ips().contains(&settings.own_ip()),
-        tolerance: settings.tolerance(),
-    };
-    let now = process.clock.ms();
     let member_address = SocketAddr::new(settings.own_ip(), settings.control_port());
     let api_address =
         settings.listen.control.clone().context("ListenAddresses.Control is missing; add it")?;
-    let control = Rc::new(Control {
-        group: RefCell::new(Group::new(group, durable, disk, now)),
-        peers: Rc::new(Peers::default()),
-        published: RefCell::default(),
-        packed: RefCell::default(),
-        changes: Watched::default(),
-        changing: Cell::new(false),
-        census: RefCell::default(),
-        stage: Cell::new(Stage::Follows),
-        unmet: RefCell::default(),
-        process,
-    });
+    let control = Control::new(process, durable, Box::new(disk), Peers::default());
     let listener = TcpListener::bind(member_address).context("the members' port is taken; free it")?;
     let answering = control.clone();
     runtime::spawn(serve(
         listener,
         Rc::new(move |from, bytes| Box::pin(answering.clone().answer(from, bytes))),
     ));
-    runtime::spawn(control.clone().pass_time());
-    runtime::spawn(listing::read_list(control.clone()));
-    runtime::spawn(census::keep(control.clone()));
+    control.clone().work();
     control.clone().serve_operator(&api_address)?;
     stopped(&control.process.stopping).await;
     control.leave().await;
@@ -141,6 +93,46 @@
 }
 
 impl Control {
+    /// A machine of the group with what is on its disk.
+    pub fn new(process: Process, mut durable: Durable, disk: Box<dyn Storage>, peers: Peers) -> Rc<Control> {
+        let fresh = durable.disk == 0;
+        if fresh {
+            durable.disk = runtime::unique();
+        }
+        let settings = &process.settings;
+        let me = Member {
+            disk: durable.disk,
+            name: settings.node_name.clone(),
+            ip: settings.own_ip(),
+            location: settings.location(),
+        };
+        let group = control::Settings {
+            me,
+            founders: settings.seed_ips(),
+            founder: fresh && settings.bootstrap && settings.seed_ips().contains(&settings.own_ip()),
+            tolerance: settings.tolerance(),
+        };
+        let now = process.clock.ms();
+        Rc::new(Control {
+            group: RefCell::new(Group::new(group, durable, disk, now)),
+            peers: Rc::new(peers),
+            published: RefCell::default(),
+            changes: Watched::default(),
+            changing: Cell::new(false),
+            census: RefCell::default(),
+            stage: Cell::new(Stage::Follows),
+            unmet: RefCell::default(),
+            process,
+        })
+    }
+
+    /// Does for good what no call asks for.
+    pub fn work(self: Rc<Self>) {
+        runtime::spawn(self.clone().pass_time());
+        runtime::spawn(listing::read_list(self.clone()));
+        runtime::spawn(census::keep(self));
+    }
+
     fn now(&self) -> u64 {
         self.process.clock.ms()
     }
@@ -217,9 +209,7 @@
         if group.leads(self.now()).is_none() || group.committed() < group.last() {
             return;
         }
-        let mut published = self.published.borrow_mut();
-        if published.state.at != group.durable().state.at {
-            published.state = Rc::new(group.durable().state.clone());
+        if self.published.borrow_mut().publish(&group.durable().state) {
             self.changes.raise();
         }
     }
@@ -228,8 +218,8 @@
     fn committed_state(&self) -> Option<Rc<State>> {
         let published = self.published.borrow();
         let group = self.group.borrow();
-        let current = group.leads(self.now()).is_some_and(|view| published.state.at.epoch >= view.epoch);
-        current.then(|| published.state.clone())
+        let current = group.leads(self.now()).is_some_and(|view| published.state().at.epoch >= view.epoch);
+        current.then(|| published.state().clone())
     }
 
     /// Carries out a change, one at a time.
@@ -310,7 +300,8 @@
         }
     }
 
-    async fn answer(self: Rc<Self>, from: IpAddr, bytes: Vec<u8>) -> Vec<u8> {
+    /// Answers a call of another machine.
+    pub async fn answer(self: Rc<Self>, from: IpAddr, bytes: Vec<u8>) -> Vec<u8> {
         let Ok(call) = borsh::from_slice::<Call>(&bytes) else { return Vec::new() };
         match call {
             Call::Group(message) => encode(&self.group_message(from, message)),
@@ -329,7 +320,6 @@
     /// Answers a watcher: at once if there is news, else when there is, or after a while.
     async fn news(self: &Rc<Self>, hello: Hello, seen: Seen) -> News {
         let until = self.now() + HOLD.as_millis() as u64;
-        let store = hello.role == Role::Store;
         self.census.borrow_mut().heard(&hello, seen, self.now());
         loop {
             let Some(state) = self.committed_state() else {
@@ -337,10 +327,10 @@
                 let primary = group.primary().filter(|ip| *ip != self.process.settings.own_ip());
                 return News { primary, group: group.addresses(), ..News::default() };
             };
-            let news = self.newer(&state, seen, store);
+            let newer = self.published.borrow().newer(seen, hello.role);
             let left = until.saturating_sub(self.now());
-            if news.configuration.is_some() || news.stores.is_some() || news.list.is_some() || left == 0 {
-                return news;
+            if !newer.is_empty() || left == 0 {
+                return self.news_of(state.at.epoch, newer);
             }
             let before = self.changes.get();
             // A primary that loses its place says so soon, and watchers go to the next.
@@ -349,28 +339,15 @@
         }
     }
 
-    /// The configuration as watchers are sent it; packed once for all of them.
-    fn packed(&self, state: &State) -> Vec<u8> {
-        let mut packed = self.packed.borrow_mut();
-        if (packed.epoch, packed.version) != (state.at.epoch, state.version) {
-            let bytes = pack(&state.body);
-            *packed = Packed { epoch: state.at.epoch, version: state.version, bytes };
-        }
-        packed.bytes.clone()
-    }
-
-    fn newer(&self, state: &State, seen: Seen, store: bool) -> News {
-        let published = self.published.borrow();
-        let configuration = state.version > seen.version && !state.body.is_empty();
-        let list = store && published.list > seen.list;
+    fn news_of(&self, epoch: u64, newer: Newer) -> News {
         News {
             leads: true,
-            epoch: state.at.epoch,
+            epoch,
             primary: Some(self.process.settings.own_ip()),
             group: self.group.borrow().addresses(),
-            configuration: configuration.then(|| (state.version, self.packed(state))),
-            stores: (state.stores.epoch > seen.stores).then(|| state.stores.clone()),
-            list: list.then(|| (published.list, published.endpoints.clone())),
+            configuration: newer.configuration,
+            stores: newer.stores,
+            list: newer.list,
         }
     }
 
@@ -391,8 +368,8 @@
             "version": state.version,
             "change": state.at.number,
             "stores": stores.collect::<Vec<_>>(),
-            "endpoints": self.published.borrow().endpoints.len(),
-            "watchers": self.census.borrow().watchers(),
+            "endpoints": self.published.borrow().endpoint_count(),
+            "watchers": self.census.borrow().watchers(self.now()),
         });
         status.to_string()
     }
--- a/crates/node/src/store/mod.rs
+++ b/crates/node/src/store/mod.rs
@@ -5,6 +5,7 @@
 //! | [`log`](mod@log) | records to the ring of files, by a thread of their own |
 //! | [`bodies`] | damaged bodies are replaced by those of other stores |
 //! | [`intake`] | messages are taken |
+//! | `operations` | requests with one operation key are one message |
 //! | `following` | what follows from each view of the stores |
 //! | `compaction` | the oldest files of the log are written anew |
 //! | [`copies`] | copies of each message at other stores |
@@ -16,6 +17,8 @@
 //! | [`peers`] | what other members ask |
 //! | [`leaving`] | planned stops, retirement, and the return of a store that was given up |
 //! | [`takeover`] | what a lost store owned; ends of messages |
+//! | [`quota`] | messages are counted against their tenants' quotas |
+//! | [`quota_calls`] | calls to the stores that count, in batches |
 //! | [`rates`] | shares of the rates of services, and what stores lend each other |
 //! | [`endpoints`] | caps, doubts and choice of endpoints |
 //! | [`deliver`] | messages to endpoints |
@@ -33,8 +36,11 @@
 pub mod intake;
 pub mod leaving;
 pub mod log;
+mod operations;
 pub mod peers;
 pub mod preserve;
+pub mod quota;
+pub mod quota_calls;
 pub mod races;
 pub mod rates;
 pub mod takeover;
@@ -62,6 +68,9 @@
 const CARE: Duration = Duration::from_millis(200);
 /// How long recovered messages wait to hear whether others took them, in milliseconds.
 const RECOVERED_WAIT: u64 = 1_200;
+/// So many messages at most can have been given their order, and sent to other stores, by an earlier process whose disk
+/// has no record of them.
+const ORDERS_NOT_SYNCED: u64 = 1 << 16;
 /// What is left of the grace when the process ends at the latest.
 const RESERVE_S: f64 = 0.9;
 
@@ -86,6 +95,8 @@
     sessions: RefCell<BTreeMap<u64, u64>>,
     pub endpoints: RefCell<endpoints::Endpoints>,
     pub buckets: RefCell<BTreeMap<String, rates::Bucket>>,
+    /// Counts messages against tenants' quotas.
+    pub counting: quota::Counting,
     pub client: Client,
     pub callbacks: callbacks::Callbacks,
     /// Wakes the delivery sender.
@@ -96,6 +107,8 @@
     pub running: Cell<usize>,
     /// Messages that are being taken.
     pub taking: Cell<usize>,
+    /// Operations whose requests are being decided.
+    pub reservations: operations::Reservations,
     /// Bytes of messages that are owned and not ended, about.
     pub turn: Cell<usize>,
     pub needs_repair: Cell<bool>,
@@ -180,7 +193,8 @@
         log: Rc<log::Log>,
         surroundings: Surroundings,
     ) -> anyhow::Result<Rc<Store>> {
-        if queue.disk() == 0 {
+        let is_new = queue.disk() == 0;
+        if is_new {
             let disk = runtime::unique();
             anyhow::ensure!(
                 log.write(&[Entry::Disk(disk)]).await,
@@ -190,21 +204,24 @@
         }
         // Whose messages the others are is known by it: it is read first.
         log.begin_files_with(&Entry::Disk(queue.disk()));
+        let superseded = queue.settle_operations();
         let raced = queue.recovered();
         let live = queue.all_owned().filter(|owned| owned.is_live());
         let recovered = live.map(|owned| owned.id().to_string()).collect();
         let started = process.clock.ms();
         let left = queue.take_left().into_iter().map(|id| (id, started)).collect();
+        let taken_over = queue.taken_over().clone();
         let settings = process.settings.clone();
         let store = Rc::new(Store {
             clock: process.clock,
             started,
             disk: queue.disk(),
+            counting: quota::Counting::new(queue.disk(), !is_new),
             port: settings.store_port(),
             known: Known::new(settings.seed_ips()),
             peers: Rc::new(surroundings.peers),
             log,
-            last_order: Cell::new(queue.highest_order()),
+            last_order: Cell::new(queue.highest_order() + ORDERS_NOT_SYNCED),
             queue: RefCell::new(queue),
             recovered: RefCell::new(recovered),
             raced: RefCell::new(raced),
@@ -218,12 +235,13 @@
             cared: Notify::default(),
             running: Cell::new(0),
             taking: Cell::new(0),
+            reservations: operations::Reservations::default(),
             turn: Cell::new(0),
             needs_repair: Cell::new(true),
             location: settings.location(),
             tolerance: settings.tolerance(),
             inheriting: RefCell::default(),
-            inherited: RefCell::default(),
+            inherited: RefCell::new(taken_over),
             repairing: RefCell::default(),
             copying_ended: Cell::new(false),
             absences: RefCell::default(),
@@ -240,6 +258,7 @@
             closing: Cell::new(false),
             settings,
         });
+        store.record_superseded(superseded);
         let queue::Counts { waiting, ended, replicas, .. } = store.queue.borrow().counts();
         ::log::info!(
             "disk {:016x}: {waiting} messages waiting, {ended} ended, {replicas} copies",
@@ -259,6 +278,7 @@
             self.settings.seed_ips(),
         ));
         runtime::spawn(self.clone().follow_stores());
+        runtime::spawn(self.clone().follow_counters());
         runtime::spawn(self.clone().care());
         runtime::spawn(self.clone().log_traffic());
         runtime::spawn(deliver::deliver(self.clone()));
--- a/crates/node/src/store/peers.rs
+++ b/crates/node/src/store/peers.rs
@@ -1,10 +1,10 @@
 //! What other members ask of a store. Every answer is bounded: lists and messages go out piece by piece.
 use super::{encode, Store};
-use crate::calls::{Call, EndedPiece, Found, HeldFor, Piece};
+use crate::calls::{Call, EndedPiece, Found, HeldFor, Holder, Piece};
 use crate::process;
 use crate::traffic;
 use queue::custody;
-use queue::{End, Entry, Given, GivenEnded};
+use queue::{End, Entry, Given, GivenEnded, Queue};
 use std::net::IpAddr;
 use std::rc::Rc;
 
@@ -29,6 +29,18 @@
     (piece, false)
 }
 
+/// Whose message it is, where its envelope is here.
+fn holder(queue: &Queue, id: &str) -> Holder {
+    let owned = queue.owned(id).map(|owned| owned.envelope().clone());
+    let live = || queue.message(id).map(|message| message.envelope.clone());
+    let ended = || queue.ended_replica(id).map(|(_, given)| given.ended.envelope().clone());
+    match owned.or_else(live).or_else(ended).map(|envelope| envelope.tenant.clone()) {
+        Some(Some(tenant)) => Holder::Tenant(tenant),
+        Some(None) => Holder::Nobody,
+        None => Holder::Untold,
+    }
+}
+
 /// Messages that have not ended, as many as fit one answer.
 pub fn live_piece(messages: impl Iterator<Item = Given>) -> Piece {
     let (given, more) = piece(messages, |given| given.message.body.len());
@@ -66,6 +78,7 @@
             Call::Leave { id, to } => encode(&self.leave_one(&id, to)),
             Call::Owns { id } => encode(&self.queue.borrow().owned(&id).is_some()),
             Call::Lend { service, permits } => encode(&self.lend(&service, permits)),
+            Call::Count(request) => encode(&self.count_for(request)),
             Call::Ping => encode(&true),
             Call::Find { id, body } => encode(&self.find(&id, body)),
             Call::Status => encode(&self.status()),
@@ -196,7 +209,8 @@
         let queue = self.queue.borrow();
         let message = queue.message(id);
         let body = message.filter(|_| body).and_then(|message| self.sound_body(message));
-        Found { known: queue.owned(id).is_some() || message.is_some(), end: queue.end_of(id), body }
+        let known = queue.owned(id).is_some() || message.is_some();
+        Found { known, holder: holder(&queue, id), end: queue.end_of(id), body }
     }
 
     /// Those of some messages' ends that are known here.
@@ -214,9 +228,11 @@
             "waiting": waiting, "running": running, "ended": ended, "copies": replicas,
             "oldest_ms": oldest, "backlog": self.backlog(), "free_ring": self.log.free_share(),
             "taking_over": self.inheriting.borrow().len(),
+            "operations": self.reservations.counts().as_json(),
             "zone": self.location.zone, "region": self.location.region,
             "tolerance_unmet": self.unmet_tolerance(), "traffic": traffic::as_json(&self.traffic()),
             "endpoints": self.endpoints.borrow().show(),
+            "tenants_near_limits": self.tenants_near_limits(),
         });
         status.to_string()
     }
--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -2,8 +2,8 @@
 //!
 //! Each watcher asks with what it has, and is answered when there is something newer, or after a while. It asks the
 //! primary of the group; another member says who that is.
-use crate::calls::{Call, Endpoint, Hello, News, Seen};
-use crate::packed::unpack;
+use crate::calls::{Call, Endpoint, EndpointList, Hello, News, Seen};
+use crate::packed::{Download, Version};
 use control::{Store, StoreView};
 use net::rpc::Peers;
 use net::runtime;
@@ -13,7 +13,7 @@
 use std::collections::{BTreeSet, VecDeque};
 use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// The longest that a question waits for news.
 pub const HOLD: Duration = Duration::from_millis(1_000);
@@ -21,13 +21,23 @@
 const PATIENCE: Duration = Duration::from_millis(1_500);
 /// Between two members that are asked who leads.
 const PAUSE: Duration = Duration::from_millis(100);
+/// After a configuration that can't be read here, before it is asked for again.
+const UNREADABLE: Duration = Duration::from_millis(500);
 
 /// What is known by now; versions of it never fall.
 pub struct Known {
     pub configuration: RefCell<Rc<Configuration>>,
+    /// The bytes of the configuration in force, of which the next ones are told as differences.
+    body: RefCell<Vec<u8>>,
+    /// The next configuration, as far as it has come.
+    download: RefCell<Download>,
+    /// What came last can't be read here.
+    unreadable: Cell<bool>,
     pub stores: RefCell<Rc<StoreView>>,
     pub endpoints: RefCell<Rc<Vec<Endpoint>>>,
     seen: Cell<Seen>,
+    /// When the last question was sent that the primary answered.
+    current_at: Cell<Option<Instant>>,
     /// Rises with each change.
     pub changes: Watched,
     /// Addresses of the control group.
@@ -38,9 +48,13 @@
     pub fn new(seeds: Vec<IpAddr>) -> Rc<Known> {
         Rc::new(Known {
             configuration: RefCell::default(),
+            body: RefCell::default(),
+            download: RefCell::default(),
+            unreadable: Cell::new(false),
             stores: RefCell::default(),
             endpoints: RefCell::default(),
             seen: Cell::default(),
+            current_at: Cell::new(None),
             changes: Watched::default(),
             group: RefCell::new(seeds),
         })
@@ -81,6 +95,24 @@
         self.group.borrow().clone()
     }
 
+    /// How old what is known may be; none before the first news. An answer says what holds when the question arrives or
+    /// later, however long it lay in a socket while this process stood still: so the time of the question counts.
+    pub fn news_age(&self) -> Option<Duration> {
+        self.current_at.get().map(runtime::elapsed)
+    }
+
+    /// A newer configuration than the one in force here is known to be there.
+    fn is_behind(&self) -> bool {
+        let seen = self.seen.get();
+        seen.part.version > seen.version || self.unreadable.get()
+    }
+
+    /// The primary has answered a question that was sent at this time.
+    fn current_as_of(&self, asked_at: Instant) {
+        let latest = self.current_at.get().map_or(asked_at, |before| before.max(asked_at));
+        self.current_at.set(Some(latest));
+    }
+
     /// Takes news; false if they come from the primary of an epoch that is over, of which nothing is taken.
     pub fn take(&self, news: News) -> bool {
         let mut seen = self.seen.get();
@@ -89,29 +121,70 @@
         }
         let before = seen;
         seen.epoch = news.epoch;
-        if let Some((version, body)) = news.configuration.filter(|(version, _)| *version > seen.version) {
-            match unpack(&body).and_then(|body| Ok(Configuration::parse(&body)?)) {
-                Ok(configuration) => *self.configuration.borrow_mut() = Rc::new(configuration),
-                Err(error) => log::error!("version {version} cannot be read here: {error:#}"),
-            }
-            seen.version = version;
-            log::info!("version {version} is in force");
+        if let Some((version, piece)) = news.configuration.filter(|(version, _)| *version > seen.version) {
+            self.take_piece(version, &piece, &mut seen);
         }
         if let Some(stores) = news.stores.filter(|stores| stores.epoch > seen.stores) {
             seen.stores = stores.epoch;
             *self.stores.borrow_mut() = Rc::new(stores);
         }
-        if let Some((number, endpoints)) = news.list.filter(|(number, _)| *number > seen.list) {
-            seen.list = number;
-            *self.endpoints.borrow_mut() = Rc::new(endpoints);
+        if let Some(list) = news.list.filter(|list| list.number > seen.list) {
+            self.take_list(&list, &mut seen);
         }
         self.seen.set(seen);
-        if (Seen { epoch: before.epoch, ..seen }) != before {
+        if (Seen { epoch: before.epoch, base: before.base, part: before.part, ..seen }) != before {
             self.changes.raise();
         }
         true
     }
 
+    /// Takes the list of endpoints, if it can be read here.
+    fn take_list(&self, list: &EndpointList, seen: &mut Seen) {
+        match list.unpack() {
+            Ok(endpoints) => {
+                seen.list = list.number;
+                *self.endpoints.borrow_mut() = Rc::new(endpoints);
+            }
+            Err(error) => {
+                log::error!("the list of endpoints {:?} cannot be read here: {error:?}", list.number);
+                self.unreadable.set(true);
+            }
+        }
+    }
+
+    /// Takes a piece of a configuration; the last one puts it in force. One that can't be read here doesn't count as seen.
+    fn take_piece(&self, version: u64, piece: &[u8], seen: &mut Seen) {
+        let added = {
+            let body = self.body.borrow();
+            let base = Version { number: seen.base, body: &body };
+            self.download.borrow_mut().add(version, piece, base)
+        };
+        let read = added.and_then(|body| match body {
+            Some(body) => Ok(Some((Configuration::parse(&body)?, body))),
+            None => Ok(None),
+        });
+        match read {
+            Ok(Some((configuration, body))) => {
+                *self.configuration.borrow_mut() = Rc::new(configuration);
+                *self.body.borrow_mut() = body;
+                (seen.version, seen.base) = (version, version);
+                log::info!("version {version} is in force");
+            }
+            Ok(None) => {}
+            Err(error) => {
+                log::error!(
+                    "version {version} cannot be read here, {} stays in force: {error:#}",
+                    seen.version
+                );
+                *self.download.borrow_mut() = Download::default();
+                // The next time it comes whole.
+                seen.base = 0;
+                self.unreadable.set(true);
+            }
+        }
+        seen.part = self.download.borrow().progress();
+    }
+
     fn take_group(&self, news: &News) {
         if !news.group.is_empty() {
             *self.group.borrow_mut() = news.group.clone();
@@ -134,22 +207,30 @@
     port: u16,
     seeds: Vec<IpAddr>,
 ) {
-    let watcher = Watcher { known, peers, hello, port, seeds, turn: Cell::new(0) };
+    let (turn, heard) = (Cell::new(0), Cell::new(runtime::now()));
+    let watcher = Watcher { known, peers, hello, port, seeds, turn, heard };
     loop {
         let primary = watcher.find().await;
         watcher.follow(primary).await;
     }
 }
 
+/// What one member answered; nothing if it was silent.
+struct MemberAnswer {
+    from: IpAddr,
+    asked_at: Instant,
+    news: Option<News>,
+}
+
 /// The answers of members that were asked for the primary.
 #[derive(Default)]
 struct Answers {
-    come: RefCell<VecDeque<(IpAddr, Option<News>)>>,
+    come: RefCell<VecDeque<MemberAnswer>>,
     changed: Watched,
 }
 
 impl Answers {
-    fn next(&self) -> Option<(IpAddr, Option<News>)> {
+    fn next(&self) -> Option<MemberAnswer> {
         self.come.borrow_mut().pop_front()
     }
 }
@@ -170,6 +251,8 @@
     port: u16,
     seeds: Vec<IpAddr>,
     turn: Cell<usize>,
+    /// When a primary was heard last.
+    heard: Cell<Instant>,
 }
 
 impl<H: Fn() -> Hello> Watcher<H> {
@@ -178,10 +261,14 @@
         loop {
             let call = Call::Watch((self.hello)(), self.known.seen());
             let to = SocketAddr::new(primary, self.port);
-            let news = self.peers.call::<Call, News>(to, &call, PATIENCE).await;
-            if !matches!(self.hear(primary, news.ok()), Heard::Leads(_)) {
+            let asked_at = runtime::now();
+            let news = self.peers.call::<Call, News>(to, &call, PATIENCE).await.ok();
+            if !matches!(self.hear(MemberAnswer { from: primary, asked_at, news }), Heard::Leads(_)) {
                 return;
             }
+            if self.known.unreadable.take() {
+                runtime::sleep(UNREADABLE).await;
+            }
         }
     }
 
@@ -212,9 +299,9 @@
         loop {
             let seen = answers.changed.get();
             // One by one: what isn't looked at now is there for the next look.
-            while let Some((from, news)) = answers.next() {
-                waiting.remove(&from);
-                match self.hear(from, news) {
+            while let Some(answer) = answers.next() {
+                waiting.remove(&answer.from);
+                match self.hear(answer) {
                     Heard::Elsewhere(primary) if waiting.contains(&primary) => {}
                     Heard::Nothing => {}
                     heard => return heard,
@@ -230,15 +317,17 @@
     fn ask(&self, to: IpAddr, answers: Rc<Answers>) {
         let call = Call::Watch((self.hello)(), self.known.seen());
         let (peers, address) = (self.peers.clone(), SocketAddr::new(to, self.port));
+        let asked_at = runtime::now();
         runtime::spawn(async move {
-            let news = peers.call::<Call, News>(address, &call, PATIENCE).await;
-            answers.come.borrow_mut().push_back((to, news.ok()));
+            let news = peers.call::<Call, News>(address, &call, PATIENCE).await.ok();
+            answers.come.borrow_mut().push_back(MemberAnswer { from: to, asked_at, news });
             answers.changed.raise();
         });
     }
 
     /// Takes what a member answers, and what it says of the primary. One that led in an epoch that is over knows nothing.
-    fn hear(&self, from: IpAddr, news: Option<News>) -> Heard {
+    fn hear(&self, answer: MemberAnswer) -> Heard {
+        let MemberAnswer { from, asked_at, news } = answer;
         let Some(news) = news else { return Heard::Nothing };
         if !news.leads {
             self.known.take_group(&news);
@@ -249,7 +338,17 @@
             return Heard::Nothing;
         }
         self.known.take_group(&news);
-        self.known.take(news);
+        let before = self.known.version();
+        if self.known.take(news) && !self.known.is_behind() {
+            self.known.current_as_of(asked_at);
+        }
+        let silent_ms = runtime::elapsed(self.heard.replace(runtime::now())).as_millis();
+        let (version, epoch) = (self.known.version(), self.known.seen().epoch);
+        if version > before {
+            log::info!(
+                "version {version} came from {from} in epoch {epoch}, {silent_ms} ms after its last word"
+            );
+        }
         Heard::Leads(from)
     }
 
--- a/crates/node/tests/model/mod.rs
+++ b/crates/node/tests/model/mod.rs
@@ -1,33 +1,40 @@
 //! The program's own stores and edges in simulated time: their calls travel through a network that delays, stalls, cuts
 //! and breaks, their disks outlast their processes or don't. Clients hand in messages through the edges, endpoints run
 //! them, and both remember.
+// Each test file uses a part of it.
+#![allow(dead_code, unused_imports)]
 mod control;
 mod endpoints;
+mod hot;
 mod machine;
 mod mistakes;
+mod operations;
 mod quota;
+mod tenants;
 mod troubles;
 
-pub use endpoints::{Counts, Doom};
+pub use endpoints::{Counts, Doom, Sent, PUBLIC_ROUTE};
+pub use hot::Tenant as HotTenant;
 pub use mistakes::{Brings, DamagesBodies, Mistake};
+pub use tenants::{Credential, Tenants, REVOKE};
 pub use troubles::Regime;
 
 use control::Control;
-use endpoints::{Asked, Endpoints, Expected, Sent};
+use endpoints::{Asked, Endpoints, Expected};
 use machine::Machine;
 use quota::Quota;
 
-use net::http::Request;
+use net::http::{Answer, Request};
 use net::rpc::Peers;
 use node::edge::Edge;
 use node::process::{Clock, Process};
 use rand::{RngExt as _, SeedableRng as _};
 use rand_pcg::Pcg64Mcg;
-use settings::{ProcessSettings, Tolerance};
+use settings::{ProcessSettings, Tenant, Tolerance};
 use simulation::clock::WORLD;
 use simulation::network::{Network, Tamper};
 use simulation::{ProcessId, Simulation};
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::rc::Rc;
@@ -48,6 +55,8 @@
 /// A repeat counts as one in calm if there was no trouble for so long.
 pub const CONTACT: Ms = 4_000;
 const EDGES: u8 = 2;
+/// The longest that an edge works on an answer.
+const LONGEST_ANSWER: Ms = 4_000;
 /// A client's whole time for one message.
 const DEADLINE_MS: &str = "1200";
 /// Messages a step, on average.
@@ -61,6 +70,9 @@
 const EMPTY_BODY_SHARE: f64 = 0.05;
 /// Every body that isn't empty begins with it.
 pub const BODY_WORD: &[u8] = b"the words of ";
+/// Messages a step with a key that opens nothing, on average, and the share of them with none at all.
+const USELESS_KEYS: f64 = 0.02;
+const MISSING_SHARE: f64 = 0.3;
 /// The share of messages that can never be done.
 const DOOMED_SHARE: f64 = 0.1;
 /// The share of messages that are due after the run.
@@ -75,6 +87,10 @@
     IpAddr::V4(Ipv4Addr::new(10, 0, 1, 1))
 }
 
+fn ip_of_edge(number: u8) -> IpAddr {
+    IpAddr::V4(Ipv4Addr::new(10, 0, 2, number + 1))
+}
+
 /// Where the machines stand, and what may be lost at once.
 #[derive(Clone, Copy, Debug)]
 pub struct Deployment {
@@ -82,6 +98,8 @@
     pub tolerance: usize,
     /// Machines stand in so many regions by turns, and one of these may be lost; in one zone, if there are none.
     pub regions: u8,
+    /// Edges without news for long let in nothing that needs a key.
+    pub closed: bool,
 }
 
 impl Deployment {
@@ -108,9 +126,10 @@
         let text = format!(
             "NodeName: {name}\nIp: {ip}\n{place}PortRange: [{PORT}, {}]\nSeeds: [\"{seed}\"]\nListenAddresses: {{}}\n\
              Bootstrap: true\nLimits: {{ MemoryMb: 256, MaxFds: 1024, DiskMb: 64 }}\n\
-             FaultTolerance: {{ Machines: {}{lost} }}\n",
+             FaultTolerance: {{ Machines: {}{lost} }}\nBounds: {{ Closed: {}, RevokeMs: {REVOKE} }}\n",
             PORT + 2,
-            self.tolerance
+            self.tolerance,
+            self.closed
         );
         ProcessSettings::parse(&text).unwrap()
     }
@@ -126,6 +145,9 @@
     pub retired: usize,
     pub given_up: usize,
     pub handed_back: usize,
+    /// Operations of clients, and requests that were told the id of an earlier one.
+    pub operations: usize,
+    pub operation_repeats: usize,
     pub broken: Option<String>,
 }
 
@@ -134,6 +156,10 @@
     simulation: Simulation,
     network: Network,
     control: Rc<Control>,
+    tenants: Rc<Tenants>,
+    /// Between two rotations of keys, if there are any.
+    rotates_every: Option<Ms>,
+    next_rotation: Ms,
     endpoints: Rc<Endpoints>,
     edges: Vec<(ProcessId, Rc<Edge>)>,
     machines: Vec<Machine>,
@@ -143,6 +169,8 @@
     mistake: Mistake,
     regime: Regime,
     messages: usize,
+    /// Messages that were sent with a key that nobody holds, or none.
+    useless: usize,
     cut_until: Ms,
     rough_until: Ms,
     /// Until when a machine counts as lost.
@@ -154,6 +182,8 @@
     next_roll: Ms,
     /// Shares of cores are quotas.
     quota: Option<Quota>,
+    /// Clients send operation keys, drawn from this lot, if it is there.
+    operations: Option<Pcg64Mcg>,
     seen: Seen,
 }
 
@@ -166,7 +196,7 @@
 impl World {
     /// All machines stand in one zone.
     pub fn new(seed: u64, count: usize, tolerance: usize, mistake: Mistake, regime: Regime) -> World {
-        World::of(seed, count, Deployment { tolerance, regions: 0 }, mistake, regime)
+        World::of(seed, count, Deployment { tolerance, regions: 0, closed: false }, mistake, regime)
     }
 
     pub fn of(seed: u64, count: usize, deployment: Deployment, mistake: Mistake, regime: Regime) -> World {
@@ -176,7 +206,8 @@
         if mistake != Mistake::None {
             network.set_tamper(Rc::new(mistake));
         }
-        let control = Control::new(&simulation, deployment.declared());
+        let tenants = Rc::new(Tenants::new(&simulation, seed ^ 0x7465_6e61));
+        let control = Control::new(&simulation, &tenants, deployment.declared());
         control.retires_at_once.set(mistake == Mistake::RetiresBeforeTheCopy);
         let answering = control.clone();
         let handler = move |_, bytes| -> std::pin::Pin<Box<dyn std::future::Future<Output = Vec<u8>>>> {
@@ -184,9 +215,12 @@
         };
         network.listen(SocketAddr::new(ip_of_control(), PORT), WORLD, Rc::new(handler));
         simulation.spawn_in(WORLD, control.clone().keep());
-        let endpoints = Endpoints::new(&simulation, seed ^ 0x656e_6473);
+        let endpoints = Endpoints::new(&simulation, tenants.clone(), seed ^ 0x656e_6473);
         let mut world = World {
             control,
+            tenants,
+            rotates_every: None,
+            next_rotation: FOUNDED,
             endpoints,
             edges: Vec::new(),
             machines: Vec::new(),
@@ -196,6 +230,7 @@
             mistake,
             regime,
             messages: 0,
+            useless: 0,
             cut_until: 0,
             rough_until: 0,
             lost_until: BTreeMap::new(),
@@ -203,6 +238,7 @@
             roll: Vec::new(),
             next_roll: 0,
             quota: None,
+            operations: None,
             seen: Seen::default(),
             simulation,
             network,
@@ -213,7 +249,7 @@
         world
     }
 
-    fn now(&self) -> Ms {
+    pub fn now(&self) -> Ms {
         self.simulation.ms()
     }
 
@@ -228,11 +264,11 @@
         let (simulation, network, endpoints) = (&self.simulation, &self.network, &self.endpoints);
         let machine = &mut self.machines[i];
         let settings = self.deployment.settings(&machine.name, machine.ip, i);
-        machine.start(simulation, network, endpoints, settings, seed, self.mistake.forgets());
+        machine.start(simulation, network, endpoints, settings, seed, self.mistake.remembers());
     }
 
     fn add_edge(&mut self, number: u8) {
-        let ip = IpAddr::V4(Ipv4Addr::new(10, 0, 2, number + 1));
+        let ip = ip_of_edge(number);
         let id = self.simulation.new_process(&format!("e{number}"));
         let process = Process {
             settings: self.deployment.settings(&format!("e{number}"), ip, usize::from(number)),
@@ -249,7 +285,9 @@
     pub fn play(mut self, troubles_for: Ms) -> Seen {
         while self.now() < troubles_for && !self.is_broken() {
             self.trouble();
+            self.rotate_keys();
             self.hand_in();
+            self.hand_in_with_useless_key();
             self.ask_meanwhile();
             self.step();
         }
@@ -262,6 +300,7 @@
             self.endpoints.check_end();
             self.check_answers();
         }
+        (self.seen.operation_repeats, self.seen.operations) = self.repeats_and_operations();
         self.seen.counts = self.endpoints.counts();
         self.seen.given_up = self.control.state.borrow().stores.stores.iter().filter(|s| s.gone).count();
         self.seen.broken = self.endpoints.broken.borrow().clone();
@@ -413,6 +452,80 @@
         broken
     }
 
+    /// The tenants in force, and what was in force before.
+    pub fn tenants(&self) -> Rc<Tenants> {
+        self.tenants.clone()
+    }
+
+    /// The operator's next configuration has no list of tenants.
+    pub fn configure_without_tenants(&self) {
+        self.tenants.enforce(Vec::new());
+        self.control.configure(None);
+    }
+
+    /// Clients ask an edge, which answers at once or after a while.
+    pub fn ask(&mut self, edge: usize, request: Request) -> Answer {
+        let (process, edge) = self.edges[edge].clone();
+        let answered = Rc::new(RefCell::new(None));
+        let told = answered.clone();
+        self.simulation.spawn_in(process, async move {
+            *told.borrow_mut() = Some(edge.answer(request).await);
+        });
+        let until = self.now() + LONGEST_ANSWER;
+        while answered.borrow().is_none() && self.now() < until {
+            self.step();
+        }
+        let answer = answered.borrow_mut().take();
+        answer.expect("an edge answers in time")
+    }
+
+    /// A client asks an edge for the state of a message, with a key or without.
+    pub fn ask_state(&mut self, edge: usize, id: &str, key: Option<&str>) -> Answer {
+        self.ask(edge, get(&format!("/v1/message/{id}"), key))
+    }
+
+    /// A client asks an edge for the body of a message, with a key or without.
+    pub fn ask_body(&mut self, edge: usize, id: &str, key: Option<&str>) -> Answer {
+        self.ask(edge, get(&format!("/v1/message-body/{id}"), key))
+    }
+
+    /// An edge hears nothing of control, and control nothing of it, until the network heals.
+    pub fn cut_off_from_control(&self, edge: usize) {
+        let (ip, control) = (ip_of_edge(edge as u8), ip_of_control());
+        self.network.cut(ip, control);
+        self.network.cut(control, ip);
+    }
+
+    /// All that was cut is joined again.
+    pub fn heal(&self) {
+        self.network.heal();
+    }
+
+    /// An edge stands still until it is thawed; what is sent to it waits.
+    pub fn freeze_edge(&self, edge: usize) {
+        self.simulation.freeze(self.edges[edge].0);
+    }
+
+    /// An edge goes on.
+    pub fn thaw_edge(&self, edge: usize) {
+        self.simulation.thaw(self.edges[edge].0);
+    }
+
+    /// Whether an edge calls itself ready.
+    pub fn is_ready(&self, edge: usize) -> bool {
+        let (process, edge) = self.edges[edge].clone();
+        let ready = Rc::new(Cell::new(false));
+        let told = ready.clone();
+        self.simulation.spawn_in(process, async move { told.set(edge.is_ready()) });
+        self.simulation.run_for(Duration::from_millis(1));
+        ready.get()
+    }
+
+    /// The status that answered a message's client, if it has an answer.
+    pub fn told(&self, id: &str) -> Option<u16> {
+        self.endpoints.told_of(id)
+    }
+
     /// Each begin of a message: when, and by which store.
     pub fn begins(&self, id: &str) -> Vec<(Ms, String)> {
         self.endpoints.begins(id)
@@ -463,7 +576,43 @@
         };
         let wants_callback = key.is_none() && self.lot.random_bool(0.5);
         let body = Vec::new();
-        self.hand_over(&id, Sent { key, wants_callback, body, doom, due: self.now() + delay });
+        let due = self.now() + delay;
+        let message = Sent { key, wants_callback, body, doom, due, ..Sent::default() };
+        if !self.hand_over_as_operation(&id, &message) {
+            self.hand_over(&id, message);
+        }
+    }
+
+    /// Now and then a client sends a message with no key, or with one that nobody holds.
+    fn hand_in_with_useless_key(&mut self) {
+        if self.now() < FOUNDED || !self.tenants.happens(USELESS_KEYS) {
+            return;
+        }
+        let id = format!("u{}", self.useless);
+        self.useless += 1;
+        let credential = match self.tenants.happens(MISSING_SHARE) {
+            true => Credential::Missing,
+            false => Credential::Key(self.tenants.useless_key()),
+        };
+        let (edge, body) = (self.useless % self.edges.len(), id.clone().into_bytes());
+        self.hand_to(edge, &id, Sent { credential, body, ..Sent::default() });
+    }
+
+    /// From now on keys of tenants are taken away and added, one each.
+    pub fn rotate_keys_every(&mut self, span: Ms) {
+        self.rotates_every = Some(span);
+    }
+
+    fn rotate_keys(&mut self) {
+        let Some(span) = self.rotates_every.filter(|_| self.now() >= self.next_rotation) else { return };
+        self.next_rotation = self.now() + span;
+        self.configure(self.tenants.rotated());
+    }
+
+    /// The operator's next configuration has these tenants.
+    pub fn configure(&self, listed: Vec<Tenant>) {
+        self.tenants.enforce(listed);
+        self.control.configure(Some(self.tenants.as_json()));
     }
 
     /// A body that no other message has, unless it is empty.
@@ -479,13 +628,20 @@
 
     fn hand_over(&mut self, id: &str, mut message: Sent) {
         message.body = self.draw_body(id);
-        let (process, edge) = self.edges[self.lot.random_range(0..self.edges.len())].clone();
+        let edge = self.lot.random_range(0..self.edges.len());
+        self.hand_to(edge, id, message);
+    }
+
+    /// A client sends a message, as it is, through an edge.
+    pub fn hand_to(&mut self, edge: usize, id: &str, mut message: Sent) {
+        message.api_key = self.tenants.resolve(&message.credential);
+        let (process, edge) = self.edges[edge].clone();
         let request = request(id, &message, message.due.saturating_sub(self.now()));
         self.endpoints.sent(id, message);
         let (id, endpoints) = (id.to_string(), self.endpoints.clone());
         self.simulation.spawn_in(process, async move {
             let answer = edge.answer(request).await;
-            endpoints.told(&id, answer.status);
+            endpoints.told(&id, answer.status, &queue_id(&answer));
         });
     }
 
@@ -498,17 +654,23 @@
         let (process, edge) = self.edges[self.lot.random_range(0..self.edges.len())].clone();
         let (endpoints, wants_body) = (self.endpoints.clone(), self.lot.random_bool(0.5));
         let asked_at = self.now();
+        let key = self.key_to_ask_with(self.endpoints.api_key_of(&id).as_deref());
         self.simulation.spawn_in(process, async move {
             if wants_body {
-                let answer = edge.answer(get(&format!("/v1/message-body/{id}"))).await;
+                let answer = edge.answer(get(&format!("/v1/message-body/{id}"), key.as_deref())).await;
                 endpoints.body_shown(&id, asked_at, answer.status, &answer.body);
             } else {
-                let answer = edge.answer(get(&format!("/v1/message/{id}"))).await;
+                let answer = edge.answer(get(&format!("/v1/message/{id}"), key.as_deref())).await;
                 endpoints.state_shown(&id, asked_at, answer.status, &String::from_utf8_lossy(&answer.body));
             }
         });
     }
 
+    /// A key that the tenant holds now that once sent this one.
+    fn key_to_ask_with(&self, sent: Option<&str>) -> Option<String> {
+        sent.and_then(|key| self.tenants.holder(key)).and_then(|name| self.tenants.key_of(&name))
+    }
+
     /// In calm the state of every message is told as it is, and the body of each that is live or dead comes back.
     pub fn check_answers(&mut self) {
         let taken = self.endpoints.taken();
@@ -516,8 +678,9 @@
             let (process, edge) = self.edges[turn % self.edges.len()].clone();
             for asked in asked.iter().cloned() {
                 let (edge, endpoints) = (edge.clone(), self.endpoints.clone());
+                let key = self.key_to_ask_with(asked.api_key.as_deref());
                 self.simulation
-                    .spawn_in(process, async move { check_answers_about(edge, endpoints, asked).await });
+                    .spawn_in(process, async move { check_answers_about(edge, endpoints, asked, key).await });
             }
             self.advance(400);
         }
@@ -526,9 +689,10 @@
 }
 
 /// Asks for the state and the body of a message, and compares both with what has to come.
-async fn check_answers_about(edge: Rc<Edge>, endpoints: Rc<Endpoints>, asked: Asked) {
-    let Asked { id, body, expected } = asked;
-    let state = edge.clone().answer(get(&format!("/v1/message/{id}"))).await;
+async fn check_answers_about(edge: Rc<Edge>, endpoints: Rc<Endpoints>, asked: Asked, key: Option<String>) {
+    let Asked { id, body, expected, .. } = asked;
+    let key = key.as_deref();
+    let state = edge.clone().answer(get(&format!("/v1/message/{id}"), key)).await;
     let told = String::from_utf8_lossy(&state.body).into_owned();
     let right = match expected {
         Expected::Queued => told.contains("queued"),
@@ -538,7 +702,7 @@
     if !right {
         endpoints.broke(format!("STATE: {id} is {expected:?}, told {} {told}", state.status));
     }
-    let shown = edge.answer(get(&format!("/v1/message-body/{id}"))).await;
+    let shown = edge.answer(get(&format!("/v1/message-body/{id}"), key)).await;
     endpoints.body_shown(&id, Ms::MAX, shown.status, &shown.body);
     let owed = expected != Expected::Completed;
     if owed && (shown.status != 200 || shown.body != body) {
@@ -550,12 +714,23 @@
     }
 }
 
-fn get(target: &str) -> Request {
-    let (headers, body) = (http::HeaderMap::new(), bytes::Bytes::new());
+/// The message that a client's answer names.
+fn queue_id(answer: &net::http::Answer) -> String {
+    let named = answer.headers.iter().find(|(name, _)| name.eq_ignore_ascii_case("x-queue-message-id"));
+    named.map_or(String::new(), |(_, id)| id.to_string())
+}
+
+/// A question of a client, with a key or without.
+pub fn get(target: &str, api_key: Option<&str>) -> Request {
+    let (mut headers, body) = (http::HeaderMap::new(), bytes::Bytes::new());
+    if let Some(key) = api_key {
+        headers.insert("authorization", format!("Bearer {key}").parse().unwrap());
+    }
     Request { method: http::Method::GET, target: target.to_string(), headers, body, keep_alive: true }
 }
 
-fn request(id: &str, message: &Sent, delay: Ms) -> Request {
+/// A message as a client sends it.
+pub fn request(id: &str, message: &Sent, delay: Ms) -> Request {
     let mut headers = http::HeaderMap::new();
     headers.insert("host", "h".parse().unwrap());
     headers.insert("x-request-id", id.parse().unwrap());
@@ -566,10 +741,17 @@
     if let Some(key) = &message.key {
         headers.insert("x-ordering-key", key.parse().unwrap());
     }
+    if let Some(operation) = &message.operation {
+        headers.insert("x-operation-key", operation.parse().unwrap());
+    }
     if message.wants_callback {
         headers.insert("x-callback-url", format!("http://10.0.9.200:{PORT}/done").parse().unwrap());
     }
-    let route = if message.key.is_some() { "ordered" } else { "free" };
-    let (target, body) = (format!("/{route}/{id}"), message.body.clone().into());
+    if let Some(key) = &message.api_key {
+        headers.insert("authorization", format!("Bearer {key}").parse().unwrap());
+    }
+    // Whoever sends it: the endpoints are told the tenant that holds the key.
+    headers.insert("x-tenant", "smuggled".parse().unwrap());
+    let (target, body) = (format!("/{}/{id}", message.route()), message.body.clone().into());
     Request { method: http::Method::POST, target, headers, body, keep_alive: true }
 }
--- a/crates/node/tests/stores.rs
+++ b/crates/node/tests/stores.rs
@@ -2,6 +2,7 @@
 //! what was refused never does, messages of a key run in their order, nothing that is known to have ended runs again in
 //! calm, and neither a stop, a replacement nor a retirement takes the only copy of anything, whatever is lost next.
 //! Planted mistakes are found.
+// Each file of tests uses its own part of it.
 mod model;
 
 use borsh::BorshDeserialize as _;
@@ -317,7 +318,7 @@
 
 /// Six stores; those that stand in the `region`th of three are lost at once.
 fn lose_region(regions: u8, region: usize) -> Option<String> {
-    let deployment = Deployment { tolerance: 1, regions };
+    let deployment = Deployment { tolerance: 1, regions, closed: false };
     let mut world = World::of(11, 6, deployment, Mistake::None, Regime::Planned);
     world.advance(5_000);
     for i in 0..60 {
--- a/crates/queue/src/lib.rs
+++ b/crates/queue/src/lib.rs
@@ -12,9 +12,11 @@
 //! | [`message`] | messages, their envelopes, and bodies with their digests |
 //! | [`ended`] | how messages end, and what is kept of one that has ended |
 //! | [`entry`] | the records |
+//! | [`operations`] | which message there is of each operation, and which of two stays |
 //! | [`owned`] | what is known of a message that this store owns |
 //! | [`replicas`] | messages and ends that are kept for other stores |
 //! | `ready`, `schedule` | what may run of a route, and in which order |
+//! | [`rivals`] | which of several messages of one operation stays |
 //! | [`view`] | the fold of all records; what is kept for other stores, as they ask for it |
 //! | [`placement`] | at which stores the copies of a message lie |
 //! | [`custody`] | what is decided about replicas at other stores, and about those kept for them |
@@ -22,16 +24,18 @@
 pub mod ended;
 pub mod entry;
 pub mod message;
+pub mod operations;
 pub mod owned;
 pub mod placement;
 mod ready;
 pub mod replicas;
+pub mod rivals;
 mod schedule;
 pub mod view;
 
 pub use ended::{End, EndedMessage, Outcome};
 pub use entry::{Entry, Given, GivenEnded};
-pub use message::{Body, DamagedBody, Envelope, Message};
+pub use message::{Body, DamagedBody, Envelope, Message, TenantKey};
 pub use owned::{OwnedMessage, Stage};
 pub use placement::Placement;
 pub use replicas::Replica;
