--- a/review/1/case.rs
+++ b/review/1/case.rs
@@ -4,11 +4,10 @@
 mod common;
 use common::*;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
 
-const HOST: &str = "shop.example";
 /// Messages that come while the store stands still, and their delay: the pages' longest is 90 s.
 const BURST: usize = 60;
 const DELAY_MS: u64 = 52_000;
@@ -19,49 +18,6 @@
 /// Each client sends one in this time: together 300 a second, fewer than the pages' 380.
 const PACE_MS: u64 = 40;
 
-fn configuration() -> String {
-    format!(
-        r#"{{"Version":1,"Routes":[{{"Name":"r-proof","Host":"{HOST}","PathPrefix":"/proof/","Type":"async","TimeoutMs":2500,"TargetLatencyMs":120,"Priority":2,"Backend":"proofdesk","MaxAttempts":4,"Ordered":false,"RetentionS":90.0,"CallbackUrl":false,"TargetStartMs":1000}}],"Backends":[{{"Name":"proofdesk","HealthPath":"/health","MaxConnections":96,"Protocol":"h1","Tls":false,"RatePerS":0.0,"Idempotent":false,"Pull":false,"PinnedEndpoint":null}}],"Limits":{{"MaxHeaderBytes":16384,"MaxBodyBytes":262144,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}}}}"#
-    )
-}
-
-fn list(site: &Site) -> String {
-    let entries: Vec<String> = (1..=6)
-        .map(|i| {
-            format!(
-                r#"{{"Backend":"proofdesk","Address":"{}","Zone":"{}","Version":"v1","Capacity":12,"State":"ready","WarmupLeftMs":0,"Id":"i-{i}"}}"#,
-                site.endpoint(i),
-                site.zones[i as usize % 3]
-            )
-        })
-        .collect();
-    format!(r#"{{"Instances":[{}],"NextPageToken":null}}"#, entries.join(","))
-}
-
-/// An endpoint: runs every message with success.
-fn endpoint(site: &Site, number: u8, ran: Shared<Vec<String>>, record: Record) {
-    let own = format!("i-{number}");
-    serve(
-        site.endpoint(number),
-        Arc::new(move |request, stream| {
-            use std::io::Write;
-            let id = request.header("x-request-id").to_string();
-            let out = if request.method == "GET" {
-                answer(200, &[("X-Instance-Id", &own), ("X-Server-Load", "0,0,12")], b"")
-            } else if !["", own.as_str()].contains(&request.header("x-expected-instance")) {
-                answer(421, &[("X-Request-Id", &id), ("X-Not-Executed", "1")], b"")
-            } else {
-                if id.starts_with("later-") {
-                    record.note(format!("endpoint {own} runs {id}"));
-                }
-                ran.lock().unwrap().push(id.clone());
-                answer(200, &[("X-Request-Id", &id), ("X-Server-Signature", &format!("s.{id}")), ("X-Server-Load", "1,0,12")], b"")
-            };
-            stream.write_all(&out).is_ok()
-        }),
-    );
-}
-
 fn status(site: &Site) -> String {
     (0..3)
         .find_map(|zone| once(site.control(zone), "GET", "/v1/status", &[("Host", "operator")], b"", Duration::from_secs(2)))
@@ -80,27 +36,7 @@
     limit(117);
     let (site, record) = (Site::new(), Record::new());
     let ran: Shared<Vec<String>> = Arc::default();
-    for number in 1..=6 {
-        endpoint(&site, number, ran.clone(), record.clone());
-    }
-    let text = list(&site);
-    serve(
-        site.platform(),
-        Arc::new(move |_, stream| {
-            use std::io::Write;
-            stream.write_all(&answer(200, &[("Content-Type", "application/json")], text.as_bytes())).is_ok()
-        }),
-    );
-
-    let mut machines: Vec<Machine> = Vec::new();
-    for role in ["control", "store", "edge"] {
-        for zone in 0..3 {
-            machines.push(site.machine(role, zone, 1, true));
-        }
-    }
-    machines.iter_mut().for_each(Machine::start);
-    let first = site.operator("POST", "/v1/config/replace", &[("X-Base-Version", "0")], &configuration());
-    record.tell(format!("the first configuration: {}", first.status));
+    let mut machines = site.start_all(&ran, &record);
     site.wait_ready(&[0, 1, 2]);
     sleep_ms(2_500);
 
@@ -257,19 +193,3 @@
     let valid = accepted.len() >= BURST / 2 && age < 90;
     site.end(&record, if valid { i32::from(broken) } else { 2 }, machines)
 }
-
-/// Those of which `test` is true; several are asked about at once.
-fn each(ids: &[String], test: impl Fn(&str) -> bool + Sync) -> Vec<String> {
-    let (left, found) = (Mutex::new(ids.to_vec()), Mutex::new(Vec::new()));
-    thread::scope(|scope| {
-        for _ in 0..30 {
-            scope.spawn(|| loop {
-                let Some(id) = left.lock().unwrap().pop() else { return };
-                if test(&id) {
-                    found.lock().unwrap().push(id);
-                }
-            });
-        }
-    });
-    found.into_inner().unwrap()
-}
--- a/review/stand/common.rs
+++ b/review/stand/common.rs
@@ -505,3 +505,90 @@
     }
     last
 }
+
+// ---------------------------------------------------------------- one service whose messages all succeed
+
+pub const HOST: &str = "shop.example";
+
+/// The pages' example: one service, one route.
+pub fn configuration() -> String {
+    format!(
+        r#"{{"Version":1,"Routes":[{{"Name":"r-proof","Host":"{HOST}","PathPrefix":"/proof/","Type":"async","TimeoutMs":2500,"TargetLatencyMs":120,"Priority":2,"Backend":"proofdesk","MaxAttempts":4,"Ordered":false,"RetentionS":90.0,"CallbackUrl":false,"TargetStartMs":1000}}],"Backends":[{{"Name":"proofdesk","HealthPath":"/health","MaxConnections":96,"Protocol":"h1","Tls":false,"RatePerS":0.0,"Idempotent":false,"Pull":false,"PinnedEndpoint":null}}],"Limits":{{"MaxHeaderBytes":16384,"MaxBodyBytes":262144,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}}}}"#
+    )
+}
+
+pub fn list(site: &Site) -> String {
+    let entries: Vec<String> = (1..=6)
+        .map(|i| {
+            format!(
+                r#"{{"Backend":"proofdesk","Address":"{}","Zone":"{}","Version":"v1","Capacity":12,"State":"ready","WarmupLeftMs":0,"Id":"i-{i}"}}"#,
+                site.endpoint(i),
+                site.zones[i as usize % 3]
+            )
+        })
+        .collect();
+    format!(r#"{{"Instances":[{}],"NextPageToken":null}}"#, entries.join(","))
+}
+
+/// An endpoint: runs every message with success.
+pub fn endpoint(site: &Site, number: u8, ran: Shared<Vec<String>>, record: Record) {
+    let own = format!("i-{number}");
+    serve(
+        site.endpoint(number),
+        Arc::new(move |request, stream| {
+            let id = request.header("x-request-id").to_string();
+            let out = if request.method == "GET" {
+                answer(200, &[("X-Instance-Id", &own), ("X-Server-Load", "0,0,12")], b"")
+            } else if !["", own.as_str()].contains(&request.header("x-expected-instance")) {
+                answer(421, &[("X-Request-Id", &id), ("X-Not-Executed", "1")], b"")
+            } else {
+                if id.starts_with("later-") {
+                    record.note(format!("endpoint {own} runs {id}"));
+                }
+                ran.lock().unwrap().push(id.clone());
+                answer(200, &[("X-Request-Id", &id), ("X-Server-Signature", &format!("s.{id}")), ("X-Server-Load", "1,0,12")], b"")
+            };
+            stream.write_all(&out).is_ok()
+        }),
+    );
+}
+
+impl Site {
+    /// Three machines of each class, six endpoints, the platform's list and the first configuration.
+    pub fn start_all(&self, ran: &Shared<Vec<String>>, record: &Record) -> Vec<Machine> {
+        for number in 1..=6 {
+            endpoint(self, number, ran.clone(), record.clone());
+        }
+        let text = list(self);
+        let listing = move |_: Request, stream: &mut TcpStream| {
+            stream.write_all(&answer(200, &[("Content-Type", "application/json")], text.as_bytes())).is_ok()
+        };
+        serve(self.platform(), Arc::new(listing));
+        let mut machines: Vec<Machine> = Vec::new();
+        for role in ["control", "store", "edge"] {
+            for zone in 0..3 {
+                machines.push(self.machine(role, zone, 1, true));
+            }
+        }
+        machines.iter_mut().for_each(Machine::start);
+        let first = self.operator("POST", "/v1/config/replace", &[("X-Base-Version", "0")], &configuration());
+        record.tell(format!("the first configuration: {}", first.status));
+        machines
+    }
+}
+
+/// Those of which `test` is true; several are asked about at once.
+pub fn each(ids: &[String], test: impl Fn(&str) -> bool + Sync) -> Vec<String> {
+    let (left, found) = (Mutex::new(ids.to_vec()), Mutex::new(Vec::new()));
+    thread::scope(|scope| {
+        for _ in 0..30 {
+            scope.spawn(|| loop {
+                let Some(id) = left.lock().unwrap().pop() else { return };
+                if test(&id) {
+                    found.lock().unwrap().push(id);
+                }
+            });
+        }
+    });
+    found.into_inner().unwrap()
+}
