--- a/crates/node/src/store/compaction.rs
+++ b/crates/node/src/store/compaction.rs
@@ -20,6 +20,11 @@
         let entries: Vec<Entry> = ids.iter().flat_map(|id| self.current_entries(id)).collect();
         if entries.is_empty() || self.log.write(&entries).await {
             self.log.release(segment);
+            let relinquished = entries.iter().filter(|entry| matches!(entry, Entry::Dropped { .. })).count();
+            log::info!(
+                "compacted log file {segment}: {} records written again, {relinquished} of them of relinquished messages",
+                entries.len()
+            );
         }
     }
 
--- a/crates/node/src/store/log.rs
+++ b/crates/node/src/store/log.rs
@@ -78,6 +78,8 @@
     shape: Shape,
     free: Cell<usize>,
     oldest: Cell<Option<SegmentId>>,
+    /// Number of files that were freed since the start of the process.
+    released_files: Cell<usize>,
     /// When the batch in progress was handed to the disk.
     batch_started_at: Cell<Option<Instant>>,
 }
@@ -169,6 +171,7 @@
             shape: recovered.shape,
             free: Cell::new(recovered.free),
             oldest: Cell::new(recovered.oldest),
+            released_files: Cell::new(0),
             batch_started_at: Cell::new(None),
         });
         runtime::spawn(log.clone().write_batches());
@@ -210,6 +213,11 @@
         self.free.get() as f64 / self.shape.segments as f64
     }
 
+    /// Number of files that were freed since the start of the process.
+    pub fn released_files(&self) -> usize {
+        self.released_files.get()
+    }
+
     /// The oldest file, and the ids of the messages that have records in it.
     pub fn oldest(&self) -> Option<(SegmentId, Vec<String>)> {
         let oldest = self.oldest.get()?;
@@ -222,6 +230,7 @@
     pub fn release(&self, segment: SegmentId) {
         self.message_ids.borrow_mut().remove(&segment);
         self.oldest.set(None);
+        self.released_files.set(self.released_files.get() + 1);
         self.disk.submit(DiskJob::Release(segment));
     }
 
--- a/crates/node/src/store/mod.rs
+++ b/crates/node/src/store/mod.rs
@@ -283,8 +283,9 @@
         });
         store.record_superseded(superseded);
         let queue::Counts { waiting, finished, replicas, .. } = store.queue.borrow().counts();
+        let relinquished = store.relinquished.borrow().len();
         ::log::info!(
-            "disk {:016x}: {waiting} messages waiting, {finished} finished, {replicas} copies",
+            "disk {:016x}: {waiting} messages waiting, {finished} finished, {replicas} copies, {relinquished} relinquished",
             store.disk
         );
         Ok(store)
--- a/crates/node/src/store/replicator.rs
+++ b/crates/node/src/store/replicator.rs
@@ -298,8 +298,12 @@
     async fn fetch_missing(&self, store: &Rc<Store>, ids: Vec<String>) -> bool {
         let (relinquished, mut ids): (Vec<String>, Vec<String>) =
             ids.into_iter().partition(|id| store.has_relinquished(id));
-        if !relinquished.is_empty() && !self.discard_copies(store, relinquished).await {
-            return false;
+        if !relinquished.is_empty() {
+            let ids = summarize_ids(&relinquished);
+            log::info!("disk {:016x} discards its copies of relinquished messages: {ids}", self.disk);
+            if !self.discard_copies(store, relinquished).await {
+                return false;
+            }
         }
         if ids.is_empty() {
             return true;
