Store: a message that is owned again is no longer noted as relinquished

Cause: that a store had relinquished a message was a list of ids beside the queue, kept for StatusTtlS. When the store came to own the message again, as successor of the store that it had left it to, the list stayed. Compaction wrote the message and behind it that it was relinquished; the next start dropped it and had other stores discard their copies.

Change: the notes are part of the queue. An id is owned or noted, never both: to own a message by whichever way removes its note, an owned one can't be noted, compaction and recovery follow the same rule. So no order of adoption, compaction and restarts makes the two disagree.

--- a/crates/node/src/store/compaction.rs
+++ b/crates/node/src/store/compaction.rs
@@ -32,9 +32,7 @@
     fn current_entries(&self, id: &str) -> Vec<Entry> {
         let queue = self.queue.borrow();
         if !id.is_empty() {
-            let relinquished = self.relinquished.borrow().contains_key(id);
-            let relinquished = relinquished.then(|| Entry::Dropped { owner: self.disk, id: id.to_string() });
-            return replication::current_entries(&queue, id).into_iter().chain(relinquished).collect();
+            return replication::current_entries(&queue, id);
         }
         let fences = queue.fenced().iter().map(|disk| Entry::Fenced { disk: *disk });
         let taken_over = queue.taken_over().iter().map(|disk| Entry::TakenOver { disk: *disk });
--- a/crates/node/src/store/mod.rs
+++ b/crates/node/src/store/mod.rs
@@ -147,8 +147,6 @@
     retirement_ready: Cell<bool>,
     /// This store was declared lost and hands back messages that may exist nowhere else.
     declared_lost: Cell<bool>,
-    /// Messages relinquished to other stores, with the time of that; they may still arrive here.
-    relinquished: RefCell<HashMap<String, u64>>,
     /// Messages that this store has reported to other stores as accepted here.
     acceptance_notices: RefCell<HashMap<String, relinquish::AcceptanceNotice>>,
     /// Messages that other stores have asked this store to relinquish, with the requesters, until one of
@@ -232,7 +230,6 @@
         let live = queue.all_owned().filter(|owned| owned.is_live());
         let recovered = live.map(|owned| owned.id().to_string()).collect();
         let started = process.clock.ms();
-        let relinquished = queue.take_relinquished().into_iter().map(|id| (id, started)).collect();
         let taken_over = queue.taken_over().clone();
         let settings = process.settings.clone();
         let store = Rc::new(Store {
@@ -273,7 +270,6 @@
             retiring: Cell::new(false),
             retirement_ready: Cell::new(false),
             declared_lost: Cell::new(false),
-            relinquished: RefCell::new(relinquished),
             acceptance_notices: RefCell::default(),
             relinquish_requests: RefCell::default(),
             draining: Cell::new(false),
@@ -283,7 +279,7 @@
         });
         store.record_superseded(superseded);
         let queue::Counts { waiting, finished, replicas, .. } = store.queue.borrow().counts();
-        let relinquished = store.relinquished.borrow().len();
+        let relinquished = store.queue.borrow().relinquished_count();
         ::log::info!(
             "disk {:016x}: {waiting} messages waiting, {finished} finished, {replicas} copies, {relinquished} relinquished",
             store.disk
@@ -371,7 +367,7 @@
     fn expire_relinquished(&self) {
         let ttl = (self.settings.bounds.status_ttl_s * 1_000.0) as u64;
         let now = self.clock.ms();
-        self.relinquished.borrow_mut().retain(|_, at| now < *at + ttl);
+        self.queue.borrow_mut().expire_relinquished(now, ttl);
         self.acceptance_notices.borrow_mut().retain(|_, notice| now < notice.at + ttl);
     }
 }
--- a/crates/node/src/store/operations.rs
+++ b/crates/node/src/store/operations.rs
@@ -241,8 +241,9 @@
         self.reservations.count(|counts| counts.superseded += ids.len());
         log::warn!("another message of the same operation takes precedence: {}", summarize_ids(&ids));
         for id in ids {
-            self.log.write_later(&Entry::Dropped { owner: self.disk, id: id.clone() });
-            self.relinquished.borrow_mut().insert(id, self.clock.ms());
+            if self.queue.borrow_mut().note_relinquished(&id, self.clock.ms()) {
+                self.log.write_later(&Entry::Dropped { owner: self.disk, id });
+            }
         }
     }
 }
--- a/crates/node/src/store/relinquish.rs
+++ b/crates/node/src/store/relinquish.rs
@@ -127,8 +127,7 @@
         if started || announced {
             return false;
         }
-        if self.queue.borrow().owned(id).is_none() {
-            self.relinquished.borrow_mut().insert(id.to_string(), self.clock.ms());
+        if self.queue.borrow_mut().note_relinquished(id, self.clock.ms()) {
             return true;
         }
         let is_first = {
@@ -197,9 +196,9 @@
         accepted
     }
 
-    /// Whether a message was relinquished to another store.
+    /// Whether a message was relinquished to another store and isn't owned here again.
     pub fn has_relinquished(&self, id: &str) -> bool {
-        self.relinquished.borrow().contains_key(id)
+        self.queue.borrow().has_relinquished(id)
     }
 
     /// Relinquishes messages that other stores accepted because this one gave no clear answer, and whose
@@ -209,10 +208,9 @@
         for id in accepted {
             let entry = Entry::Dropped { owner: self.disk, id: id.clone() };
             let holders = self.holders(&id);
-            if self.queue.borrow_mut().relinquish(&id) {
+            if self.queue.borrow_mut().relinquish(&id, self.clock.ms()) {
                 self.log.write_later(&entry);
                 self.send_to(&holders, &entry);
-                self.relinquished.borrow_mut().insert(id.clone(), self.clock.ms());
                 relinquished.push(id);
             }
         }
--- a/crates/node/src/store/rpc_handlers.rs
+++ b/crates/node/src/store/rpc_handlers.rs
@@ -239,7 +239,7 @@
             "version": self.cluster.version(), "stores": self.cluster.stores().epoch,
             "waiting": waiting, "running": running, "ended": finished, "copies": replicas,
             "oldest_ms": oldest, "backlog": self.backlog(), "free_ring": self.log.free_share(),
-            "released_files": self.log.released_files(), "relinquished": self.relinquished.borrow().len(),
+            "released_files": self.log.released_files(), "relinquished": self.queue.borrow().relinquished_count(),
             "taking_over": self.takeovers.borrow().len(),
             "operations": self.reservations.counts().as_json(),
             "zone": self.location.zone, "region": self.location.region,
--- a/crates/node/tests/model/mod.rs
+++ b/crates/node/tests/model/mod.rs
@@ -49,7 +49,7 @@
 /// The stores are known and settled.
 const FOUNDED: Ms = 4_000;
 /// After a loss a machine has so long to be whole again.
-const CATCH_UP: Ms = 4_500;
+pub const CATCH_UP: Ms = 4_500;
 /// After the last trouble everything that was taken has to end within this.
 const CALM: Ms = 40_000;
 /// A repeat counts as one in calm if there was no trouble for so long.
@@ -80,6 +80,11 @@
 const FAR: Ms = 300_000;
 /// Questions of clients about messages that were taken a step, on average.
 const QUESTIONS: f64 = 0.1;
+/// A machine is away for so long at a restart.
+const RESTART: Ms = 500;
+/// A message is sent so often to fill a log, and for so long at most.
+const FILL_EVERY: Ms = 20;
+const LONGEST_FILL: Ms = 30_000;
 /// At the end so many messages are asked for at the same time.
 const ASKED_AT_ONCE: usize = 50;
 
@@ -180,6 +185,8 @@
     /// Stores that are to be restarted one after the other, and when the next is.
     roll: Vec<usize>,
     next_roll: Ms,
+    /// The operator doesn't ask earlier how far retirements are.
+    asks_from: Ms,
     /// Shares of cores are quotas.
     quota: Option<Quota>,
     /// Clients send operation keys, drawn from this lot, if it is there.
@@ -237,6 +244,7 @@
             owes_disk: false,
             roll: Vec::new(),
             next_roll: 0,
+            asks_from: 0,
             quota: None,
             operations: None,
             seen: Seen::default(),
@@ -384,11 +392,14 @@
 
     /// Machines whose retirement is completed go, with their disks.
     fn take_retired_away(&mut self) {
-        let emptied: Vec<String> = {
+        if self.now() < self.asks_from {
+            return;
+        }
+        let completed: Vec<String> = {
             let state = self.control.state.borrow();
             state.stores.stores.iter().filter(|s| s.retiring && s.emptied).map(|s| s.name.clone()).collect()
         };
-        for name in emptied {
+        for name in completed {
             let machine = self.machines.iter_mut().find(|m| m.name == name && !m.removed);
             if let Some(machine) = machine {
                 machine.kill(&self.simulation, &self.network, true, &mut self.lot);
@@ -446,6 +457,36 @@
         }
     }
 
+    /// Adds an empty store, which owns no partition; returns the number of its machine.
+    pub fn add_store(&mut self) -> usize {
+        self.add_machine();
+        self.machines.len() - 1
+    }
+
+    /// A machine is told to stop, and is started again once its process has ended.
+    pub fn restart(&mut self, i: usize) {
+        let until = self.now() + GRACE;
+        self.machines[i].tell_to_stop(until, Some(RESTART));
+        while self.machines[i].stopping.is_some() {
+            self.step();
+        }
+        self.advance(RESTART);
+    }
+
+    /// Sends messages with long bodies until a store has freed so many more files of its log.
+    pub fn fill_log(&mut self, i: usize, files: usize) {
+        let freed = |world: &World| world.machines[i].store().map_or(0, |store| store.log.released_files());
+        let (wanted, until) = (freed(self) + files, self.now() + LONGEST_FILL);
+        while freed(self) < wanted {
+            assert!(self.now() < until, "the log isn't filled in time");
+            let id = format!("fill{}", self.messages);
+            self.messages += 1;
+            let body = BODY_WORD.iter().copied().cycle().take(LONG_BODY_BYTES).collect();
+            self.hand_to(self.messages % self.edges.len(), &id, Sent { body, ..Sent::default() });
+            self.advance(FILL_EVERY);
+        }
+    }
+
     /// What is broken by now, if every message that was taken has to be done.
     pub fn broken(&self) -> Option<String> {
         self.endpoints.check_end();
@@ -537,6 +578,11 @@
         self.control.retire(name);
     }
 
+    /// The operator doesn't ask how far retirements are for a time: machines stay that could be taken away.
+    pub fn leave_retired_for(&mut self, span: Ms) {
+        self.asks_from = self.now() + span;
+    }
+
     /// From now on each process has a share of a core that is a quota: once it is spent, the process stands still for the
     /// rest of a tenth of a second.
     pub fn set_quota(&mut self) {
--- a/crates/node/tests/model/operations.rs
+++ b/crates/node/tests/model/operations.rs
@@ -6,6 +6,7 @@
 use futures_channel::oneshot;
 use net::runtime::sleep;
 use node::edge::Edge;
+use node::store::Store;
 use queue::TenantKey;
 use rand::{RngExt as _, SeedableRng as _};
 use rand_pcg::Pcg64Mcg;
@@ -215,6 +216,22 @@
         self.machines[machine].name.clone()
     }
 
+    /// Whether a machine was taken away.
+    pub fn is_removed(&self, machine: usize) -> bool {
+        self.machines[machine].removed
+    }
+
+    /// The machine whose store owns a message.
+    pub fn machine_that_owns(&self, id: &str) -> Option<usize> {
+        let owns = |store: Rc<Store>| store.queue.borrow().owned(id).is_some();
+        self.machines.iter().position(|machine| machine.store().is_some_and(owns))
+    }
+
+    /// Whether the store of a machine has relinquished a message.
+    pub fn has_relinquished(&self, machine: usize, id: &str) -> bool {
+        self.machines[machine].store().is_some_and(|store| store.has_relinquished(id))
+    }
+
     /// The process of a machine stands still for a time.
     pub fn freeze(&mut self, machine: usize, span: Ms) {
         self.machines[machine].frozen_until = self.now() + span;
--- a/crates/queue/src/duplicates.rs
+++ b/crates/queue/src/duplicates.rs
@@ -27,7 +27,8 @@
         };
         let ids: Vec<String> =
             self.all_owned().filter(superseded).map(|owned| owned.id().to_string()).collect();
-        ids.into_iter().filter(|id| self.relinquish(id)).collect()
+        // The monotonic clock starts with the process.
+        ids.into_iter().filter(|id| self.relinquish(id, 0)).collect()
     }
 }
 
--- a/crates/queue/src/lib.rs
+++ b/crates/queue/src/lib.rs
@@ -15,6 +15,7 @@
 //! | [`entry`] | log records, and messages in transfer between stores |
 //! | [`operations`] | index of messages by operation, and the precedence among duplicates |
 //! | [`owned`] | the state of a message that this store owns |
+//! | `relinquished` | messages that this store left to other stores |
 //! | [`replicas`] | messages and final records held for other stores |
 //! | `ready`, `schedule` | which messages of a route may run, and in which order |
 //! | [`duplicates`] | which of several messages of one operation is kept |
@@ -29,6 +30,7 @@
 pub mod owned;
 pub mod placement;
 mod ready;
+mod relinquished;
 pub mod replicas;
 pub mod replication;
 mod schedule;
--- a/crates/queue/src/replication.rs
+++ b/crates/queue/src/replication.rs
@@ -353,12 +353,16 @@
     ids
 }
 
-/// The records that describe the current state of a message, for compaction of the log.
+/// The records that describe the current state of a message, for compaction of the log. They are appended
+/// behind all earlier records of the message, so that a restart applies them last.
 pub fn current_entries(queue: &Queue, id: &str) -> Vec<Entry> {
     if let Some(owned) = queue.owned(id) {
         return current_entries_of_owned(queue.disk(), owned);
     }
     let mut entries = Vec::new();
+    if queue.has_relinquished(id) {
+        entries.push(Entry::Dropped { owner: queue.disk(), id: id.to_string() });
+    }
     if let Some(replica) = queue.replica(id) {
         let message = |owner: &u64| Entry::Message { owner: *owner, message: replica.message.clone() };
         entries.extend(replica.owners.iter().map(message));
--- a/crates/queue/src/state/mod.rs
+++ b/crates/queue/src/state/mod.rs
@@ -6,6 +6,7 @@
 use crate::message::{Envelope, Message};
 use crate::operations::Operations;
 use crate::owned::{OwnedMessage, Stage};
+use crate::relinquished::Relinquished;
 use crate::replicas::Replicas;
 use crate::schedule::{Messages, Schedule};
 use crate::WallMs;
@@ -40,8 +41,7 @@
     fenced: BTreeSet<u64>,
     /// Disks of lost stores whose messages this store has taken over.
     taken_over: BTreeSet<u64>,
-    /// Messages relinquished to other stores, as read from the log.
-    relinquished: BTreeSet<String>,
+    relinquished: Relinquished,
 }
 
 impl Queue {
@@ -65,8 +65,10 @@
             Entry::Finished(final_record) => drop(self.finish(final_record)),
             Entry::CallbackDone { id } => self.mark_callback_done(&id),
             Entry::Dropped { owner, id } if owner == self.disk => {
-                self.relinquish(&id);
-                self.relinquished.insert(id);
+                // The monotonic clock starts with the process.
+                if !self.relinquish(&id, 0) {
+                    self.note_relinquished(&id, 0);
+                }
             }
             Entry::Dropped { owner, id } => self.drop_replica(owner, &id),
             Entry::Fenced { disk } => self.fence(disk),
@@ -127,6 +129,7 @@
         if duplicate.is_none_or(|duplicate| duplicate.precedence() < owned.precedence()) {
             self.operations.set(owned.envelope());
         }
+        self.relinquished.remove(&id);
         self.owned.insert(id, owned);
     }
 
@@ -240,10 +243,10 @@
         true
     }
 
-    /// Gives up ownership of a message that has not started, so that another store can own it. A replica
-    /// stays for the stores in [`OwnedMessage::replica_owners`]. Returns false if the message has started or
-    /// is not owned here.
-    pub fn relinquish(&mut self, id: &str) -> bool {
+    /// Gives up ownership of a message that has not started, so that another store can own it, and notes
+    /// that. A replica stays for the stores in [`OwnedMessage::replica_owners`]. Returns false if the message
+    /// has started or is not owned here.
+    pub fn relinquish(&mut self, id: &str, now_ms: u64) -> bool {
         let stage = self.owned.get(id).and_then(OwnedMessage::stage);
         if !matches!(stage, Some(Stage::Replicating | Stage::Waiting)) {
             return false;
@@ -256,9 +259,35 @@
         if let Some(message) = owned.live_message() {
             owned.replica_owners.iter().for_each(|owner| self.keep_replica(*owner, message.clone()));
         }
+        self.note_relinquished(id, now_ms);
         true
     }
 
+    /// Notes that a message that may still arrive here is left to another store. Returns false if it is owned
+    /// here: it has arrived, and only [`Queue::relinquish`] can give it up.
+    pub fn note_relinquished(&mut self, id: &str, now_ms: u64) -> bool {
+        if self.owned.contains_key(id) {
+            return false;
+        }
+        self.relinquished.insert(id, now_ms);
+        true
+    }
+
+    /// Whether a message was relinquished to another store and has not become owned here since.
+    pub fn has_relinquished(&self, id: &str) -> bool {
+        self.relinquished.contains(id)
+    }
+
+    /// Number of messages that are noted as relinquished.
+    pub fn relinquished_count(&self) -> usize {
+        self.relinquished.len()
+    }
+
+    /// Forgets messages that were relinquished `ttl_ms` ago or earlier.
+    pub fn expire_relinquished(&mut self, now_ms: u64, ttl_ms: u64) {
+        self.relinquished.expire(now_ms, ttl_ms);
+    }
+
     /// Messages accepted here that had also been sent to the store with this disk, whose answer was unclear.
     pub fn accepted_also_sent_to(&self, disk: u64) -> Vec<String> {
         let accepted = self.owned.values().filter(|owned| owned.stage() != Some(Stage::Replicating));
@@ -342,12 +371,6 @@
         }
     }
 
-    /// Takes the ids of messages that earlier processes relinquished to other stores, as far as the log goes
-    /// back.
-    pub fn take_relinquished(&mut self) -> BTreeSet<String> {
-        std::mem::take(&mut self.relinquished)
-    }
-
     /// Whether a message, owned or not, is known to have finished.
     pub fn is_finished(&self, id: &str) -> bool {
         match self.owned.get(id) {
--- a/crates/queue/tests/operations.rs
+++ b/crates/queue/tests/operations.rs
@@ -83,7 +83,7 @@
 fn an_operation_is_forgotten_with_a_relinquished_message() {
     let mut queue = Queue::new(DISK);
     accept(&mut queue, message("a", 1));
-    assert!(queue.relinquish("a"));
+    assert!(queue.relinquish("a", 0));
     assert_eq!(kept_message_id(&queue), None);
 }
 
--- a/crates/queue/tests/queue.rs
+++ b/crates/queue/tests/queue.rs
@@ -4,6 +4,7 @@
     Counts, Entry, Envelope, FinalRecord, FinishedMessage, FinishedTransfer, HeldIds, Message, Outcome,
     Placement, Queue, Stage,
 };
+use rstest::rstest;
 use std::collections::BTreeSet;
 
 const DISK: u64 = 1;
@@ -176,8 +177,8 @@
     accept(&mut queue, message("a"));
     accept(&mut queue, message("b"));
     queue.start("b");
-    assert!(queue.relinquish("a"));
-    assert!(!queue.relinquish("b"));
+    assert!(queue.relinquish("a", 0));
+    assert!(!queue.relinquish("b", 0));
     assert_eq!(next(&mut queue, 1_000), None);
     assert!(queue.owned("a").is_none());
     assert_eq!(queue.body_bytes(), 10);
@@ -236,7 +237,7 @@
     records.push(Entry::Finished(completed("a")));
     live.finish(completed("a"));
     records.push(Entry::Dropped { owner: DISK, id: "d".to_string() });
-    live.relinquish("d");
+    live.relinquish("d", 0);
     let mut restarted = Queue::default();
     records.into_iter().for_each(|record| restarted.replay(record));
     restarted.finish_recovery();
@@ -371,7 +372,7 @@
     accept(&mut queue, message("a"));
     queue.keep_replica(9, message("a"));
     assert_eq!(queue.held_for(9).live.len(), 1);
-    assert!(queue.relinquish("a"));
+    assert!(queue.relinquish("a", 0));
     assert_eq!(queue.replicas_of(9).count(), 1);
     queue.drop_replica(9, "a");
     assert!(queue.replica("a").is_none());
@@ -425,10 +426,36 @@
         },
     ];
     records.into_iter().for_each(|record| queue.replay(record));
-    assert_eq!(queue.take_relinquished().into_iter().collect::<Vec<_>>(), ["left"]);
+    assert!(queue.has_relinquished("left") && !queue.has_relinquished("owed"));
     assert!(queue.owned("owed").unwrap().callback_pending);
 }
 
+/// Guards against a note that outlives the relinquishment: the message would be dropped at the restart after a compaction.
+#[rstest]
+#[case::live(false)]
+#[case::finished(true)]
+fn a_message_that_is_owned_again_is_not_relinquished_any_more(#[case] finished: bool) {
+    let first = [
+        Entry::Disk(DISK),
+        Entry::Message { owner: DISK, message: message("a") },
+        Entry::Dropped { owner: DISK, id: "a".to_string() },
+    ];
+    let owned_again = match finished {
+        false => Entry::Message { owner: DISK, message: message("a") },
+        true => Entry::FinishedMessage {
+            owner: DISK,
+            transfer: finished_transfer(with_callback("a"), completed("a")),
+        },
+    };
+    let mut queue = Queue::default();
+    first.into_iter().for_each(|record| queue.replay(record));
+    assert!(queue.has_relinquished("a") && queue.owned("a").is_none());
+    queue.replay(owned_again.clone());
+    assert!(!queue.has_relinquished("a") && queue.owned("a").is_some());
+    assert!(!queue.note_relinquished("a", 5_000), "it can only be relinquished as an owned message");
+    assert_eq!(replication::current_entries(&queue, "a"), [owned_again]);
+}
+
 /// Guards against a holder that discards the body of a dead letter: the successor would serve an empty one.
 #[test]
 fn a_dead_letter_keeps_its_body_from_owner_to_holder_to_successor() {
