Control: a retirement is about the machine, whichever disk it has

Cause: the order names a machine and was kept as a mark on the store, which is a disk. The machine's next disk was a store in service, mostly the successor of the one before, and 'read' told the state of the disk that was gone.

Change: a new disk in a machine that is to be emptied is added as retiring, so it is given nothing and succeeds nobody; the lost one is a lost disk like any other. 'completed' needs every disk of the machine to be emptied, and no store in service under its name. The replicated state decides that, so primaries and restarts don't matter.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -21,7 +21,7 @@
     Reply, Stage, Storage,
 };
 pub use state::{Command, Event, Position, Rejected, State};
-pub use stores::{Store, StoreView, PARTITIONS};
+pub use stores::{Retirement, Store, StoreView, PARTITIONS};
 pub use view::{Member, View};
 
 /// A point in time or a duration, in milliseconds of a monotonic clock.
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -55,7 +55,7 @@
     StoreLost { disk: u64, unreachable: BTreeSet<u64> },
     /// The first stores are known: assign the partitions to them.
     AssignPartitions,
-    /// Empty the store with this name. More stores have to remain than machines may be lost at once. If the
+    /// Empty the machine with this name, whichever disk it has. More stores have to remain than machines may be lost at once. If the
     /// tolerance covers zones or regions, the remaining stores must not be spread over them less well than
     /// before.
     Retire { name: String, tolerance: Tolerance },
@@ -148,7 +148,7 @@
 
     fn decide_retire(&self, name: &str, tolerance: Tolerance) -> Result<Vec<Event>, Rejected> {
         let Some(store) = self.stores.active().find(|store| store.name == name) else {
-            return match self.stores.last_retiring_named(name) {
+            return match self.stores.retirement(name) {
                 Some(_) => Ok(Vec::new()),
                 None => Err(Rejected::UnknownStore),
             };
@@ -208,10 +208,12 @@
             Some(known) if known.declared_lost || known.has_same_details(store) => Vec::new(),
             Some(_) => vec![Event::StoreUpserted(store.clone())],
             None => {
+                let mut added = store.clone();
+                added.retiring = self.stores.is_in_retiring_machine(store);
                 // A different disk on the same machine: the previous one is lost.
                 let previous = self.stores.active().find(|s| s.name == store.name || s.ip == store.ip);
-                let lost = previous.map(|previous| self.loss_by_replacement(previous.disk, store));
-                [Event::StoreUpserted(store.clone())].into_iter().chain(lost).collect()
+                let lost = previous.map(|previous| self.loss_by_replacement(previous.disk, &added));
+                [Event::StoreUpserted(added)].into_iter().chain(lost).collect()
             }
         }
     }
--- a/crates/control/src/stores.rs
+++ b/crates/control/src/stores.rs
@@ -23,13 +23,23 @@
     /// The store announced a planned stop and hasn't reported since that it runs. Other stores hold the
     /// copies that it held.
     pub leaving: bool,
-    /// The store is being emptied, to be removed from the system.
+    /// The operator asked for this store's machine to be emptied and removed, and this is the machine's disk: if
+    /// the machine loses it, the request passes on to its next disk.
     pub retiring: bool,
     /// Everything the store had is fully replicated elsewhere: it may be removed or, if it was lost, no longer counts as a
     /// loss.
     pub emptied: bool,
 }
 
+/// Progress of the retirement of a machine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Retirement {
+    /// Something may still depend on the machine.
+    Running,
+    /// Everything that any disk of the machine had is fully replicated elsewhere: the machine may be removed.
+    Completed,
+}
+
 /// All stores, and the owner of each partition.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash, BorshSerialize, BorshDeserialize)]
 pub struct StoreView {
@@ -79,9 +89,26 @@
         self.active().filter(|store| !store.retiring)
     }
 
-    /// The retiring or retired store with this name; the newest one if there were several.
-    pub fn last_retiring_named(&self, name: &str) -> Option<&Store> {
-        self.stores.iter().rev().find(|store| store.retiring && store.name == name)
+    /// Progress of the retirement of the machine with this name; none if it wasn't requested, or if another
+    /// machine has come under this name since.
+    pub fn retirement(&self, name: &str) -> Option<Retirement> {
+        let disks = || self.stores.iter().filter(|store| store.name == name);
+        let is_requested = disks().any(|store| store.retiring);
+        let is_in_service = disks().any(|store| !store.declared_lost && !store.retiring);
+        if !is_requested || is_in_service {
+            return None;
+        }
+        match disks().all(|store| store.emptied) {
+            true => Some(Retirement::Completed),
+            false => Some(Retirement::Running),
+        }
+    }
+
+    /// Whether a newly reported disk is in a machine that was asked to retire. Once the retirement is completed,
+    /// the machine is still the same as long as its address is: its disk may have been lost before its removal.
+    pub fn is_in_retiring_machine(&self, store: &Store) -> bool {
+        let mut previous = self.stores.iter().filter(|known| known.retiring && known.name == store.name);
+        previous.any(|known| !known.emptied || known.ip == store.ip)
     }
 
     /// The store that owns a key, given a digest of the key.
@@ -116,11 +143,23 @@
                 (known.name, known.ip, known.location) = (store.name, store.ip, store.location);
                 known.leaving = store.leaving;
             }
-            None => self.stores.push(store),
+            None => {
+                if store.retiring {
+                    self.pass_on_retirement(&store.name);
+                }
+                self.stores.push(store);
+            }
         }
         self.epoch += 1;
     }
 
+    /// A retiring machine has a new disk, which is empty. The previous one was lost like any other disk, and
+    /// what it had is yet to be replicated again.
+    fn pass_on_retirement(&mut self, name: &str) {
+        let previous = self.stores.iter_mut().filter(|store| store.name == name && !store.emptied);
+        previous.for_each(|store| store.retiring = false);
+    }
+
     /// Assigns the partitions evenly to the active stores, unless they were assigned before.
     pub fn assign_partitions(&mut self) {
         let mut disks: Vec<u64> = self.active().map(|store| store.disk).collect();
--- a/crates/node/src/control/api.rs
+++ b/crates/node/src/control/api.rs
@@ -1,7 +1,7 @@
 //! The operator's API.
 use super::{Changed, Control};
 use crate::calls::Call;
-use control::{Command, Rejected};
+use control::{Command, Rejected, Retirement};
 use net::http::{Answer, Request};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -126,10 +126,9 @@
         return elsewhere(control, request);
     }
     let Some(state) = control.committed_state() else { return elsewhere(control, request) };
-    let emptied = state.stores.last_retiring_named(name).map(|store| store.emptied);
-    match emptied {
-        Some(true) => Answer::json(200, r#"{"State":"completed"}"#),
-        Some(false) => Answer::json(200, r#"{"State":"running"}"#),
+    match state.stores.retirement(name) {
+        Some(Retirement::Completed) => Answer::json(200, r#"{"State":"completed"}"#),
+        Some(Retirement::Running) => Answer::json(200, r#"{"State":"running"}"#),
         None => Answer::text(404, "no store of this name was asked to retire; start it first"),
     }
 }
--- a/crates/node/tests/model/mod.rs
+++ b/crates/node/tests/model/mod.rs
@@ -24,6 +24,7 @@
 use machine::Machine;
 use quota::Quota;
 
+use ::control::Retirement;
 use net::http::{Answer, Request};
 use net::rpc::Peers;
 use node::edge::Edge;
@@ -397,7 +398,8 @@
         }
         let completed: Vec<String> = {
             let state = self.control.state.borrow();
-            state.stores.stores.iter().filter(|s| s.retiring && s.emptied).map(|s| s.name.clone()).collect()
+            let is_completed = |name: &String| state.stores.retirement(name) == Some(Retirement::Completed);
+            self.machines.iter().map(|machine| machine.name.clone()).filter(is_completed).collect()
         };
         for name in completed {
             let machine = self.machines.iter_mut().find(|m| m.name == name && !m.removed);
