Queue: the end of an own message outlasts a compaction

Callers saw: a completed message ran again after its owner's log was compacted and the owner restarted, once a store that had missed the end was back. Cause: compaction writes a finished own message as FinishedMessage, and recovery applied that like a takeover, which keeps nothing of a message that owes nothing.

Change: recovery keeps each such record with its end, and compaction writes it for the owners of copies too.

--- a/crates/queue/src/replication.rs
+++ b/crates/queue/src/replication.rs
@@ -380,12 +380,12 @@
 }
 
 fn current_entries_of_owned(disk: u64, owned: &OwnedMessage) -> Vec<Entry> {
+    let owners = [disk].into_iter().chain(owned.replica_owners.iter().copied());
     if let Some(transfer) = finished_transfer(owned) {
-        return vec![Entry::FinishedMessage { owner: disk, transfer }];
+        return owners.map(|owner| Entry::FinishedMessage { owner, transfer: transfer.clone() }).collect();
     }
     let mut entries = Vec::new();
     if let Some(message) = owned.live_message() {
-        let owners = [disk].into_iter().chain(owned.replica_owners.iter().copied());
         entries.extend(owners.map(|owner| Entry::Message { owner, message: message.clone() }));
     }
     if owned.attempts > 0 {
--- a/crates/queue/src/state/mod.rs
+++ b/crates/queue/src/state/mod.rs
@@ -58,7 +58,7 @@
             Entry::Message { owner, message } if owner == self.disk => self.replay_owned(message),
             Entry::Message { owner, message } => self.keep_replica(owner, message),
             Entry::FinishedMessage { owner, transfer } if owner == self.disk => {
-                self.adopt_finished(transfer);
+                self.replay_finished(transfer)
             }
             Entry::FinishedMessage { owner, transfer } => self.keep_finished(owner, transfer),
             Entry::AttemptFailed { id, attempts } => self.record_attempts(&id, attempts),
@@ -87,6 +87,18 @@
         }
     }
 
+    /// Applies the record of a finished message that this store owns. Its outcome is kept even if nothing else of
+    /// it has to be: a holder that missed the outcome may still list the message as unfinished.
+    fn replay_finished(&mut self, transfer: FinishedTransfer) {
+        let id = transfer.finished.id().to_string();
+        if self.owned.contains_key(&id) {
+            self.adopt_finished(transfer);
+            return;
+        }
+        let callback_done = transfer.callback_done || self.replicas.is_callback_done(&id);
+        self.insert_finished(transfer.finished, callback_done);
+    }
+
     /// Completes recovery after all records were applied: makes the messages owned here runnable. Returns the
     /// messages that were also sent to other stores; they stay in [`Stage::Replicating`] until those stores
     /// relinquish them.
@@ -238,11 +250,16 @@
         if nothing_pending {
             return false;
         }
-        let replica_owners = self.replicas.remove(&id);
-        self.insert(id, OwnedMessage::finished(transfer.finished, !callback_done, replica_owners));
+        self.insert_finished(transfer.finished, callback_done);
         true
     }
 
+    fn insert_finished(&mut self, finished: FinishedMessage, callback_done: bool) {
+        let id = finished.id().to_string();
+        let replica_owners = self.replicas.remove(&id);
+        self.insert(id, OwnedMessage::finished(finished, !callback_done, replica_owners));
+    }
+
     /// Gives up ownership of a message that has not started, so that another store can own it, and notes
     /// that. A replica stays for the stores in [`OwnedMessage::replica_owners`]. Returns false if the message
     /// has started or is not owned here.
--- a/crates/queue/tests/queue.rs
+++ b/crates/queue/tests/queue.rs
@@ -553,6 +553,29 @@
     }
 }
 
+/// Guards against an end that a compaction forgets: a holder that missed it would have the message run again.
+#[rstest]
+#[case::nothing_is_owed(message("a"), false)]
+#[case::the_callback_was_accepted(with_callback("a"), true)]
+fn the_end_of_an_own_message_outlasts_a_compaction(#[case] message: Message, #[case] called_back: bool) {
+    let mut queue = Queue::new(DISK);
+    accept(&mut queue, message.clone());
+    queue.keep_replica(9, message);
+    assert!(queue.finish(completed("a")));
+    if called_back {
+        queue.mark_callback_done("a");
+    }
+    let mut restarted = Queue::new(DISK);
+    replication::current_entries(&queue, "a").into_iter().for_each(|record| restarted.replay(record));
+    assert_eq!(restarted.final_record_of("a"), Some(completed("a")));
+    assert_eq!(restarted.owned("a").map(|owned| owned.callback_pending), Some(false));
+    assert_eq!(restarted.held_for(9), queue.held_for(9));
+    assert_eq!(restarted.counts(), queue.counts());
+    let held = HeldIds { live: BTreeSet::from(["a".to_string()]), ..HeldIds::default() };
+    let reconciled = replication::reconcile(&mut restarted, 5, &held);
+    assert_eq!((reconciled.missed_entries.len(), reconciled.unknown.len()), (1, 0), "the holder is told");
+}
+
 /// A store may lose power before it has written that a message finished. It learns the outcome from a holder.
 #[test]
 fn an_owner_learns_from_a_holder_what_it_holds_and_what_has_finished() {
