Store: an acceptance notice ends when the message is relinquished

Callers saw: an accepted message was lost after the store that kept it retired. Cause: a store that had told another one that it accepted a message, and relinquished the message to a third since, still answered that it has it; the heir of the third dropped it for that. Change: the notice goes with the message.

--- a/crates/node/src/store/relinquish.rs
+++ b/crates/node/src/store/relinquish.rs
@@ -14,7 +14,7 @@
 /// Delay before a store is asked again, or the view is checked again.
 const RETRY_DELAY: Duration = Duration::from_millis(150);
 
-/// A report to other stores that a message was accepted here.
+/// A report to other stores that a message was accepted here. It holds until this store relinquishes the message.
 #[derive(Debug, Default)]
 pub struct AcceptanceNotice {
     to: BTreeSet<u64>,
@@ -209,6 +209,7 @@
             let entry = Entry::Dropped { owner: self.disk, id: id.clone() };
             let holders = self.holders(&id);
             if self.queue.borrow_mut().relinquish(&id, self.clock.ms()) {
+                self.acceptance_notices.borrow_mut().remove(&id);
                 self.log.write_later(&entry);
                 self.send_to(&holders, &entry);
                 relinquished.push(id);
--- a/crates/node/tests/model/operations.rs
+++ b/crates/node/tests/model/operations.rs
@@ -232,6 +232,25 @@
         self.machines[machine].store().is_some_and(|store| store.has_relinquished(id))
     }
 
+    /// The disk of a machine's store.
+    pub fn disk_of(&self, machine: usize) -> u64 {
+        self.machines[machine].store().expect("the store runs").disk
+    }
+
+    /// The machines of the stores in service, in the order in which edges ask them.
+    pub fn stores_in_order(&self) -> Vec<usize> {
+        let state = self.control.state.borrow();
+        let machine_of = |name: &str| self.machines.iter().position(|machine| machine.name == name);
+        state.stores.remaining().filter_map(|store| machine_of(&store.name)).collect()
+    }
+
+    /// Two machines don't reach each other until the network heals.
+    pub fn cut_between(&self, one: usize, other: usize) {
+        let (one, other) = (self.machines[one].ip, self.machines[other].ip);
+        self.network.cut(one, other);
+        self.network.cut(other, one);
+    }
+
     /// The process of a machine stands still for a time.
     pub fn freeze(&mut self, machine: usize, span: Ms) {
         self.machines[machine].frozen_until = self.now() + span;
