Store: a retiring store that was given up hands back what is nowhere else

Callers saw: messages lost although their disk came back. Cause: a store that was declared lost took the mark 'retiring' of its entry for 'everything was elsewhere before'; the mark says only that it was asked to retire. Evidence: the same play without the order to retire holds. Change: only a store that has completed its retirement hands nothing back. Test: a_retiring_store_that_was_given_up_hands_back_what_is_nowhere_else: failed before (LOST), passes.

--- a/crates/node/src/store/view_changes.rs
+++ b/crates/node/src/store/view_changes.rs
@@ -15,8 +15,8 @@
             seen = self.cluster.changes.get();
             let view = self.cluster.stores();
             let own_entry = view.get(self.disk);
-            if let Some(store) = own_entry.filter(|store| store.declared_lost) {
-                self.on_declared_lost(store.retiring);
+            if own_entry.is_some_and(|store| store.declared_lost) {
+                self.on_declared_lost();
                 continue;
             }
             if own_entry.is_some_and(|store| store.retiring) && !self.retiring.replace(true) {
@@ -40,11 +40,12 @@
     }
 
     /// Other stores have taken over from this disk, so nothing runs here any more. Messages that may exist
-    /// only here are handed back; a retired store has none, since the others had all of them before.
-    fn on_declared_lost(self: &Rc<Self>, retired: bool) {
+    /// only here are handed back. A store that has completed its retirement has none: the others had all of them
+    /// before. That it was asked to retire is not enough, as it may have been declared lost for its silence.
+    fn on_declared_lost(self: &Rc<Self>) {
         self.draining.set(true);
         self.paused.set(true);
-        if !retired && !self.declared_lost.replace(true) {
+        if !self.retirement_ready.get() && !self.declared_lost.replace(true) {
             runtime::spawn(self.clone().hand_back());
         }
     }
--- a/crates/node/tests/retirement.rs
+++ b/crates/node/tests/retirement.rs
@@ -67,3 +67,23 @@
         (1..4).filter_map(|seed| retire_with_disk_loss(seed, loss, next_lost)).collect();
     assert!(broken.is_empty(), "{loss:?}, then machine {next_lost}: {broken:#?}");
 }
+
+/// Guards against a retiring store that was given up and keeps what is nowhere else to itself once it returns: another disk
+/// was lost as it went.
+#[test]
+fn a_retiring_store_that_was_given_up_hands_back_what_is_nowhere_else() {
+    let mut world = World::new(1, 4, 1, Mistake::None, Regime::Planned);
+    world.advance(5_000);
+    for i in 0..MESSAGES {
+        world.send_delayed(&format!("m{i}"), 190_000);
+        world.advance(20);
+    }
+    world.advance(1_000);
+    // Its machine is there until the end, whatever is said of its retirement.
+    world.leave_retired_for(400_000);
+    world.retire(&world.name_of(RETIRING));
+    world.power_off(RETIRING, 150_000, false);
+    world.power_off(1, 1_000, true);
+    world.advance(230_000);
+    assert_eq!(world.broken(), None);
+}
