Review: case 4 with the trouble more than ContactMs before the success

Cause: the rule may also be read as not counting a repeat where trouble lay within ContactMs before the successful run. Change: two runs of the message fail before one succeeds, so the second copy is 4.4 s older than the successful run.

--- a/review/4/case.rs
+++ b/review/4/case.rs
@@ -1,6 +1,6 @@
 //! An endpoint in trouble sends the answer to a failed attempt a second time, a moment later. The store takes the second
-//! copy for the answer to the next attempt, sends one attempt more over the same connection, and the endpoint runs the
-//! message again after it has answered it with success.
+//! copy for the answer to the next attempt, and from then on each answer for that of the attempt after it. So it has one
+//! attempt more on the way than it counts, and the endpoint runs the message again after it has answered it with success.
 #[path = "../tools-2/stand.rs"]
 mod stand;
 use stand::*;
@@ -9,14 +9,16 @@
 
 const HOST: &str = "print.example";
 const CONTACT_MS: u64 = 4_000;
-const TIMEOUT_MS: u64 = 6_000;
+const TIMEOUT_MS: u64 = 10_000;
 /// How long a confirmed print run works, and an ordinary message.
-const LONG_WORK_MS: u64 = 5_000;
+const LONG_WORK_MS: u64 = 4_500;
 const SHORT_WORK_MS: u64 = 10;
 /// After how long the second copy of an answer comes.
 const COPY_AFTER_MS: u64 = 200;
 const ORDINARY: usize = 420;
-const MARKED: usize = 2;
+const MARKED: usize = 1;
+/// So many runs of a marked message fail before one succeeds.
+const FAILS: usize = 2;
 /// The share of its answers that the endpoint in trouble spoils at the most, as the pages have it.
 const SPOILED_SHARE: f64 = 0.03;
 
@@ -56,11 +58,11 @@
             runs.len()
         };
         let marked = id.starts_with("run-");
-        let fails = marked && attempt == 1;
+        let fails = marked && attempt <= FAILS;
         if marked {
             note(format!("endpoint {number}: run {attempt} of {id} begins"));
         }
-        sleep_ms(if marked && !fails { LONG_WORK_MS } else { SHORT_WORK_MS });
+        sleep_ms(if marked && attempt > 1 { LONG_WORK_MS } else { SHORT_WORK_MS });
         let (status, signature) = match fails {
             true => (500, String::new()),
             false => (200, format!("stamp-{id}-{attempt}")),
@@ -76,7 +78,7 @@
             (run.ended, run.status, run.signature) = (now_ms(), status, signature.clone());
             seen.answers += usize::from(number == 0);
             let share = (seen.copies + 1) as f64 / seen.answers.max(1) as f64;
-            let copied = with_trouble() && number == 0 && fails && share <= SPOILED_SHARE;
+            let copied = with_trouble() && number == 0 && marked && attempt == 1 && share <= SPOILED_SHARE;
             seen.copies += usize::from(copied);
             copied
         };
@@ -136,7 +138,7 @@
         ids.push(fleet.send_until_accepted(HOST, "/runs/new", &format!("run-{number}"), &[], b"a long print run")?);
         sleep_ms(500);
     }
-    let until = now_ms() + 14_000;
+    let until = now_ms() + 20_000;
     let mut completed: BTreeMap<String, String> = BTreeMap::new();
     while now_ms() < until {
         for id in &ids {
@@ -164,12 +166,14 @@
             note(format!("{id}: no run of it is reported as completed"));
             continue;
         };
-        let again = runs.iter().find(|run| run.started >= first.ended && run.started > seen.last_trouble + CONTACT_MS);
+        // No trouble from `ContactMs` before the successful run began until the message began again.
+        let calm = seen.last_trouble > 0 && first.started > seen.last_trouble + CONTACT_MS;
+        let again = runs.iter().find(|run| run.started >= first.ended && (calm || seen.last_trouble == 0));
         if let Some(again) = again {
             broken = true;
             note(format!(
-                "TWICE: {id} succeeded at {} ms, its success was read ({}), and it began again at {} ms, {} ms after the last trouble",
-                first.ended, completed[id], again.started, again.started - seen.last_trouble
+                "TWICE: {id} began at {} ms, {} ms after the last trouble, and succeeded at {} ms; its success was read ({}); it began again at {} ms",
+                first.started, first.started - seen.last_trouble, first.ended, completed[id], again.started
             ));
         }
     }
