Tests: what a clean build needs is checked for both kinds of machine

Cause: the check asked cargo, offline, for the crates of x86-64 alone. On a machine of another kind the manifests of crates that only x86-64 needs (cpufeatures) aren't in the cache, and the check failed before it compared anything. Change: one case for x86-64 and one for arm64, on either machine; cargo may fetch a manifest that its cache lacks. What is compared is the same: the crates with native steps, the list with its reasons, the packages of both deploy files. Result: failed before on arm64 ("failed to download cpufeatures"); both cases pass there. Not run on x86-64.

--- a/tests/clean_build.rs
+++ b/tests/clean_build.rs
@@ -1,5 +1,6 @@
 //! What a clean build needs beside the Rust tool chain stands in the deploy files: crates with native build steps are known, each
 //! with a reason, and what they need is among the packages.
+use rstest::rstest;
 use serde_json::Value;
 use std::collections::{BTreeMap, BTreeSet};
 use std::process::Command;
@@ -42,12 +43,12 @@
     Need { packages: packages(table), reason: table["reason"].as_str().expect("a text").to_string() }
 }
 
-/// The crates of this system's build that run native tools, by what Cargo.lock resolves to for Linux.
-fn crates_with_native_steps() -> BTreeSet<String> {
-    let target = ["--filter-platform", "x86_64-unknown-linux-gnu"];
+/// The crates of this system's build that run native tools, by what Cargo.lock resolves to for a platform. Cargo fetches
+/// the manifests of crates that only the other kind of machine needs, unless they are in its cache.
+fn crates_with_native_steps(platform: &str) -> BTreeSet<String> {
     let output = Command::new(env!("CARGO"))
-        .args(["metadata", "--locked", "--offline", "--format-version", "1"])
-        .args(target)
+        .args(["metadata", "--locked", "--format-version", "1"])
+        .args(["--filter-platform", platform])
         .current_dir(env!("CARGO_MANIFEST_DIR"))
         .output()
         .unwrap();
@@ -77,8 +78,10 @@
     ["rayon-core", "wasm-bindgen-shared"].contains(&name)
 }
 
-#[test]
-fn crates_with_native_build_steps_are_listed_with_what_they_need() {
+#[rstest]
+#[case::x86_64("x86_64-unknown-linux-gnu")]
+#[case::arm64("aarch64-unknown-linux-gnu")]
+fn crates_with_native_build_steps_are_listed_with_what_they_need(#[case] platform: &str) {
     let list = table("deploy/native-builds.toml");
     let listed: BTreeMap<String, Need> = list["crates"]
         .as_table()
@@ -87,7 +90,7 @@
         .map(|(name, table)| (name.clone(), need(table)))
         .collect();
     let found: BTreeSet<String> =
-        crates_with_native_steps().into_iter().filter(|name| !builds_nothing(name)).collect();
+        crates_with_native_steps(platform).into_iter().filter(|name| !builds_nothing(name)).collect();
     let known: BTreeSet<String> = listed.keys().cloned().collect();
     assert_eq!(found, known, "list each in deploy/native-builds.toml with what it needs, and why");
     let mut needs: Vec<Need> = listed.into_values().collect();
