--- a/crates/node/src/store/deliver.rs
+++ b/crates/node/src/store/deliver.rs
@@ -8,7 +8,7 @@
 use net::runtime;
 use policy::api::Outcome as PolicyOutcome;
 use queue::{Entry, Envelope, FinalRecord, Outcome};
-use settings::{Configuration, Route};
+use settings::{Configuration, Route, RouteKey};
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::Duration;
@@ -110,6 +110,7 @@
 /// Applies each new list of endpoints and configuration, and finishes messages whose route was removed.
 async fn follow_configuration(store: Rc<Store>) {
     let mut seen = 0;
+    let mut applied = 0;
     let mut unknown_zones = BTreeSet::new();
     loop {
         let changes = store.cluster.changes.changed(seen);
@@ -129,6 +130,10 @@
                 }
             }
             store.endpoints.borrow_mut().update(&configuration, &list, topology, senders);
+            if configuration.version > applied {
+                applied = configuration.version;
+                store.queue.borrow_mut().apply_configuration(&configuration);
+            }
         }
         store.finish_expired();
         let endpoints = &store.endpoints;
@@ -140,15 +145,10 @@
 impl Store {
     fn finish_expired(self: &Rc<Self>) {
         let now = wall_ms();
-        let version = self.cluster.version();
-        if version == 0 {
+        if self.cluster.version() == 0 {
             return;
         }
-        let configuration = self.cluster.configuration();
-        let has_route = |envelope: &Envelope| {
-            envelope.config_version > version || configuration.named(&envelope.route).is_some()
-        };
-        let expired = self.queue.borrow().expired_or_unroutable(now, has_route);
+        let expired = self.queue.borrow().expired_or_unroutable(now);
         for id in expired {
             log::info!("{id} becomes a dead letter: its route was removed or it has expired");
             self.finish(FinalRecord { id, outcome: Outcome::DeadLetter, at: now });
@@ -168,11 +168,14 @@
             return next;
         }
         let configuration = self.cluster.configuration();
-        let names: Vec<String> = self.queue.borrow().routes().cloned().collect();
-        let mut routes: Vec<&Route> = names.iter().filter_map(|name| configuration.named(name)).collect();
-        routes.sort_by_key(|route| route.priority);
-        for route in routes {
-            next = next.min(self.start_route(&configuration, route, now));
+        let keys: Vec<Rc<RouteKey>> = self.queue.borrow().routes().cloned().collect();
+        let mut routes: Vec<(Rc<RouteKey>, &Route)> = keys
+            .into_iter()
+            .filter_map(|key| configuration.route_with_key(&key).map(|route| (key, route)))
+            .collect();
+        routes.sort_by_key(|(_, route)| route.priority);
+        for (key, route) in routes {
+            next = next.min(self.start_route(&configuration, &key, route, now));
         }
         let due = self.queue.borrow().next_due().unwrap_or(next);
         next.min(due.max(now + MIN_WAIT_MS))
@@ -189,17 +192,23 @@
         may && self.has_applied_view() && now < envelope.expires_at
     }
 
-    fn start_route(self: &Rc<Self>, configuration: &Rc<Configuration>, route: &Route, now: u64) -> u64 {
+    fn start_route(
+        self: &Rc<Self>,
+        configuration: &Rc<Configuration>,
+        key: &RouteKey,
+        route: &Route,
+        now: u64,
+    ) -> u64 {
         let steady_now = self.clock.ms();
         loop {
-            let due = self.queue.borrow_mut().next(&route.name, now, |envelope| self.may_run(envelope, now));
+            let due = self.queue.borrow_mut().next(key, now, |envelope| self.may_run(envelope, now));
             let Some(id) = due else { return now + MAX_IDLE_MS };
             let picked = self.endpoints.borrow().pick(&route.service, &self.location, steady_now);
             let Some(endpoint) = picked else {
                 let next = self.endpoints.borrow().next_try(&route.service, steady_now);
                 return next.map_or(now + MAX_IDLE_MS, |at| now + (at - steady_now));
             };
-            let waiting = self.queue.borrow().backlog(&route.name);
+            let waiting = self.queue.borrow().backlog(key);
             if let Err(wait) = self.take_permit(configuration, &route.service, waiting, steady_now) {
                 return now + wait;
             }
@@ -225,7 +234,7 @@
         };
         let started_at_ns = self.clock.ns();
         let mut endpoints = self.endpoints.borrow_mut();
-        let class = endpoints.class(&route.service, &route.name);
+        let class = endpoints.class(route);
         let (address, instance, concurrency) =
             endpoints.begin(&route.service, endpoint_index, class, started_at_ns);
         let classes = endpoints.deadlines(configuration, &route.service);
@@ -294,10 +303,10 @@
         }
     }
 
-    /// Number of waiting messages by route, for the status.
+    /// Number of waiting messages by host and path prefix of their route, for the status.
     pub fn backlog(&self) -> BTreeMap<String, usize> {
         let queue = self.queue.borrow();
-        let backlog = queue.routes().map(|route| (route.clone(), queue.backlog(route))).collect();
+        let backlog = queue.routes().map(|route| (route.to_string(), queue.backlog(route))).collect();
         backlog
     }
 }
--- a/crates/node/src/store/endpoints.rs
+++ b/crates/node/src/store/endpoints.rs
@@ -2,7 +2,7 @@
 use crate::calls;
 use policy::admission::{Admission, ClassDeadline};
 use policy::api::Outcome;
-use settings::{Configuration, Distance, Location, Service, Topology};
+use settings::{Configuration, Distance, Location, Route, RouteKey, Service, Topology};
 use std::collections::BTreeMap;
 use std::net::{IpAddr, SocketAddr};
 
@@ -54,8 +54,8 @@
 #[derive(Default)]
 pub struct Endpoints {
     services: BTreeMap<String, Vec<Endpoint>>,
-    /// Names of a service's routes; each route is a class.
-    classes: BTreeMap<String, Vec<String>>,
+    /// A service's routes; each route is a class.
+    classes: BTreeMap<String, Vec<RouteKey>>,
 }
 
 impl Endpoints {
@@ -74,8 +74,7 @@
             let routes: Vec<_> = routes.collect();
             let deadline = |ms: u64| ClassDeadline { deadline: ms as i64 * NANOS_PER_MS };
             let classes: Vec<_> = routes.iter().map(|route| deadline(route.timeout_ms)).collect();
-            self.classes
-                .insert(service.name.clone(), routes.iter().map(|route| route.name.clone()).collect());
+            self.classes.insert(service.name.clone(), routes.iter().map(|route| route.key()).collect());
             let old = before.remove(&service.name).unwrap_or_default();
             let endpoints = build_endpoints(service, list, topology, old, &classes, senders);
             self.services.insert(service.name.clone(), endpoints);
@@ -83,9 +82,10 @@
     }
 
     /// Index of a route in its service's list of routes, which is its class; `usize::MAX` if it isn't listed.
-    pub fn class(&self, service: &str, route: &str) -> usize {
-        let classes = self.classes.get(service);
-        classes.and_then(|classes| classes.iter().position(|name| name == route)).unwrap_or(usize::MAX)
+    pub fn class(&self, route: &Route) -> usize {
+        let classes = self.classes.get(&route.service);
+        let index = classes.and_then(|classes| classes.iter().position(|key| key.identifies(route)));
+        index.unwrap_or(usize::MAX)
     }
 
     /// Index of the endpoint that gets the next message: the nearest to `from` that has capacity, and of
--- a/crates/node/tests/model/control.rs
+++ b/crates/node/tests/model/control.rs
@@ -12,12 +12,23 @@
 use settings::Tolerance;
 use simulation::Simulation;
 use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 const HOLD: Duration = Duration::from_millis(1_000);
 const EVERY: Duration = Duration::from_millis(100);
 const ENDPOINTS: u16 = 4;
+/// Services with one endpoint each, which only configurations of a test's own name.
+pub const FURTHER_SERVICES: [&str; 3] = ["partners", "proofdesk", "runbook"];
+
+/// A route of a test's own configuration.
+#[derive(Clone, Copy, Debug)]
+pub struct RouteSpec {
+    pub name: &'static str,
+    pub prefix: &'static str,
+    pub service: &'static str,
+}
 
 /// The control group.
 pub struct Control {
@@ -50,6 +61,12 @@
         self.change(Command::Configure { base, body: configuration(base + 1, tenants) });
     }
 
+    /// The operator's next configuration, with these routes and without tenants.
+    pub fn configure_routes(&self, routes: &[RouteSpec]) {
+        let base = self.state.borrow().version;
+        self.change(Command::Configure { base, body: configuration_of(base + 1, routes) });
+    }
+
     /// Carries out a command, if it changes anything.
     pub fn change(&self, command: Command) {
         let Ok(events) = self.state.borrow().decide(&command) else { return };
@@ -111,15 +128,33 @@
 }
 
 fn endpoints() -> Vec<Endpoint> {
-    let endpoint = |i: u16| Endpoint {
+    let endpoint = |(i, service): (usize, &str)| Endpoint {
         id: format!("i-{i}"),
-        service: "work".to_string(),
+        service: service.to_string(),
         address: format!("10.0.9.{}:{PORT}", i + 1),
         zone: "z".to_string(),
         capacity: 40,
         draining: false,
     };
-    (0..ENDPOINTS).map(endpoint).collect()
+    let services = std::iter::repeat_n("work", usize::from(ENDPOINTS)).chain(FURTHER_SERVICES);
+    services.enumerate().map(endpoint).collect()
+}
+
+/// The service whose endpoint has an address.
+pub fn service_at(address: SocketAddr) -> String {
+    let at = address.to_string();
+    let endpoint = endpoints().into_iter().find(|endpoint| endpoint.address == at);
+    endpoint.expect("the address is listed").service
+}
+
+fn configuration_of(version: u64, routes: &[RouteSpec]) -> Vec<u8> {
+    let route = |spec: &RouteSpec| {
+        serde_json::json!({"Name": spec.name, "Host": "h", "PathPrefix": spec.prefix, "TimeoutMs": 1500,
+            "Backend": spec.service, "MaxAttempts": super::MAX_ATTEMPTS, "RetentionS": 600.0})
+    };
+    let routes: Vec<_> = routes.iter().map(route).collect();
+    let services = FURTHER_SERVICES.map(|name| serde_json::json!({"Name": name, "MaxConnections": 400}));
+    serde_json::json!({"Version": version, "Routes": routes, "Backends": services}).to_string().into_bytes()
 }
 
 fn configuration(version: u64, tenants: Option<serde_json::Value>) -> Vec<u8> {
--- a/crates/node/tests/model/endpoints.rs
+++ b/crates/node/tests/model/endpoints.rs
@@ -1,4 +1,5 @@
 //! What clients were told and what endpoints ran: the judge of a run.
+use super::control::service_at;
 use super::operations::Operations;
 use super::tenants::{Credential, Tenants};
 use super::{Ms, CONTACT, MAX_ATTEMPTS};
@@ -74,6 +75,8 @@
     known: bool,
     /// Each begin: when, and by which store.
     begins: Vec<(Ms, String)>,
+    /// The service of each begin.
+    services: Vec<String>,
     /// Answers of endpoints that this attempt failed.
     failures: u32,
     /// An endpoint has answered that it can never be done.
@@ -233,7 +236,7 @@
         }
     }
 
-    fn begin(&self, id: &str, by: &str, head: &str, body: &[u8]) -> End {
+    fn begin(&self, id: &str, at: SocketAddr, by: &str, head: &str, body: &[u8]) -> End {
         let now = self.simulation.ms();
         self.runs.set(self.runs.get() + 1);
         let doom = self.fates.borrow().get(id).expect("it was sent").message.doom;
@@ -244,6 +247,7 @@
         let mut fates = self.fates.borrow_mut();
         let fate = fates.get_mut(id).expect("it was sent");
         fate.begins.push((now, by.to_string()));
+        fate.services.push(service_at(at));
         let twice = self.operations.borrow_mut().begun(id, now);
         twice.into_iter().for_each(|twice| self.broke(twice));
         if fate.message.body != body {
@@ -345,6 +349,11 @@
         self.fates.borrow().get(id).map_or(Vec::new(), |fate| fate.begins.clone())
     }
 
+    /// The service of each run of a message.
+    pub fn services(&self, id: &str) -> Vec<String> {
+        self.fates.borrow().get(id).map_or(Vec::new(), |fate| fate.services.clone())
+    }
+
     /// Every message that was taken, and where it stands.
     pub fn taken(&self) -> Vec<Asked> {
         let fates = self.fates.borrow();
@@ -437,13 +446,14 @@
     async fn run(
         self: Rc<Self>,
         id: String,
+        at: SocketAddr,
         by: String,
         head: String,
         body: Vec<u8>,
         within: Duration,
     ) -> Result<Response, CallError> {
         sleep(Duration::from_millis(1)).await;
-        let end = self.begin(&id, &by, &head, &body);
+        let end = self.begin(&id, at, &by, &head, &body);
         if matches!(end, End::TurnedAway) {
             return Ok(answer(503, &id, &[("x-not-executed", "1")]));
         }
@@ -494,14 +504,14 @@
 }
 
 impl Service for Reached {
-    fn call(&self, _to: SocketAddr, request: Vec<u8>, within: Duration) -> Exchange {
+    fn call(&self, to: SocketAddr, request: Vec<u8>, within: Duration) -> Exchange {
         let (head, body) = split_request(&request);
         let text = String::from_utf8_lossy(&request).into_owned();
         if text.starts_with("POST /done ") {
             return Box::pin(self.endpoints.clone().receive(text, within));
         }
         let id = head.lines().find_map(|line| line.strip_prefix("X-Request-Id: ")).unwrap().to_string();
-        Box::pin(self.endpoints.clone().run(id, self.store.clone(), head, body, within))
+        Box::pin(self.endpoints.clone().run(id, to, self.store.clone(), head, body, within))
     }
 }
 
--- a/crates/node/tests/model/mod.rs
+++ b/crates/node/tests/model/mod.rs
@@ -13,6 +13,7 @@
 mod tenants;
 mod troubles;
 
+pub use control::RouteSpec;
 pub use endpoints::{Counts, Doom, Sent, PUBLIC_ROUTE};
 pub use hot::Tenant as HotTenant;
 pub use mistakes::{Brings, DamagesBodies, Mistake};
@@ -507,6 +508,12 @@
         self.control.configure(None);
     }
 
+    /// The operator's next configuration has these routes and no list of tenants.
+    pub fn configure_routes(&self, routes: &[RouteSpec]) {
+        self.tenants.enforce(Vec::new());
+        self.control.configure_routes(routes);
+    }
+
     /// Clients ask an edge, which answers at once or after a while.
     pub fn ask(&mut self, edge: usize, request: Request) -> Answer {
         let (process, edge) = self.edges[edge].clone();
@@ -575,6 +582,11 @@
         self.endpoints.begins(id)
     }
 
+    /// The service of each run of a message.
+    pub fn services(&self, id: &str) -> Vec<String> {
+        self.endpoints.services(id)
+    }
+
     /// Asks for a store to be emptied.
     pub fn retire(&self, name: &str) {
         self.control.retire(name);
--- a/crates/queue/src/lib.rs
+++ b/crates/queue/src/lib.rs
@@ -17,6 +17,7 @@
 //! | [`owned`] | the state of a message that this store owns |
 //! | `relinquished` | messages that this store left to other stores |
 //! | [`replicas`] | messages and final records held for other stores |
+//! | `routing` | which route an owned message belongs to |
 //! | `ready`, `schedule` | which messages of a route may run, and in which order |
 //! | [`duplicates`] | which of several messages of one operation is kept |
 //! | [`state`] | the queue itself: the state after all records, and access to what is held for other stores |
@@ -33,6 +34,7 @@
 mod relinquished;
 pub mod replicas;
 pub mod replication;
+mod routing;
 mod schedule;
 pub mod state;
 
--- a/crates/queue/src/message.rs
+++ b/crates/queue/src/message.rs
@@ -1,6 +1,7 @@
 //! Messages as received from clients: an envelope, and a body with its digest.
 use crate::WallMs;
 use borsh::{BorshDeserialize, BorshSerialize};
+use settings::Destination;
 use std::rc::Rc;
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
@@ -27,6 +28,8 @@
     pub sequence: u64,
     /// URL to notify of the outcome.
     pub callback: Option<String>,
+    /// Name that the message's route had when it was received. It identifies no route: a later configuration may give
+    /// it to another one. Host and target tell which route the message belongs to.
     pub route: String,
     /// Version of the configuration under which the message was received.
     pub config_version: u64,
@@ -44,6 +47,11 @@
 }
 
 impl Envelope {
+    /// Host and path of the request, by which its route is selected.
+    pub fn destination(&self) -> Destination<'_> {
+        Destination { host: &self.host, path: self.target.split('?').next().unwrap_or_default() }
+    }
+
     /// The key within which order is kept, if the message is ordered. It spans all routes.
     pub fn ordering_key(&self) -> Option<TenantKey> {
         let key = self.key.as_ref().filter(|_| self.ordered)?;
--- a/crates/queue/src/owned.rs
+++ b/crates/queue/src/owned.rs
@@ -2,7 +2,9 @@
 use crate::finished::{FinalRecord, FinishedMessage};
 use crate::message::{Envelope, Message};
 use crate::ready::Position;
+use crate::routing::MessageRoute;
 use crate::WallMs;
+use settings::RouteKey;
 use std::collections::BTreeSet;
 use std::rc::Rc;
 
@@ -42,8 +44,18 @@
     /// Disks of other stores that received the message too and rely on a replica here. If this store
     /// relinquishes the message, it keeps a replica for them.
     pub replica_owners: BTreeSet<u64>,
-    /// Position among the waiting messages of its route, if it is scheduled.
-    pub(crate) position: Option<Position>,
+    /// Its route by the configuration in force.
+    pub(crate) route: MessageRoute,
+    /// Where it waits, if it is scheduled.
+    pub(crate) slot: Option<Slot>,
+}
+
+/// Where a scheduled message waits.
+#[derive(Clone, Debug)]
+pub(crate) struct Slot {
+    pub route: Rc<RouteKey>,
+    /// Position among the waiting messages of the route.
+    pub position: Position,
 }
 
 impl OwnedMessage {
@@ -70,7 +82,8 @@
             callback_pending,
             unnotified: BTreeSet::new(),
             replica_owners,
-            position: None,
+            route: MessageRoute::default(),
+            slot: None,
         }
     }
 
--- a/crates/queue/src/schedule.rs
+++ b/crates/queue/src/schedule.rs
@@ -1,10 +1,12 @@
 //! Decides which owned messages may run: those of an ordering key one after another, those of a route in the
 //! order that lets most of them start on time.
 use crate::message::{Envelope, TenantKey};
-use crate::owned::{OwnedMessage, Stage};
+use crate::owned::{OwnedMessage, Slot, Stage};
 use crate::ready::{Position, Ready};
 use crate::WallMs;
+use settings::RouteKey;
 use std::collections::{BTreeMap, VecDeque};
+use std::rc::Rc;
 
 /// How many messages of a key are searched for one that can still start on time.
 const MAX_LOOKAHEAD: usize = 16;
@@ -19,7 +21,7 @@
 #[derive(Default)]
 pub(crate) struct Schedule {
     /// Waiting messages by route; of each ordering key only the first.
-    ready: BTreeMap<String, Ready>,
+    ready: BTreeMap<Rc<RouteKey>, Ready>,
     /// Ids of the messages of each ordering key, in order of their sequence numbers.
     key_queues: BTreeMap<TenantKey, VecDeque<String>>,
 }
@@ -77,9 +79,21 @@
     /// Removes a message from the waiting ones of its route.
     pub fn unschedule(&mut self, messages: &mut Messages, id: &str) {
         let Some(owned) = messages.get_mut(id) else { return };
-        let position = owned.position.take();
-        if let (Some(position), Some(ready)) = (position, self.ready.get_mut(&owned.envelope().route)) {
-            ready.remove(id, position);
+        let Some(slot) = owned.slot.take() else { return };
+        let Some(ready) = self.ready.get_mut(&slot.route) else { return };
+        ready.remove(id, slot.position);
+        if ready.len() == 0 {
+            self.ready.remove(&slot.route);
+        }
+    }
+
+    /// Moves a message that may run to its present route; without one, it doesn't run.
+    pub fn move_to_route(&mut self, messages: &mut Messages, id: &str) {
+        let Some(owned) = messages.get(id) else { return };
+        let key_queue = owned.envelope().ordering_key().and_then(|key| self.key_queues.get(&key));
+        let is_first = key_queue.is_none_or(|queue| queue.front().is_some_and(|first| first == id));
+        if owned.stage() == Some(Stage::Waiting) && is_first {
+            self.schedule_at_due(messages, id);
         }
     }
 
@@ -93,8 +107,9 @@
     fn set_position(&mut self, messages: &mut Messages, id: &str, position: Position) {
         self.unschedule(messages, id);
         let Some(owned) = messages.get_mut(id) else { return };
-        owned.position = Some(position);
-        self.ready.entry(owned.envelope().route.clone()).or_default().insert(id, position);
+        let Some(route) = owned.route.key().cloned() else { return };
+        self.ready.entry(route.clone()).or_default().insert(id, position);
+        owned.slot = Some(Slot { route, position });
     }
 
     /// The position of a message that is due: how many messages have to run before the first of its key that
@@ -128,7 +143,7 @@
     pub fn next(
         &mut self,
         messages: &mut Messages,
-        route: &str,
+        route: &RouteKey,
         now: WallMs,
         may_run: impl Fn(&Envelope) -> bool,
     ) -> Option<String> {
@@ -143,8 +158,8 @@
     }
 
     /// Routes with waiting messages.
-    pub fn routes(&self) -> impl Iterator<Item = &String> {
-        self.ready.iter().filter(|(_, ready)| ready.len() > 0).map(|(route, _)| route)
+    pub fn routes(&self) -> impl Iterator<Item = &Rc<RouteKey>> {
+        self.ready.keys()
     }
 
     /// When the next message that is not due yet becomes due.
@@ -153,7 +168,7 @@
     }
 
     /// Number of waiting messages of a route.
-    pub fn backlog(&self, route: &str) -> usize {
+    pub fn backlog(&self, route: &RouteKey) -> usize {
         self.ready.get(route).map_or(0, Ready::len)
     }
 }
--- a/crates/queue/src/state/mod.rs
+++ b/crates/queue/src/state/mod.rs
@@ -8,9 +8,12 @@
 use crate::owned::{OwnedMessage, Stage};
 use crate::relinquished::Relinquished;
 use crate::replicas::Replicas;
+use crate::routing::{MessageRoute, Routing};
 use crate::schedule::{Messages, Schedule};
 use crate::WallMs;
+use settings::{Configuration, RouteKey};
 use std::collections::BTreeSet;
+use std::rc::Rc;
 
 pub use held::HeldIds;
 
@@ -35,6 +38,7 @@
     /// Total size of the bodies of owned messages.
     owned_bytes: usize,
     schedule: Schedule,
+    routing: Routing,
     operations: Operations,
     replicas: Replicas,
     /// Disks of stores that were declared lost.
@@ -135,8 +139,9 @@
         true
     }
 
-    fn insert(&mut self, id: String, owned: OwnedMessage) {
+    fn insert(&mut self, id: String, mut owned: OwnedMessage) {
         self.owned_bytes += owned.body_bytes();
+        owned.route = self.routing.route_of(owned.envelope(), &MessageRoute::Unknown);
         let duplicate = self.duplicate_of(owned.envelope());
         if duplicate.is_none_or(|duplicate| duplicate.precedence() < owned.precedence()) {
             self.operations.set(owned.envelope());
@@ -169,14 +174,36 @@
         }
     }
 
+    /// Applies a newer configuration: each message goes on waiting on the route that it was accepted on.
+    pub fn apply_configuration(&mut self, configuration: &Configuration) {
+        self.routing.apply(configuration);
+        let mut moved = Vec::new();
+        for owned in self.owned.values_mut().filter(|owned| owned.is_live()) {
+            let route = self.routing.route_of(owned.envelope(), &owned.route);
+            if route.key() != owned.route.key() {
+                moved.push(owned.id().to_string());
+            }
+            owned.route = route;
+        }
+        for id in moved {
+            self.schedule.unschedule(&mut self.owned, &id);
+            self.schedule.move_to_route(&mut self.owned, &id);
+        }
+    }
+
     /// The next message of a route to run among those that `may_run` allows. Messages that can still start
     /// within their target time come first, then late ones in order.
-    pub fn next(&mut self, route: &str, now: WallMs, may_run: impl Fn(&Envelope) -> bool) -> Option<String> {
+    pub fn next(
+        &mut self,
+        route: &RouteKey,
+        now: WallMs,
+        may_run: impl Fn(&Envelope) -> bool,
+    ) -> Option<String> {
         self.schedule.next(&mut self.owned, route, now, may_run)
     }
 
     /// Routes with waiting messages, due or not.
-    pub fn routes(&self) -> impl Iterator<Item = &String> {
+    pub fn routes(&self) -> impl Iterator<Item = &Rc<RouteKey>> {
         self.schedule.routes()
     }
 
@@ -187,7 +214,7 @@
 
     /// Number of waiting messages of a route, due or not. Of messages with an ordering key, only the first of
     /// each key counts.
-    pub fn backlog(&self, route: &str) -> usize {
+    pub fn backlog(&self, route: &RouteKey) -> usize {
         self.schedule.backlog(route)
     }
 
@@ -447,14 +474,10 @@
         counts
     }
 
-    /// Unfinished owned messages that have expired or whose route no longer exists.
-    pub fn expired_or_unroutable(
-        &self,
-        now: WallMs,
-        route_exists: impl Fn(&Envelope) -> bool,
-    ) -> Vec<String> {
+    /// Unfinished owned messages that have expired or whose route was dropped.
+    pub fn expired_or_unroutable(&self, now: WallMs) -> Vec<String> {
         let live = self.owned.values().filter(|owned| owned.is_live());
-        let ending = live.filter(|o| now >= o.envelope().expires_at || !route_exists(o.envelope()));
+        let ending = live.filter(|o| now >= o.envelope().expires_at || o.route == MessageRoute::Dropped);
         ending.map(|owned| owned.id().to_string()).collect()
     }
 
--- a/crates/queue/tests/queue.rs
+++ b/crates/queue/tests/queue.rs
@@ -5,15 +5,34 @@
     Placement, Queue, Stage,
 };
 use rstest::rstest;
+use settings::{Configuration, Route, RouteKey};
 use std::collections::BTreeSet;
 
 const DISK: u64 = 1;
 const BODY: [u8; 10] = [7; 10];
+const HOST: &str = "h";
+const PREFIX: &str = "/r/";
+
+/// A configuration whose one route is the one of all messages here.
+fn configuration() -> Configuration {
+    let route = Route { host: HOST.to_string(), prefix: PREFIX.to_string(), ..Route::default() };
+    Configuration { version: 1, routes: vec![route], ..Configuration::default() }
+}
+
+/// An empty queue that goes by this configuration.
+fn new_queue() -> Queue {
+    let mut queue = Queue::new(DISK);
+    queue.apply_configuration(&configuration());
+    queue
+}
 
 fn envelope(id: &str) -> Envelope {
     Envelope {
         id: id.to_string(),
+        host: HOST.to_string(),
+        target: format!("{PREFIX}{id}?query"),
         route: "r".to_string(),
+        config_version: 1,
         due_at: 1_000,
         received_at: 1_000,
         target_start_ms: 500,
@@ -49,7 +68,7 @@
 }
 
 fn next(queue: &mut Queue, now: u64) -> Option<String> {
-    queue.next("r", now, |_| true)
+    queue.next(&RouteKey::new(HOST, PREFIX), now, |_| true)
 }
 
 fn completed(id: &str) -> FinalRecord {
@@ -72,7 +91,7 @@
 
 #[test]
 fn a_message_runs_only_once_it_is_replicated_and_due() {
-    let mut queue = Queue::new(DISK);
+    let mut queue = new_queue();
     assert!(queue.add(message("a")));
     assert_eq!(next(&mut queue, 5_000), None, "not on a second disk yet");
     queue.mark_replicated("a");
@@ -85,7 +104,7 @@
 
 #[test]
 fn messages_of_a_key_run_one_at_a_time_in_order() {
-    let mut queue = Queue::new(DISK);
+    let mut queue = new_queue();
     accept(&mut queue, ordered("a", "k", 1));
     accept(&mut queue, ordered("b", "k", 2));
     accept(&mut queue, ordered("c", "other", 3));
@@ -105,7 +124,7 @@
 
 #[test]
 fn messages_taken_over_run_before_later_ones_of_their_key() {
-    let mut queue = Queue::new(DISK);
+    let mut queue = new_queue();
     accept(&mut queue, ordered("new", "k", 50));
     accept(&mut queue, ordered("old", "k", 3));
     accept(&mut queue, ordered("older", "k", 2));
@@ -118,7 +137,7 @@
 
 #[test]
 fn a_started_message_stays_first_of_its_key() {
-    let mut queue = Queue::new(DISK);
+    let mut queue = new_queue();
     accept(&mut queue, ordered("b", "k", 2));
     queue.start("b");
     accept(&mut queue, ordered("a", "k", 1));
@@ -129,7 +148,7 @@
 
 #[test]
 fn messages_that_can_start_on_time_run_before_late_ones() {
-    let mut queue = Queue::new(DISK);
+    let mut queue = new_queue();
     accept(&mut queue, message("late"));
     accept(&mut queue, with_body(Envelope { due_at: 3_000, ..envelope("fresh") }));
     assert_eq!(next(&mut queue, 3_100).as_deref(), Some("fresh"));
@@ -139,7 +158,7 @@
 
 #[test]
 fn a_key_with_fewer_late_messages_before_one_on_time_runs_first() {
-    let mut queue = Queue::new(DISK);
+    let mut queue = new_queue();
     for (sequence, id) in [(1, "a1"), (2, "a2")] {
         accept(&mut queue, ordered(id, "a", sequence));
     }
@@ -151,7 +170,7 @@
 
 #[test]
 fn long_overdue_messages_do_not_starve_behind_keys() {
-    let mut queue = Queue::new(DISK);
+    let mut queue = new_queue();
     accept(&mut queue, message("long overdue"));
     accept(&mut queue, ordered("a1", "a", 1));
     accept(&mut queue, with_body(Envelope { due_at: 9_000, ..ordered_envelope("a2", "a", 2) }));
@@ -160,7 +179,7 @@
 
 #[test]
 fn a_finished_message_stays_finished() {
-    let mut queue = Queue::new(DISK);
+    let mut queue = new_queue();
     accept(&mut queue, message("a"));
     queue.start("a");
     assert!(queue.finish(completed("a")));
@@ -173,7 +192,7 @@
 
 #[test]
 fn a_relinquished_message_is_gone_and_a_started_one_is_not_relinquished() {
-    let mut queue = Queue::new(DISK);
+    let mut queue = new_queue();
     accept(&mut queue, message("a"));
     accept(&mut queue, message("b"));
     queue.start("b");
@@ -186,7 +205,7 @@
 
 #[test]
 fn only_accepted_messages_are_reported_to_other_recipients() {
-    let mut queue = Queue::new(DISK);
+    let mut queue = new_queue();
     queue.add(with_body(Envelope { also_sent_to: vec![9], ..envelope("a") }));
     assert!(queue.accepted_also_sent_to(9).is_empty());
     queue.mark_replicated("a");
@@ -195,7 +214,7 @@
 
 #[test]
 fn a_replica_held_for_a_new_owner_is_not_dropped_for_the_old_one() {
-    let mut queue = Queue::new(DISK);
+    let mut queue = new_queue();
     queue.keep_replica(2, message("a"));
     queue.keep_replica(3, message("a"));
     queue.drop_replica(2, "a");
@@ -205,7 +224,7 @@
 
 #[test]
 fn final_records_are_discarded_once_no_longer_needed() {
-    let mut queue = Queue::new(DISK);
+    let mut queue = new_queue();
     accept(&mut queue, with_callback("owes"));
     accept(&mut queue, message("notified"));
     accept(&mut queue, message("unnotified"));
@@ -221,7 +240,7 @@
 /// Guards against a recovered queue that differs from the running queue which wrote the records.
 #[test]
 fn a_restart_recovers_the_state_of_the_process() {
-    let mut live = Queue::new(DISK);
+    let mut live = new_queue();
     let mut records = vec![Entry::Disk(DISK)];
     for (i, id) in ["a", "b", "c", "d"].iter().enumerate() {
         let message = ordered(id, "k", i as u64);
@@ -241,6 +260,7 @@
     let mut restarted = Queue::default();
     records.into_iter().for_each(|record| restarted.replay(record));
     restarted.finish_recovery();
+    restarted.apply_configuration(&configuration());
     assert_eq!(restarted.disk(), DISK);
     assert_eq!(restarted.counts(), live.counts());
     assert_eq!(next(&mut restarted, 1_000), next(&mut live, 1_000));
@@ -267,6 +287,7 @@
     queue.replay(Entry::Message { owner: DISK, message: contested });
     queue.replay(Entry::Message { owner: DISK, message: message("own") });
     let contested = queue.finish_recovery();
+    queue.apply_configuration(&configuration());
     assert_eq!(contested.iter().map(Message::id).collect::<Vec<_>>(), ["raced"]);
     assert_eq!(next(&mut queue, 1_000).as_deref(), Some("own"));
     queue.start("own");
@@ -280,7 +301,7 @@
 /// reconnected was not recorded as notified.
 #[test]
 fn a_finished_message_is_discarded_once_all_holders_were_notified() {
-    let mut queue = Queue::new(DISK);
+    let mut queue = new_queue();
     accept(&mut queue, message("a"));
     [5, 6].into_iter().for_each(|disk| assert!(queue.begin_copy("a", disk)));
     queue.finish(completed("a"));
@@ -295,7 +316,7 @@
 /// that was declared lost.
 #[test]
 fn a_fence_survives_a_restart() {
-    let mut queue = Queue::new(DISK);
+    let mut queue = new_queue();
     queue.replay(Entry::Disk(DISK));
     queue.replay(Entry::Message { owner: 9, message: message("held before") });
     queue.replay(Entry::Fenced { disk: 9 });
@@ -307,7 +328,7 @@
 
 #[test]
 fn replicas_are_listed_in_pages_ordered_by_id() {
-    let mut queue = Queue::new(DISK);
+    let mut queue = new_queue();
     for id in ["c", "a", "d", "b", "e"] {
         queue.keep_replica(9, message(id));
     }
@@ -324,7 +345,7 @@
 
 #[test]
 fn final_records_are_kept_with_their_owner() {
-    let mut queue = Queue::new(DISK);
+    let mut queue = new_queue();
     queue.keep_replica(9, message("a"));
     queue.keep_replica(8, message("b"));
     queue.finish(completed("a"));
@@ -341,7 +362,7 @@
 /// Guards against an outcome from a third store that finishes an owned message: it applies to replicas only.
 #[test]
 fn an_outcome_from_a_third_store_applies_to_replicas_only() {
-    let mut queue = Queue::new(DISK);
+    let mut queue = new_queue();
     queue.keep_replica(9, message("copy"));
     accept(&mut queue, message("own"));
     queue.keep_final_record(9, completed("copy"));
@@ -355,7 +376,7 @@
 /// of the outcome.
 #[test]
 fn no_replica_is_sent_after_the_end_and_recipients_of_one_are_notified() {
-    let mut queue = Queue::new(DISK);
+    let mut queue = new_queue();
     accept(&mut queue, message("a"));
     assert!(queue.begin_copy("a", 5));
     queue.finish(completed("a"));
@@ -368,7 +389,7 @@
 /// when it relinquishes the message.
 #[test]
 fn a_relinquished_message_stays_as_a_replica_for_its_other_owners() {
-    let mut queue = Queue::new(DISK);
+    let mut queue = new_queue();
     accept(&mut queue, message("a"));
     queue.keep_replica(9, message("a"));
     assert_eq!(queue.held_for(9).live.len(), 1);
@@ -381,7 +402,7 @@
 
 #[test]
 fn a_replica_for_two_owners_is_dropped_with_the_last_of_them() {
-    let mut queue = Queue::new(DISK);
+    let mut queue = new_queue();
     queue.keep_replica(8, message("a"));
     queue.keep_replica(9, message("a"));
     queue.drop_replica(9, "a");
@@ -394,7 +415,7 @@
 /// the successor sends each one once.
 #[test]
 fn holders_keep_a_pending_callback_until_it_is_accepted() {
-    let mut queue = Queue::new(DISK);
+    let mut queue = new_queue();
     queue.keep_replica(9, with_callback("a"));
     queue.finish(completed("a"));
     assert_eq!(queue.finished_after(9, "").count(), 1);
@@ -403,7 +424,7 @@
     assert!(!queue.adopt_finished(transfer.clone()));
     assert!(queue.owned("a").unwrap().callback_pending);
 
-    let mut other = Queue::new(DISK);
+    let mut other = new_queue();
     other.keep_replica(9, with_callback("a"));
     other.finish(completed("a"));
     other.mark_callback_done("a");
@@ -413,7 +434,7 @@
 
 #[test]
 fn relinquished_messages_and_pending_callbacks_are_recovered_after_a_restart() {
-    let mut queue = Queue::new(DISK);
+    let mut queue = new_queue();
     let records = [
         Entry::Disk(DISK),
         Entry::Message { owner: DISK, message: message("left") },
@@ -460,7 +481,7 @@
 #[test]
 fn a_dead_letter_keeps_its_body_from_owner_to_holder_to_successor() {
     for message in [message("a"), with_callback("a")] {
-        let mut holder = Queue::new(DISK);
+        let mut holder = new_queue();
         holder.keep_replica(9, message.clone());
         holder.finish(dead_lettered("a"));
         assert_eq!(bytes_of(&holder, "a").as_deref(), Some(&BODY[..]), "a holder can serve it");
@@ -481,7 +502,7 @@
 
 #[test]
 fn a_dead_letter_keeps_its_body_after_its_callback_and_is_not_called_back_again() {
-    let mut holder = Queue::new(DISK);
+    let mut holder = new_queue();
     holder.keep_replica(9, with_callback("a"));
     holder.finish(dead_lettered("a"));
     holder.mark_callback_done("a");
@@ -494,7 +515,7 @@
 
 #[test]
 fn a_completed_message_has_no_body_anywhere() {
-    let mut queue = Queue::new(DISK);
+    let mut queue = new_queue();
     queue.keep_replica(9, with_callback("kept"));
     accept(&mut queue, message("own"));
     assert!(queue.finish(completed("kept")) && queue.finish(completed("own")));
@@ -505,7 +526,7 @@
 /// Guards against treating an empty body, which a client may send, as a missing one.
 #[test]
 fn an_empty_body_is_not_a_missing_one() {
-    let mut queue = Queue::new(DISK);
+    let mut queue = new_queue();
     queue.keep_replica(9, Message::new(envelope("a"), Vec::new()));
     queue.finish(dead_lettered("a"));
     assert_eq!(bytes_of(&queue, "a"), Some(Vec::new()));
@@ -515,7 +536,7 @@
 /// repeated.
 #[test]
 fn compacted_records_describe_the_same_state_as_the_original_ones() {
-    let mut queue = Queue::new(DISK);
+    let mut queue = new_queue();
     accept(&mut queue, message("live"));
     accept(&mut queue, with_callback("owing"));
     accept(&mut queue, message("dead"));
@@ -536,9 +557,10 @@
     let twice: Vec<Entry> = compacted.iter().chain(&compacted).cloned().collect();
     let reversed: Vec<Entry> = compacted.iter().rev().cloned().collect();
     for records in [compacted, twice, reversed] {
-        let mut restarted = Queue::new(DISK);
+        let mut restarted = new_queue();
         records.into_iter().for_each(|record| restarted.replay(record));
         restarted.finish_recovery();
+        restarted.apply_configuration(&configuration());
         assert_eq!(restarted.counts(), queue.counts());
         assert_eq!(restarted.body_bytes(), queue.body_bytes());
         for id in ids {
@@ -558,14 +580,14 @@
 #[case::nothing_is_owed(message("a"), false)]
 #[case::the_callback_was_accepted(with_callback("a"), true)]
 fn the_end_of_an_own_message_outlasts_a_compaction(#[case] message: Message, #[case] called_back: bool) {
-    let mut queue = Queue::new(DISK);
+    let mut queue = new_queue();
     accept(&mut queue, message.clone());
     queue.keep_replica(9, message);
     assert!(queue.finish(completed("a")));
     if called_back {
         queue.mark_callback_done("a");
     }
-    let mut restarted = Queue::new(DISK);
+    let mut restarted = new_queue();
     replication::current_entries(&queue, "a").into_iter().for_each(|record| restarted.replay(record));
     assert_eq!(restarted.final_record_of("a"), Some(completed("a")));
     assert_eq!(restarted.owned("a").map(|owned| owned.callback_pending), Some(false));
@@ -579,7 +601,7 @@
 /// A store may lose power before it has written that a message finished. It learns the outcome from a holder.
 #[test]
 fn an_owner_learns_from_a_holder_what_it_holds_and_what_has_finished() {
-    let mut queue = Queue::new(DISK);
+    let mut queue = new_queue();
     ["live", "dead", "ended there", "gone"].into_iter().for_each(|id| accept(&mut queue, message(id)));
     ["live", "dead", "gone"].into_iter().for_each(|id| queue.confirm_copy(id, 5));
     queue.finish(dead_lettered("dead"));
@@ -596,7 +618,7 @@
 
 #[test]
 fn dead_letters_and_pending_callbacks_are_replicated_like_unfinished_messages() {
-    let mut queue = Queue::new(DISK);
+    let mut queue = new_queue();
     accept(&mut queue, message("dead"));
     accept(&mut queue, with_callback("owing"));
     accept(&mut queue, message("completed"));
@@ -619,7 +641,7 @@
 /// Guards against incomplete replication for an absent owner: dead letters have to keep their bodies.
 #[test]
 fn messages_of_an_absent_owner_are_fully_replicated_with_their_bodies() {
-    let mut holder = Queue::new(DISK);
+    let mut holder = new_queue();
     holder.keep_replica(9, message("live"));
     holder.keep_replica(9, message("dead"));
     holder.keep_replica(9, message("completed"));
@@ -653,7 +675,7 @@
 
 #[test]
 fn only_the_final_record_stays_once_nothing_is_held_for_any_owner() {
-    let mut queue = Queue::new(DISK);
+    let mut queue = new_queue();
     queue.keep_replica(9, message("a"));
     queue.finish(dead_lettered("a"));
     queue.keep_finished(8, finished_transfer(message("a"), dead_lettered("a")));
@@ -666,7 +688,7 @@
 
 #[test]
 fn ids_held_for_a_store_are_listed_in_pages() {
-    let mut queue = Queue::new(DISK);
+    let mut queue = new_queue();
     ["b", "d", "e"].into_iter().for_each(|id| queue.keep_replica(9, message(id)));
     ["a", "c"]
         .into_iter()
@@ -699,7 +721,7 @@
 
 #[test]
 fn counts_are_by_state() {
-    let mut queue = Queue::new(DISK);
+    let mut queue = new_queue();
     ["a", "b", "c"].into_iter().for_each(|id| accept(&mut queue, message(id)));
     queue.start("a");
     queue.finish(completed("b"));
--- a/crates/settings/src/configuration.rs
+++ b/crates/settings/src/configuration.rs
@@ -1,5 +1,6 @@
 //! The configuration that the operator sends: routes, services, limits and tenants.
 use crate::declare::{above_zero, any, not_empty, not_negative, Faults, Readable};
+use crate::routing::{Destination, RouteKey};
 use crate::tenants::{check_tenants, Tenant};
 use serde_json::Value;
 use std::collections::{BTreeMap, BTreeSet};
@@ -30,6 +31,13 @@
     }
 }
 
+impl Route {
+    /// Its identity. Its name isn't one: another configuration may give the name to another route.
+    pub fn key(&self) -> RouteKey {
+        RouteKey::new(&self.host, &self.prefix)
+    }
+}
+
 crate::declare! {
     /// What a route's messages are delivered to.
     #[derive(Clone, Debug, Default, PartialEq)]
@@ -135,13 +143,12 @@
 
     /// The route of a request: the longest prefix among those of its host.
     pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
-        let matching = self.routes.iter().filter(|r| r.host.eq_ignore_ascii_case(host));
-        matching.filter(|r| path.starts_with(r.prefix.as_str())).max_by_key(|r| r.prefix.len())
+        Destination { host, path }.select(self.routes.iter(), |route| (&route.host, &route.prefix))
     }
 
-    /// The route of a name.
-    pub fn named(&self, name: &str) -> Option<&Route> {
-        self.routes.iter().find(|r| r.name == name)
+    /// The route with this identity.
+    pub fn route_with_key(&self, key: &RouteKey) -> Option<&Route> {
+        self.routes.iter().rfind(|route| key.identifies(route))
     }
 
     /// The service of a name.
