--- a/tests/soak/judge.rs
+++ b/tests/soak/judge.rs
@@ -11,7 +11,7 @@
 use std::time::{Duration, Instant};
 
 /// A repeat counts as one in calm if there was no unplanned trouble for so long.
-const CONTACT: Duration = Duration::from_secs(4);
+pub const CONTACT: Duration = Duration::from_secs(4);
 /// The body of a dead letter is asked for this long after its end; stores keep it for longer.
 const ASKED_FOR: Duration = Duration::from_secs(100);
 /// A process that goes on reads an answer within this.
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -16,7 +16,7 @@
 mod tenants;
 mod troubles;
 
-use judge::Judge;
+use judge::{Judge, CONTACT};
 use operator::Operator;
 use rig::{call, pause, Rig, Size};
 use rstest::rstest;
@@ -43,6 +43,7 @@
 const SHOWN: usize = 10;
 /// A question that is answered with 503 is asked again so often.
 const ASKED_TIMES: usize = 5;
+const READINESS_PAUSE_MS: u64 = 20;
 
 /// Plays a seed; what was broken, and how much happened.
 fn play(plan: Plan) -> (Vec<String>, String) {
@@ -57,6 +58,7 @@
     troubles.play();
     clients.stop();
     troubles.end();
+    await_readiness(troubles.rig(), plan.size.edges, &judge);
     let until = Instant::now() + CALM;
     while judge.open() > 0 && Instant::now() < until {
         pause(100);
@@ -74,6 +76,24 @@
     (broken, format!("{}; {}", judge.summary(), troubles.summary()))
 }
 
+/// Every edge calls itself ready once it has been in touch for `CONTACT`. Until then one that was just started knows no
+/// configuration and may answer 503.
+fn await_readiness(rig: &Rig, edges: usize, judge: &Judge) {
+    let until = Instant::now() + CONTACT;
+    for edge in 0..edges {
+        let is_ready = || {
+            let answer = call(rig.readiness(edge), "GET", "/v1/ready", &[], "");
+            answer.is_some_and(|answer| answer.status == 200)
+        };
+        while !is_ready() && Instant::now() < until {
+            pause(READINESS_PAUSE_MS);
+        }
+        if !is_ready() {
+            judge.broke(format!("READY: edge {edge} isn't ready {CONTACT:?} after the last trouble"));
+        }
+    }
+}
+
 /// In calm the state and the body of every message that has not ended, and of every dead letter, come back.
 fn check_bodies(rig: &Rig, edges: usize, judge: &Judge) {
     for (turn, owed) in judge.owed().into_iter().enumerate() {
